--- /dev/null
+++ b/crates/adapter/src/main.rs
@@ -0,0 +1,46 @@
+//! Speaks the simulator's wire on standard input and output and hands each event to the decision
+//! module's instance that it names. Decides nothing.
+
+mod session;
+mod translate;
+mod wire;
+
+use std::io::{self, BufRead, Write};
+use std::process::ExitCode;
+
+fn run() -> Result<(), String> {
+    if std::env::args().len() > 1 {
+        return Err("takes no arguments; batches come on standard input".into());
+    }
+    let mut input = io::stdin().lock();
+    let mut output = io::BufWriter::new(io::stdout().lock());
+    let mut session = session::Session::default();
+    let mut line = String::new();
+    for number in 1_u64.. {
+        line.clear();
+        let read = input.read_line(&mut line).map_err(|e| format!("line {number}: {e}"))?;
+        if read == 0 {
+            break;
+        }
+        if line.trim().is_empty() {
+            continue;
+        }
+        let reply = session.line(&line).map_err(|e| format!("line {number}: {e}"))?;
+        // Made whole before any of it is written: there is never half a reply.
+        let mut text = serde_json::to_vec(&reply).map_err(|e| format!("line {number}: {e}"))?;
+        text.push(b'\n');
+        let written = output.write_all(&text).and_then(|()| output.flush());
+        written.map_err(|e| format!("standard output: {e}"))?;
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("chalkyard-adapter: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/adapter/src/translate.rs
@@ -0,0 +1,268 @@
+//! Between the words of the wire and the types of the decision module, both ways.
+
+use std::collections::BTreeMap;
+
+use chalkyard_policy as p;
+
+use crate::wire;
+
+/// The names that the settings give to positions, needed to read later messages.
+#[derive(Debug, Default)]
+pub struct Names {
+    classes: BTreeMap<String, p::ClassId>,
+    tenants: BTreeMap<String, p::TenantId>,
+    zones: BTreeMap<String, p::ZoneId>,
+    kinds: BTreeMap<String, (p::Role, Option<u64>)>,
+}
+
+fn secs(s: f64) -> p::Micros {
+    p::Micros::from_secs_f64(s)
+}
+
+fn tokens(t: f64) -> u64 {
+    t as u64
+}
+
+/// Reads the settings. A word that the wire page does not know is an error naming its field.
+pub fn settings(w: &wire::Params) -> Result<(p::Settings, Names), String> {
+    let mut names = Names::default();
+    for (i, z) in w.dcs.iter().enumerate() {
+        names.zones.insert(z.clone(), p::ZoneId(i));
+    }
+    for (i, kind) in w.kinds.iter().enumerate() {
+        let role = match w.family_info.role_by_kind.get(i).map(String::as_str) {
+            Some("read") => p::Role::Reader,
+            Some("write") => p::Role::Writer,
+            Some("both") | None => p::Role::Mixed,
+            Some(other) => return Err(format!("field `role_by_kind`: unknown role `{other}`")),
+        };
+        let kv = w.family_info.kv_tokens.get(i).map(|t| tokens(*t));
+        names.kinds.insert(kind.clone(), (role, kv));
+    }
+    let mut classes = Vec::new();
+    for (i, c) in w.categories.iter().enumerate() {
+        names.classes.insert(c.name.clone(), p::ClassId(i));
+        let group = match c.group.as_str() {
+            "zone" => p::Group::Zone,
+            "cell" => p::Group::Cell,
+            _ => p::Group::All,
+        };
+        let effect = match c.repeat.as_str() {
+            "free" => p::Effect::Free,
+            "guarded" => p::Effect::Guarded(group),
+            "single_shot" => p::Effect::SingleShot,
+            other => return Err(format!("field `repeat`: unknown value `{other}`")),
+        };
+        let at = |list: &[f64]| list.get(i).copied().unwrap_or(0.0);
+        classes.push(p::Class {
+            aim: secs(c.goal_time_s),
+            aim_per_1000_tokens: secs(at(&w.family_info.aim_us_per_1000_prompt_tokens) / 1e6),
+            deadline: secs(c.deadline_s),
+            token_aim: secs(at(&w.family_info.token_aim_s)),
+            worth: c.points,
+            late_worth: c.late_worth,
+            effect,
+            dedup_window: secs(c.dedup_window_s),
+        });
+    }
+    for (i, t) in w.tenants.iter().enumerate() {
+        names.tenants.insert(t.name.clone(), p::TenantId(i));
+    }
+    let settings = p::Settings {
+        routers: w.balancers,
+        zone: w.zone.as_ref().and_then(|z| names.zones.get(z)).copied(),
+        classes,
+        tenants: w.tenants.iter().map(|t| p::Tenant { allowance_per_s: t.allowance_per_s }).collect(),
+        discovery: if w.discovery == "ask" { p::Discovery::Ask } else { p::Discovery::Push },
+        must_ask_in: secs(w.rules.must_ask_in_s),
+        self_prefill: w.family_info.self_prefill,
+        may_book: w.family_info.ahead,
+        resume: w.family_info.resume,
+        release: secs(w.family_info.release_s),
+        max_attempts: w.limits.max_attempts,
+        parallel_tries: w.limits.parallel_tries,
+        may_cancel: w.limits.cancel,
+        may_probe: w.limits.may_probe,
+        may_tell: w.limits.may_tell,
+        max_retry_after: if w.limits.retry_after { secs(w.limits.max_retry_after_s) } else { p::Micros(0) },
+        drain_grace: secs(w.rules.drain_grace_s),
+        fall_multiple: w.rules.fall_multiple,
+        fall_after: secs(w.rules.fall_s),
+        cold_from: w.rules.cold_from,
+        cold_for: secs(w.rules.cold_s),
+        answer_slack: secs(w.rules.answer_slack_s),
+        tick: secs(w.tick_s),
+        over_share_worth: w.over_share_worth,
+        far_price: w.family_info.far_price,
+        cross_zone_price: w.prices.cross_zone,
+        weighted: !w.weights.is_empty() && w.weights != "off",
+        reports: match w.reporting.how.as_str() {
+            "inline" => p::Reports::InAnswers,
+            "on_probe" => p::Reports::InProbes,
+            _ => p::Reports::Off,
+        },
+    };
+    Ok((settings, names))
+}
+
+/// Reads a list of workers.
+pub fn registry(names: &Names, w: &wire::Registry) -> Result<p::Event, String> {
+    let kind = match w.mode.as_str() {
+        "snapshot" => p::ListKind::Full,
+        "disk" => p::ListKind::Stale,
+        "diff" => p::ListKind::Changes,
+        "error" => p::ListKind::Failed,
+        other => return Err(format!("field `mode`: unknown value `{other}`")),
+    };
+    let mut workers = Vec::with_capacity(w.nodes_list.len());
+    for n in &w.nodes_list {
+        let kind = n.model.as_ref().and_then(|m| names.kinds.get(m));
+        let (role, kv_tokens) = kind.copied().unwrap_or((p::Role::Mixed, None));
+        workers.push(p::Worker {
+            id: n.worker.as_str().into(),
+            zone: n.az.as_ref().and_then(|z| names.zones.get(z)).copied(),
+            cell: p::CellId(n.block),
+            role,
+            kv_tokens,
+            lifecycle: match n.lifecycle.as_str() {
+                "IN" => p::Lifecycle::In,
+                "LAME" => p::Lifecycle::Draining,
+                "OUT" => p::Lifecycle::Out,
+                other => return Err(format!("field `lifecycle`: unknown value `{other}`")),
+            },
+            weight: n.heft.unwrap_or(1.0),
+            started: Some(secs(n.last_start_s)).filter(|s| s.0 > 0),
+        });
+    }
+    Ok(p::Event::Workers { kind, workers })
+}
+
+/// Reads a request.
+pub fn request(names: &Names, w: &wire::JobIn) -> Result<p::Event, String> {
+    let class = names.classes.get(&w.qos).copied();
+    let tenant = w.realm.as_ref().and_then(wire::Key::text);
+    Ok(p::Event::Request(p::Request {
+        id: w.call.as_str().into(),
+        class: class.ok_or_else(|| format!("field `qos`: unknown class `{}`", w.qos))?,
+        tenant: tenant.and_then(|t| names.tenants.get(t)).copied(),
+        session: w.session_id.as_ref().and_then(wire::Key::text).map(Into::into),
+        prefix: w.system_prompt.as_ref().and_then(wire::Key::text).map(Into::into),
+        prefix_tokens: tokens(w.n_prefix),
+        prompt_tokens: tokens(w.prompt_tokens),
+        max_output: tokens(w.output_cap),
+        hint: w.effort_s.filter(|h| *h > 0.0).map(secs),
+        deadline: secs(w.client_deadline_s),
+        retry: w.retry,
+        came_back: w.came_back,
+    }))
+}
+
+fn report(s: &wire::Stats) -> p::Report {
+    p::Report {
+        in_flight: s.concurrent,
+        queued: s.depth,
+        slots_used: s.load_share,
+        latency: s.mean_ms.map(|ms| secs(ms / 1e3)),
+        served_per_s: s.tps,
+        errors_per_s: s.err_ps,
+        kv_used: s.x0,
+        waiting_tokens: s.x1.map(|k| k * 1e3),
+    }
+}
+
+/// Reads the beginning of an answer.
+pub fn streaming(w: &wire::Streaming) -> p::Event {
+    p::Event::Streaming {
+        id: w.call.as_str().into(),
+        attempt: p::AttemptNo(w.send_no),
+        elapsed: secs(w.elapsed_s),
+    }
+}
+
+/// Reads the end of an attempt.
+pub fn verdict(w: &wire::Verdict) -> Result<p::Event, String> {
+    let outcome = match w.status.as_str() {
+        "served" => p::Outcome::Served,
+        "parsed" => p::Outcome::Parsed,
+        "server_error" => p::Outcome::ServerError,
+        "turned_away" => p::Outcome::Refused { no_state: w.detail == 1 },
+        "no_answer" => p::Outcome::TimedOut,
+        "no_connection" => p::Outcome::NoConnection,
+        "connection_lost" => p::Outcome::ConnectionLost,
+        "called_off" => p::Outcome::Cancelled,
+        "not_sent" => p::Outcome::NotSent,
+        other => return Err(format!("field `status`: unknown value `{other}`")),
+    };
+    Ok(p::Event::Verdict {
+        id: w.call.as_str().into(),
+        attempt: p::AttemptNo(w.send_no),
+        outcome,
+        elapsed: secs(w.elapsed_s),
+        over: w.over,
+        kept: if matches!(outcome, p::Outcome::Served | p::Outcome::Parsed) { w.detail } else { 0 },
+        report: w.stats.as_ref().map(report),
+    })
+}
+
+/// Reads the answer to a booking.
+pub fn booked(w: &wire::AnswerAhead) -> p::Event {
+    p::Event::Booked { id: w.call.as_str().into(), worker: w.worker.as_str().into(), held: w.sort == 1 }
+}
+
+/// Reads the answer to a probe.
+pub fn probed(w: &wire::Health) -> p::Event {
+    p::Event::Probed {
+        worker: w.worker.as_str().into(),
+        ok: w.status == "served",
+        elapsed: secs(w.elapsed_s),
+        report: w.stats.as_ref().map(report),
+    }
+}
+
+/// Reads a message from a peer.
+pub fn peer(w: &wire::PeerData) -> Result<p::Event, String> {
+    Ok(p::Event::Peer { from: w.sender, bytes: unhex(&w.msg).ok_or("field `msg`: not hex digits")? })
+}
+
+fn unhex(s: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<u8>> =
+        s.chars().map(|c| c.to_digit(16).and_then(|d| u8::try_from(d).ok())).collect();
+    let digits = digits.filter(|d| d.len() % 2 == 0)?;
+    Some(digits.chunks(2).map(|c| c.iter().fold(0, |a, d| a << 4 | d)).collect())
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// Writes an action.
+pub fn deed(action: p::Action) -> wire::Deed {
+    let call = |id: p::RequestId| id.0.to_string();
+    let name = |w: p::WorkerId| w.0.to_string();
+    match action {
+        p::Action::Send { id, worker, give_up } => wire::Deed::Send {
+            call: call(id),
+            worker: name(worker),
+            give_up_after_s: give_up.map(p::Micros::as_secs_f64),
+        },
+        p::Action::Cancel { id, attempt } => wire::Deed::Cancel { call: call(id), send_no: attempt.0 },
+        p::Action::Refuse { id, retry_after } => {
+            wire::Deed::Decline { call: call(id), cool_down_s: retry_after.map(p::Micros::as_secs_f64) }
+        }
+        p::Action::Fail(id) => wire::Deed::DropRequest { call: call(id) },
+        p::Action::Move(id) => wire::Deed::Transfer { call: call(id) },
+        p::Action::Book { id, worker } => wire::Deed::BookSeat { call: call(id), worker: name(worker) },
+        p::Action::LetGo(id) => wire::Deed::Unhold { call: call(id) },
+        p::Action::SetTimer { timer, after } => {
+            wire::Deed::SetTimer { name: timer.0, in_s: after.as_secs_f64() }
+        }
+        p::Action::Probe(worker) => wire::Deed::Check { worker: name(worker) },
+        p::Action::CloseIdle(worker) => wire::Deed::Release { worker: name(worker) },
+        p::Action::Subscribe => wire::Deed::Tail { enable: true },
+        p::Action::Reload => wire::Deed::Reload,
+        p::Action::Tell { to, bytes } => {
+            wire::Deed::Share { dest: to.map_or(wire::Dest::All("all"), wire::Dest::One), msg: hex(&bytes) }
+        }
+        p::Action::Log(line) => wire::Deed::SayLog { line },
+    }
+}
--- /dev/null
+++ b/crates/policy/src/interface.rs
@@ -0,0 +1,505 @@
+//! What passes between the decision module and the program around it: ids, settings, events,
+//! outcomes and actions. Types only.
+//!
+//! All times and spans are whole microseconds ([`Micros`]); token counts are plain numbers.
+//! Classes, tenants and zones are positions in the lists of [`Settings`]; their names never
+//! reach the module.
+
+use std::ops::{Add, Sub};
+use std::sync::Arc;
+
+/// A point of the clock, or a span of time, in microseconds. Arithmetic saturates.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// The span of `s` seconds; negative or undefined values give zero.
+    pub fn from_secs_f64(s: f64) -> Self {
+        Self((s * 1e6).round() as u64)
+    }
+
+    /// This many seconds.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// This span times `factor`; negative or undefined products give zero.
+    pub fn mul_f64(self, factor: f64) -> Self {
+        Self((self.0 as f64 * factor) as u64)
+    }
+}
+
+impl Add for Micros {
+    type Output = Self;
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl Sub for Micros {
+    type Output = Self;
+    fn sub(self, rhs: Self) -> Self {
+        Self(self.0.saturating_sub(rhs.0))
+    }
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub Arc<str>);
+
+        impl From<&str> for $name {
+            fn from(s: &str) -> Self {
+                Self(s.into())
+            }
+        }
+    };
+}
+
+text_id!(
+    /// One try of a client. Never repeated: a client's next try has a fresh id.
+    RequestId
+);
+text_id!(
+    /// A server, under the one id by which every router knows it.
+    WorkerId
+);
+text_id!(
+    /// A conversation: each of its prompts holds all that went before.
+    SessionId
+);
+text_id!(
+    /// A beginning that prompts of several sessions share.
+    PrefixId
+);
+
+/// Position in [`Settings::classes`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassId(pub usize);
+
+/// Position in [`Settings::tenants`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub usize);
+
+/// A zone; equal numbers mean the same zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub usize);
+
+/// A cell (rack): a small group of workers with a link of their own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CellId(pub u64);
+
+/// What a timer gives back when it fires; chosen by the module.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TimerId(pub u64);
+
+/// Number of an attempt of one request, from 0.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptNo(pub u32);
+
+/// What a worker does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Role {
+    /// Reads prompts; its read state is then pulled by a writer.
+    Reader,
+    /// Pulls read state and writes answers; may read by itself where the settings say so.
+    Writer,
+    /// Does both.
+    Mixed,
+}
+
+/// Where a class of requests may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// Repeating does no harm.
+    Free,
+    /// Repeats are discarded within a group of workers for some time.
+    Guarded(Group),
+    /// Must never run twice.
+    SingleShot,
+}
+
+/// The workers that discard repeats of a guarded request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Group {
+    /// All workers.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Class {
+    /// Time to the first token that earns full worth.
+    pub aim: Micros,
+    /// Added to the aim for each 1,000 prompt tokens.
+    pub aim_per_1000_tokens: Micros,
+    /// A client's whole waiting time, over all its tries.
+    pub deadline: Micros,
+    /// Aim for the time between two tokens.
+    pub token_aim: Micros,
+    /// Worth of an answer, and the share of it that a late one still earns.
+    pub worth: f64,
+    /// See `worth`.
+    pub late_worth: f64,
+    /// Where it may be repeated.
+    pub effect: Effect,
+    /// For guarded classes: how long repeats are discarded, from the first send that may have run.
+    pub dedup_window: Micros,
+}
+
+/// A tenant's share.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tenant {
+    /// Requests a second within its share, summed over all routers; none told means no limit.
+    pub allowance_per_s: Option<f64>,
+}
+
+/// How the list of workers is learnt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Discovery {
+    /// Changes come unasked.
+    Push,
+    /// Changes come only after [`Action::Subscribe`] or [`Action::Reload`].
+    Ask,
+}
+
+/// How workers report their load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reports {
+    /// Not at all.
+    Off,
+    /// With outcomes and with answers to probes.
+    InAnswers,
+    /// With answers to probes only.
+    InProbes,
+}
+
+/// What the site tells a router when it starts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Number of routers, this one included.
+    pub routers: u32,
+    /// This router's zone.
+    pub zone: Option<ZoneId>,
+    /// Classes of requests.
+    pub classes: Vec<Class>,
+    /// Tenants; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// How the list of workers is learnt.
+    pub discovery: Discovery,
+    /// Without a subscription, the list must be asked for at least this often.
+    pub must_ask_in: Micros,
+    /// Writers read a prompt by themselves when there is no state to pull.
+    pub self_prefill: bool,
+    /// Places may be booked ahead at a writer.
+    pub may_book: bool,
+    /// A broken stream goes on elsewhere, and a running one may be moved.
+    pub resume: bool,
+    /// Held state or place must be taken or let go within this span.
+    pub release: Micros,
+    /// At most this many attempts for a request.
+    pub max_attempts: u32,
+    /// Two attempts of one request may be out at the same time.
+    pub parallel_tries: bool,
+    /// An attempt may be cancelled.
+    pub may_cancel: bool,
+    /// Workers may be probed.
+    pub may_probe: bool,
+    /// Messages to the other routers are allowed.
+    pub may_tell: bool,
+    /// Clients are told when to come back, at most this far ahead; zero: they are not.
+    pub max_retry_after: Micros,
+    /// Nothing is sent later than this after a worker was told to be draining or gone.
+    pub drain_grace: Micros,
+    /// A cold worker falls over when sent this multiple of its present capacity ...
+    pub fall_multiple: f64,
+    /// ... for this long.
+    pub fall_after: Micros,
+    /// A worker starts with at least this share of its capacity ...
+    pub cold_from: f64,
+    /// ... and is warm after this span at the latest.
+    pub cold_for: Micros,
+    /// How late a final answer still counts after the client's deadline.
+    pub answer_slack: Micros,
+    /// The smallest step of the clock.
+    pub tick: Micros,
+    /// Worth of a request beyond its tenant's share, as a share of its class's worth.
+    pub over_share_worth: f64,
+    /// Price of moving all prompt tokens out of their cells, as a share of the result.
+    pub far_price: f64,
+    /// Price of an attempt that crosses zones, as a share of the result.
+    pub cross_zone_price: f64,
+    /// Whether worker weights mean anything.
+    pub weighted: bool,
+    /// How workers report their load.
+    pub reports: Reports,
+}
+
+/// Whether a worker takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lifecycle {
+    /// Takes work.
+    In,
+    /// Finishes its work; nothing new may be sent.
+    Draining,
+    /// Removed.
+    Out,
+}
+
+/// An entry of the list of workers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Worker {
+    /// Its id.
+    pub id: WorkerId,
+    /// Its zone.
+    pub zone: Option<ZoneId>,
+    /// Its cell.
+    pub cell: CellId,
+    /// What it does.
+    pub role: Role,
+    /// Its memory, in tokens; none where it is not told.
+    pub kv_tokens: Option<u64>,
+    /// Whether it takes new work.
+    pub lifecycle: Lifecycle,
+    /// Size for comparison with others.
+    pub weight: f64,
+    /// Its most recent start; none: long ago.
+    pub started: Option<Micros>,
+}
+
+/// How a list of workers is to be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListKind {
+    /// Complete, and current as far as discovery knows.
+    Full,
+    /// Complete, as last held before a restart; perhaps stale.
+    Stale,
+    /// Changed entries only.
+    Changes,
+    /// Asking failed or the subscription broke; no entries, the list held stays.
+    Failed,
+}
+
+/// A worker's load, as far as it tells it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Report {
+    /// Requests being handled, waiting state included.
+    pub in_flight: Option<f64>,
+    /// Requests that wait.
+    pub queued: Option<f64>,
+    /// Share of its slots in use, 0 to 1.
+    pub slots_used: Option<f64>,
+    /// Recent time to the end of a read or to the first token.
+    pub latency: Option<Micros>,
+    /// Requests served a second.
+    pub served_per_s: Option<f64>,
+    /// Errors a second.
+    pub errors_per_s: Option<f64>,
+    /// Share of its memory held, 0 to 1.
+    pub kv_used: Option<f64>,
+    /// Prompt tokens that wait to be read or pulled.
+    pub waiting_tokens: Option<f64>,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered.
+    Served,
+    /// Prompt read; its state waits at this reader. Proves that nothing ran.
+    Parsed,
+    /// The worker failed; it may have run.
+    ServerError,
+    /// Turned away. Proves that it never ran.
+    Refused {
+        /// There was no state to pull.
+        no_state: bool,
+    },
+    /// No answer in time; it may have run.
+    TimedOut,
+    /// No connection. Proves that it never ran.
+    NoConnection,
+    /// Connection lost; it may have run.
+    ConnectionLost,
+    /// Cancelled; it may have run.
+    Cancelled,
+    /// Not sent at all. Proves that it never ran.
+    NotSent,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the attempt had no effect.
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Self::Parsed | Self::Refused { .. } | Self::NoConnection | Self::NotSent)
+    }
+}
+
+/// A request as a client brings it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, where there are any.
+    pub tenant: Option<TenantId>,
+    /// Its session.
+    pub session: Option<SessionId>,
+    /// The beginning that it shares with other sessions.
+    pub prefix: Option<PrefixId>,
+    /// Prompt tokens of that beginning.
+    pub prefix_tokens: u64,
+    /// Prompt tokens in all.
+    pub prompt_tokens: u64,
+    /// The longest answer allowed, in tokens.
+    pub max_output: u64,
+    /// A guess at the answer's time at the token aim, where the site gives one.
+    pub hint: Option<Micros>,
+    /// When the client gives this try up.
+    pub deadline: Micros,
+    /// The client says that it has tried before.
+    pub retry: bool,
+    /// The client returns after a stream that broke or was moved.
+    pub came_back: bool,
+}
+
+/// What a router hears.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// News of the list of workers.
+    Workers {
+        /// How to read it.
+        kind: ListKind,
+        /// The entries.
+        workers: Vec<Worker>,
+    },
+    /// A request has come; one final answer is owed.
+    Request(Request),
+    /// An answer has begun; the client's deadline no longer runs.
+    Streaming {
+        /// The request.
+        id: RequestId,
+        /// Its attempt.
+        attempt: AttemptNo,
+        /// Time since it was sent.
+        elapsed: Micros,
+    },
+    /// An attempt has ended. Each attempt gets exactly one.
+    Verdict {
+        /// The request.
+        id: RequestId,
+        /// Its attempt.
+        attempt: AttemptNo,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since it was sent.
+        elapsed: Micros,
+        /// The request is over for the client.
+        over: bool,
+        /// Prompt tokens that the worker found kept (after `Served` and `Parsed`).
+        kept: u64,
+        /// The worker's load.
+        report: Option<Report>,
+    },
+    /// Answer to [`Action::Book`].
+    Booked {
+        /// The request.
+        id: RequestId,
+        /// The worker asked.
+        worker: WorkerId,
+        /// Whether the place is held.
+        held: bool,
+    },
+    /// The client has left; nothing more is owed.
+    ClientGone(RequestId),
+    /// A timer has come due.
+    Timer(TimerId),
+    /// Answer to [`Action::Probe`].
+    Probed {
+        /// The worker.
+        worker: WorkerId,
+        /// It answered.
+        ok: bool,
+        /// Time since the probe was sent.
+        elapsed: Micros,
+        /// The worker's load.
+        report: Option<Report>,
+    },
+    /// A message from another router.
+    Peer {
+        /// Its number.
+        from: u32,
+        /// What it says.
+        bytes: Vec<u8>,
+    },
+}
+
+/// What a router does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send a request to a worker.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// The worker.
+        worker: WorkerId,
+        /// Give up after this span (never zero); none: when the client does.
+        give_up: Option<Micros>,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        id: RequestId,
+        /// Its attempt.
+        attempt: AttemptNo,
+    },
+    /// Final answer: refused, trying again does no harm.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// Time that the client should stay away.
+        retry_after: Option<Micros>,
+    },
+    /// Final answer: failed, nothing is promised.
+    Fail(RequestId),
+    /// End a running stream so that it goes on elsewhere.
+    Move(RequestId),
+    /// Hold a place for a request at a writer.
+    Book {
+        /// The request.
+        id: RequestId,
+        /// The writer.
+        worker: WorkerId,
+    },
+    /// Let go of all state and places held for a request.
+    LetGo(RequestId),
+    /// Ask for an [`Event::Timer`] after this span.
+    SetTimer {
+        /// Given back when it fires.
+        timer: TimerId,
+        /// Span from now.
+        after: Micros,
+    },
+    /// Probe a worker.
+    Probe(WorkerId),
+    /// Close idle connections to a worker.
+    CloseIdle(WorkerId),
+    /// Subscribe to changes of the list of workers.
+    Subscribe,
+    /// Ask for the list of workers once.
+    Reload,
+    /// Send a message to one other router, or to all.
+    Tell {
+        /// The router; none: all.
+        to: Option<u32>,
+        /// At most 256 bytes.
+        bytes: Vec<u8>,
+    },
+    /// A line for the log.
+    Log(String),
+}
--- /dev/null
+++ b/crates/policy/src/policy.rs
@@ -0,0 +1,751 @@
+//! All decisions of chalkyard, its tables and its tuned values.
+//!
+//! Interface: `interface.rs` beside this file (ids, settings, events, outcomes, actions).
+//! `Router::new(settings, seed)` makes a router, `Router::handle(now, event, &mut actions)` feeds it.
+//! Order of reading: constants, what is known, the ordinary path, verdicts, health, rule guards.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::interface::*;
+
+// ---- Tuned values. Each is a plain ratio or count that should make sense on any site.
+
+/// Share of a class's first-token aim that a local read at the home writer may take.
+const LOCAL_READ_SHARE: f64 = 0.12;
+/// Pace of a writer's own reading before any was seen, in tokens a second.
+const FIRST_GUESS_PACE: f64 = 7_000.0;
+/// A silent attempt is overdue after this multiple of what its peers take ...
+const OVERDUE_FACTOR: f64 = 4.0;
+/// ... but not before this share of the request's aim.
+const OVERDUE_FLOOR: f64 = 0.4;
+/// Weight of a new observation in every EWMA.
+const GAIN: f64 = 0.1;
+/// Failures in a row that bench a worker, and the first span of the bench (it doubles).
+const STRIKES: u32 = 2;
+const BENCH: Micros = Micros(1_000_000);
+const BENCH_DOUBLINGS: u32 = 4;
+/// Held state is let go after this share of the told release time.
+const RELEASE_SHARE: f64 = 0.8;
+/// Share of the cold budget that is used; the rest is for chance and unequal routers.
+const COLD_SHARE: f64 = 0.5;
+/// A request that finds no worker looks again after this span.
+const RETRY_WAIT: Micros = Micros(40_000);
+/// Streams sent this long before a report came are not in it yet.
+const REPORT_LAG: Micros = Micros(300_000);
+/// First-token time over aim (EWMA) from which over-share requests are refused.
+const PRESSURE_OVER_SHARE: f64 = 0.7;
+/// A tenant may save up this many seconds of its share.
+const BUCKET_S: f64 = 2.0;
+
+// ---- What is known.
+
+/// An exponentially weighted mean.
+#[derive(Debug, Clone, Copy, Default)]
+struct Ewma(Option<f64>);
+
+impl Ewma {
+    fn add(&mut self, x: f64) {
+        self.0 = Some(self.0.map_or(x, |m| m + GAIN * (x - m)));
+    }
+}
+
+/// A worker and what this router has seen of it.
+#[derive(Debug)]
+struct Server {
+    info: Worker,
+    /// Our reads and our writing attempts that are out.
+    reads: u32,
+    streams: u32,
+    /// Last report, and our streams sent since as (time, tokens).
+    report: Option<Report>,
+    since: VecDeque<(Micros, f64)>,
+    /// Our sends within the cold window.
+    sends: VecDeque<Micros>,
+    /// Prompt tokens that we sent there so far: the clock by which notes age.
+    poured: u64,
+    /// Notes made up to this time are void: what a worker kept is lost with a restart.
+    void_before: Micros,
+    /// Health: failures in a row, end of the bench, silent attempts past their time.
+    strikes: u32,
+    benched_until: Micros,
+    overdue: u32,
+}
+
+impl Server {
+    fn new(info: Worker, now: Micros) -> Self {
+        Self {
+            info,
+            reads: 0,
+            streams: 0,
+            report: None,
+            since: VecDeque::new(),
+            sends: VecDeque::new(),
+            poured: 0,
+            void_before: now,
+            strikes: 0,
+            benched_until: Micros(0),
+            overdue: 0,
+        }
+    }
+
+    fn kv(&self) -> f64 {
+        self.info.kv_tokens.map_or(f64::INFINITY, |t| t.max(1) as f64)
+    }
+
+    /// Room by the last report less our streams sent since, as a share of its memory.
+    fn room(&self) -> Option<f64> {
+        let r = self.report?;
+        let used = match (r.kv_used, r.slots_used) {
+            (None, None) => return None,
+            (k, s) => k.unwrap_or(0.0).max(s.unwrap_or(0.0)),
+        };
+        let sent: f64 = self.since.iter().map(|(_, t)| t).sum();
+        let waiting = r.waiting_tokens.unwrap_or(0.0) + sent;
+        Some(1.0 - used - waiting / self.kv() - r.queued.unwrap_or(0.0) * 0.02)
+    }
+}
+
+/// Where a session's text is kept.
+#[derive(Debug, Clone)]
+struct Home {
+    worker: WorkerId,
+    kept: u64,
+    noted: Micros,
+    poured: u64,
+}
+
+/// The session table: two generations, the older of which is dropped when the younger is full.
+#[derive(Debug, Default)]
+struct Homes {
+    young: BTreeMap<SessionId, Home>,
+    old: BTreeMap<SessionId, Home>,
+}
+
+impl Homes {
+    fn get(&self, s: &SessionId) -> Option<&Home> {
+        self.young.get(s).or_else(|| self.old.get(s))
+    }
+
+    fn note(&mut self, s: SessionId, home: Home, most: usize) {
+        if self.young.len() >= most {
+            self.old = std::mem::take(&mut self.young);
+        }
+        self.young.insert(s, home);
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// At a reader: no effect, ends with state that waits there.
+    Read,
+    /// At a writer or mixed server.
+    Write,
+}
+
+/// One attempt.
+#[derive(Debug)]
+struct Try {
+    worker: WorkerId,
+    zone: Option<ZoneId>,
+    cell: CellId,
+    stage: Stage,
+    sent: Micros,
+    /// When its silence becomes suspicious; none once it has answered or was counted.
+    due: Option<Micros>,
+    overdue: bool,
+    open: bool,
+    maybe_ran: bool,
+    /// Tokens that the table said the worker keeps (local reads only).
+    predicted: Option<u64>,
+}
+
+/// A request from arrival to its last verdict.
+#[derive(Debug)]
+struct Job {
+    req: Request,
+    arrived: Micros,
+    aim: Micros,
+    tries: Vec<Try>,
+    /// The reader with the read state, and the last verdict since when it is held.
+    held: Option<WorkerId>,
+    held_since: Micros,
+    streaming: bool,
+    /// A final answer was given or the client is gone.
+    done: bool,
+}
+
+impl Job {
+    fn open(&self) -> bool {
+        self.tries.iter().any(|t| t.open)
+    }
+
+    fn tried(&self, w: &WorkerId) -> bool {
+        self.tries.iter().any(|t| t.worker == *w && !t.open)
+    }
+}
+
+/// The decision module of one router.
+#[derive(Debug)]
+pub struct Router {
+    set: Settings,
+    seed: u64,
+    now: Micros,
+    servers: BTreeMap<WorkerId, Server>,
+    jobs: BTreeMap<RequestId, Job>,
+    homes: Homes,
+    timers: BTreeMap<TimerId, RequestId>,
+    next_timer: u64,
+    /// Time of reads and of first tokens, each over the request's aim.
+    read_time: Ewma,
+    first_time: Ewma,
+    /// Time from arrival to first token over the aim.
+    pressure: Ewma,
+    /// Token buckets of the tenants: tokens left, last filled.
+    buckets: Vec<(f64, Micros)>,
+}
+
+impl Router {
+    /// A router that knows nothing yet. All its randomness comes from `seed`.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let buckets = settings.tenants.iter().map(|_| (f64::MAX, Micros(0))).collect();
+        Self {
+            set: settings,
+            seed,
+            now: Micros(0),
+            servers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            homes: Homes::default(),
+            timers: BTreeMap::new(),
+            next_timer: 0,
+            read_time: Ewma::default(),
+            first_time: Ewma::default(),
+            pressure: Ewma::default(),
+            buckets,
+        }
+    }
+
+    /// Takes one event and appends what is to be done, in order.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::Workers { kind, workers } => self.list(kind, workers, out),
+            Event::Request(req) => self.request(req, out),
+            Event::Streaming { id, attempt, elapsed } => self.streaming(&id, attempt, elapsed),
+            Event::Verdict { id, attempt, outcome, elapsed, over, kept, report } => {
+                if let Some(mut job) = self.jobs.remove(&id) {
+                    self.verdict(&mut job, attempt, outcome, elapsed, kept, report);
+                    job.done |= over;
+                    self.settle(job, out);
+                }
+            }
+            Event::ClientGone(id) => {
+                if let Some(mut job) = self.jobs.remove(&id) {
+                    job.done = true;
+                    self.settle(job, out);
+                }
+            }
+            Event::Timer(timer) => {
+                if let Some(job) = self.timers.remove(&timer).and_then(|id| self.jobs.remove(&id)) {
+                    self.settle(job, out);
+                }
+            }
+            Event::Probed { worker, report, .. } => {
+                if let (Some(s), Some(r)) = (self.servers.get_mut(&worker), report) {
+                    s.report = Some(r);
+                    s.since.clear();
+                }
+            }
+            Event::Booked { .. } | Event::Peer { .. } => {}
+        }
+    }
+
+    /// The list of workers. A worker that is not `In` gets nothing more from this moment on.
+    fn list(&mut self, kind: ListKind, workers: Vec<Worker>, out: &mut Vec<Action>) {
+        match kind {
+            ListKind::Full | ListKind::Stale => {
+                self.servers.retain(|id, _| workers.iter().any(|w| w.id == *id));
+            }
+            ListKind::Changes | ListKind::Failed => {}
+        }
+        for w in workers {
+            match self.servers.get_mut(&w.id) {
+                _ if w.lifecycle == Lifecycle::Out => {
+                    self.servers.remove(&w.id);
+                }
+                Some(s) if s.info.started == w.started => s.info = w,
+                _ => {
+                    self.servers.insert(w.id.clone(), Server::new(w, self.now));
+                }
+            }
+        }
+        if self.set.discovery == Discovery::Ask && matches!(kind, ListKind::Stale | ListKind::Failed) {
+            out.push(Action::Subscribe);
+        }
+    }
+
+    // ---- The ordinary path.
+
+    fn request(&mut self, req: Request, out: &mut Vec<Action>) {
+        let Some(class) = self.set.classes.get(req.class.0) else {
+            out.push(Action::Fail(req.id));
+            return;
+        };
+        let aim = class.aim + class.aim_per_1000_tokens.mul_f64(req.prompt_tokens as f64 / 1e3);
+        let over_share = self.over_share(req.tenant);
+        let job = Job {
+            req,
+            arrived: self.now,
+            aim,
+            tries: Vec::new(),
+            held: None,
+            held_since: self.now,
+            streaming: false,
+            done: false,
+        };
+        if over_share && self.pressure.0.is_some_and(|p| p > PRESSURE_OVER_SHARE) {
+            self.finish(job, out);
+        } else {
+            self.settle(job, out);
+        }
+    }
+
+    /// Takes a request from its tenant's token bucket; tells whether it is beyond the share.
+    fn over_share(&mut self, tenant: Option<TenantId>) -> bool {
+        let Some(i) = tenant.map(|t| t.0) else { return false };
+        let rate = self.set.tenants.get(i).and_then(|t| t.allowance_per_s);
+        let (Some(rate), Some((left, filled))) = (rate, self.buckets.get_mut(i)) else { return false };
+        let rate = rate / f64::from(self.set.routers.max(1));
+        *left = (*left + rate * (self.now - *filled).as_secs_f64()).min(rate * BUCKET_S + 1.0);
+        *filled = self.now;
+        *left -= 1.0;
+        if *left < 0.0 {
+            *left += 1.0;
+            return true;
+        }
+        false
+    }
+
+    /// Brings a request one step on, whatever woke it, and keeps it while anything is open.
+    fn settle(&mut self, mut job: Job, out: &mut Vec<Action>) {
+        self.mark_overdue(&mut job);
+        let open = job.open();
+        if !open && job.held.is_some() && (job.done || self.now >= self.release_at(&job)) {
+            out.push(Action::LetGo(job.req.id.clone()));
+            job.held = None;
+        }
+        if !open && !job.done {
+            let last_call = self.set.tick + self.set.tick;
+            if self.now + last_call >= job.req.deadline {
+                return self.finish(job, out);
+            }
+            match self.choose(&job) {
+                Some((worker, stage, predicted)) => self.send(&mut job, worker, stage, predicted, out),
+                None if self.hopeless(&job) => return self.finish(job, out),
+                None => {}
+            }
+        }
+        if job.done && !job.open() {
+            return;
+        }
+        self.wake(&job, out);
+        self.jobs.insert(job.req.id.clone(), job);
+    }
+
+    fn release_at(&self, job: &Job) -> Micros {
+        job.held_since + self.set.release.mul_f64(RELEASE_SHARE)
+    }
+
+    /// Sets the timer for whatever comes first for this request.
+    fn wake(&mut self, job: &Job, out: &mut Vec<Action>) {
+        let due = job.tries.iter().filter(|t| t.open).filter_map(|t| t.due).min();
+        let at = if job.open() {
+            due
+        } else {
+            let last_call = job.req.deadline - self.set.tick - self.set.tick;
+            let held = job.held.as_ref().map(|_| self.release_at(job));
+            Some((self.now + RETRY_WAIT).min(last_call).min(held.unwrap_or(last_call)))
+        };
+        if let Some(at) = at {
+            let timer = TimerId(self.next_timer);
+            self.next_timer += 1;
+            self.timers.insert(timer, job.req.id.clone());
+            let after = (at - self.now).max(self.set.tick).max(Micros(1));
+            out.push(Action::SetTimer { timer, after });
+        }
+    }
+
+    /// The next step of a request: which worker, as what, and what it is thought to keep.
+    fn choose(&self, job: &Job) -> Option<(WorkerId, Stage, Option<u64>)> {
+        if let Some(reader) = &job.held {
+            let w = self.roomiest(job, Some(reader))?;
+            return Some((w, Stage::Write, None));
+        }
+        if let Some((w, kept)) = self.local(job) {
+            return Some((w, Stage::Write, Some(kept)));
+        }
+        let mixed = self.pool(job, |r| r == Role::Mixed);
+        let readers = self.pool(job, |r| r == Role::Reader);
+        let writers = self.pool(job, |r| r == Role::Writer);
+        if readers.is_empty() || (writers.is_empty() && mixed.is_empty()) || self.mixed_turn(&mixed) {
+            if let Some(s) = self.hashed(job, &mixed) {
+                return Some((s, Stage::Write, None));
+            }
+        }
+        if let Some(s) = self.hashed(job, &readers) {
+            return Some((s, Stage::Read, None));
+        }
+        // No reader is left: a writer reads, if it can.
+        let w = self.roomiest(job, None).filter(|_| self.set.self_prefill)?;
+        Some((w, Stage::Write, None))
+    }
+
+    /// A short remainder is read where it is written: at the session's home, or, where the whole
+    /// prompt is short, at the roomiest writer.
+    fn local(&self, job: &Job) -> Option<(WorkerId, u64)> {
+        let threshold = (job.aim.as_secs_f64() * LOCAL_READ_SHARE * FIRST_GUESS_PACE) as u64;
+        let home = job.req.session.as_ref().and_then(|s| self.homes.get(s)).and_then(|h| {
+            let s = self.servers.get(&h.worker)?;
+            // A note ages with what was poured over it: memory is finite and others pour as well.
+            let poured = (s.poured - h.poured.min(s.poured)) as f64 * f64::from(self.set.routers);
+            (h.noted > s.void_before && poured < s.kv()).then_some((s, h))
+        });
+        if let Some((s, h)) = home {
+            let remainder = job.req.prompt_tokens.saturating_sub(h.kept);
+            let can = s.info.role == Role::Mixed || self.set.self_prefill;
+            if remainder < threshold && can {
+                let pool = self.pool(job, |r| r != Role::Reader);
+                if pool.iter().any(|p| p.info.id == s.info.id) && !job.tried(&s.info.id) {
+                    return Some((s.info.id.clone(), h.kept.min(job.req.prompt_tokens)));
+                }
+            }
+        } else if job.req.prompt_tokens < threshold && self.set.self_prefill {
+            return self.roomiest(job, None).map(|w| (w, 0));
+        }
+        None
+    }
+
+    /// Mixed servers take their share: as many of our requests out on each as on the others.
+    fn mixed_turn(&self, mixed: &[&Server]) -> bool {
+        let (mut out, mut n) = (0, 0);
+        for s in self.servers.values() {
+            if s.info.lifecycle == Lifecycle::In && s.info.role != Role::Mixed {
+                out += s.reads + s.streams;
+                n += 1;
+            }
+        }
+        let here: u32 = mixed.iter().map(|s| s.reads + s.streams).sum();
+        here as usize * n <= out as usize * mixed.len()
+    }
+
+    /// Rendezvous hashing of the shared beginning, else the session, over the pool: of the first
+    /// two, the one with fewer of our requests out.
+    fn hashed(&self, job: &Job, pool: &[&Server]) -> Option<WorkerId> {
+        let key = match (&job.req.prefix, &job.req.session) {
+            (Some(p), _) => &p.0,
+            (None, Some(s)) => &s.0,
+            (None, None) => &job.req.id.0,
+        };
+        let salt = xxh3_64_with_seed(key.as_bytes(), 0);
+        let mut ranked: Vec<_> =
+            pool.iter().map(|s| (xxh3_64_with_seed(s.info.id.0.as_bytes(), salt), *s)).collect();
+        ranked.sort_by_key(|r| std::cmp::Reverse(r.0));
+        ranked
+            .into_iter()
+            .take(2)
+            .enumerate()
+            .min_by_key(|(i, (_, s))| (s.reads + if s.info.role == Role::Mixed { s.streams } else { 0 }, *i))
+            .map(|(_, (_, s))| s.info.id.clone())
+    }
+
+    /// The writer with most room; `from` is the reader that holds the state.
+    fn roomiest(&self, job: &Job, from: Option<&WorkerId>) -> Option<WorkerId> {
+        let mut pool = self.pool(job, |r| r == Role::Writer);
+        if pool.is_empty() {
+            pool = self.pool(job, |r| r == Role::Mixed);
+        }
+        let rooms: Vec<_> = pool.iter().map(|s| s.room()).collect();
+        let heard: Vec<f64> = rooms.iter().flatten().copied().collect();
+        let mean = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
+        let cell = from.and_then(|r| self.servers.get(r)).map(|s| s.info.cell);
+        pool.iter()
+            .zip(rooms)
+            .map(|(s, room)| {
+                let weight = if self.set.weighted { s.info.weight.max(0.01) } else { 1.0 };
+                let (room, unit) = if heard.is_empty() {
+                    (-f64::from(s.streams) / weight, 1.0)
+                } else {
+                    (room.unwrap_or(mean), job.req.prompt_tokens as f64 / s.kv())
+                };
+                // Among writers of like room the one in the state's cell: it saves the shared link.
+                let near = if cell == Some(s.info.cell) { unit } else { 0.0 };
+                (room + near, self.toss(&job.req.id, &s.info.id), *s)
+            })
+            .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+            .map(|(_, _, s)| s.info.id.clone())
+    }
+
+    /// A coin for ties, from the instance's seed.
+    fn toss(&self, id: &RequestId, w: &WorkerId) -> u64 {
+        xxh3_64_with_seed(w.0.as_bytes(), self.seed ^ xxh3_64_with_seed(id.0.as_bytes(), self.seed))
+    }
+
+    /// The one place that sends.
+    fn send(
+        &mut self,
+        job: &mut Job,
+        worker: WorkerId,
+        stage: Stage,
+        predicted: Option<u64>,
+        out: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let effect = self.effect(job);
+        let Some(s) = self.servers.get_mut(&worker) else { return };
+        while s.sends.front().is_some_and(|t| *t + self.set.fall_after <= now) {
+            s.sends.pop_front();
+        }
+        s.sends.push_back(now);
+        s.poured += job.req.prompt_tokens;
+        let usual = match stage {
+            Stage::Read => {
+                s.reads += 1;
+                self.read_time
+            }
+            Stage::Write => {
+                s.streams += 1;
+                if s.report.is_some() {
+                    s.since.push_back((now, job.req.prompt_tokens as f64));
+                }
+                self.first_time
+            }
+        };
+        let patience = job.aim.mul_f64((usual.0.unwrap_or(0.0) * OVERDUE_FACTOR).max(OVERDUE_FLOOR));
+        // A silent read is repeated elsewhere at no risk; so is a free request's first token.
+        let again = stage == Stage::Read || effect == Effect::Free;
+        let last = job.tries.len() as u32 + 2 >= self.set.max_attempts;
+        let give_up = (again && !last && now + patience < job.req.deadline).then_some(patience);
+        job.tries.push(Try {
+            worker: worker.clone(),
+            zone: s.info.zone,
+            cell: s.info.cell,
+            stage,
+            sent: now,
+            due: Some(now + patience),
+            overdue: false,
+            open: true,
+            maybe_ran: true,
+            predicted,
+        });
+        let give_up = give_up.map(|g| g.max(Micros(1)));
+        out.push(Action::Send { id: job.req.id.clone(), worker, give_up });
+    }
+
+    // ---- What comes back.
+
+    fn streaming(&mut self, id: &RequestId, attempt: AttemptNo, elapsed: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.streaming = true;
+        job.held = None;
+        let over_aim = |t: Micros| t.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
+        self.first_time.add(over_aim(elapsed));
+        self.pressure.add(over_aim(self.now - job.arrived));
+        let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
+        t.due = None;
+        if let Some(s) = self.servers.get_mut(&t.worker) {
+            s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
+        }
+    }
+
+    /// Books the end of an attempt.
+    fn verdict(
+        &mut self,
+        job: &mut Job,
+        attempt: AttemptNo,
+        outcome: Outcome,
+        elapsed: Micros,
+        kept: u64,
+        report: Option<Report>,
+    ) {
+        let Some(t) = job.tries.get_mut(attempt.0 as usize).filter(|t| t.open) else { return };
+        t.open = false;
+        t.due = None;
+        t.maybe_ran = t.stage == Stage::Write && !outcome.proves_not_run();
+        job.held_since = self.now;
+        let now = self.now;
+        if let Some(s) = self.servers.get_mut(&t.worker) {
+            match t.stage {
+                Stage::Read => s.reads = s.reads.saturating_sub(1),
+                Stage::Write => s.streams = s.streams.saturating_sub(1),
+            }
+            s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
+            if let Some(r) = report {
+                s.report = Some(r);
+                s.since.retain(|(at, _)| *at + REPORT_LAG > now);
+            }
+            match outcome {
+                Outcome::Served | Outcome::Parsed => s.strikes = 0,
+                Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => strike(s, now),
+                Outcome::TimedOut if !job.streaming => strike(s, now),
+                _ => {}
+            }
+            // The count corrects the note: far less kept than was told voids older notes there.
+            let told = t.predicted.unwrap_or(0);
+            if outcome == Outcome::Served && kept * 2 < told {
+                s.void_before = s.void_before.max(t.sent);
+            }
+            if let (Outcome::Served, Some(session)) = (outcome, &job.req.session) {
+                let home = Home {
+                    worker: t.worker.clone(),
+                    kept: job.req.prompt_tokens,
+                    noted: now,
+                    poured: s.poured,
+                };
+                let most = self.set.classes.len().max(1) * 4096;
+                self.homes.note(session.clone(), home, most);
+            }
+        }
+        match outcome {
+            Outcome::Parsed => {
+                self.read_time.add(elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6));
+                job.held = Some(t.worker.clone());
+            }
+            Outcome::Refused { no_state: true } => job.held = None,
+            _ => {}
+        }
+    }
+
+    /// Counts attempts whose silence has lasted too long against their worker.
+    fn mark_overdue(&mut self, job: &mut Job) {
+        for t in job.tries.iter_mut().filter(|t| t.open) {
+            if t.due.is_some_and(|d| d <= self.now) {
+                t.due = None;
+                if let Some(s) = self.servers.get_mut(&t.worker) {
+                    t.overdue = true;
+                    s.overdue += 1;
+                }
+            }
+        }
+    }
+
+    /// Gives the final answer: a refusal where that is allowed, else a failure.
+    fn finish(&mut self, mut job: Job, out: &mut Vec<Action>) {
+        let id = job.req.id.clone();
+        if job.held.take().is_some() {
+            out.push(Action::LetGo(id.clone()));
+        }
+        job.done = true;
+        let late = self.now + self.set.tick >= job.req.deadline;
+        if !late && self.may_refuse(&job) {
+            let retry_after = Some(self.set.max_retry_after).filter(|t| t.0 > 0);
+            out.push(Action::Refuse { id, retry_after });
+        } else {
+            out.push(Action::Fail(id));
+        }
+        if job.open() {
+            self.jobs.insert(job.req.id.clone(), job);
+        }
+    }
+
+    // ---- Health and the guards of the rules.
+
+    /// The workers that may get this request's next attempt. Benched and silent ones are left out
+    /// unless they are half of the pool or more: then the trouble is elsewhere.
+    fn pool(&self, job: &Job, role: impl Fn(Role) -> bool) -> Vec<&Server> {
+        let all: Vec<&Server> = self
+            .servers
+            .values()
+            .filter(|s| s.info.lifecycle == Lifecycle::In && role(s.info.role))
+            .collect();
+        let fit: Vec<&Server> = all.iter().copied().filter(|s| self.fit(s)).collect();
+        let judged = if fit.len() * 2 > all.len() { fit } else { all };
+        let allowed: Vec<&Server> = judged.into_iter().filter(|s| self.may_send(job, s)).collect();
+        let fresh: Vec<&Server> = allowed.iter().copied().filter(|s| !job.tried(&s.info.id)).collect();
+        if fresh.is_empty() {
+            allowed
+        } else {
+            fresh
+        }
+    }
+
+    fn fit(&self, s: &Server) -> bool {
+        let trial = s.strikes < STRIKES || s.reads + s.streams == 0;
+        self.now >= s.benched_until && trial && s.overdue == 0
+    }
+
+    fn effect(&self, job: &Job) -> Effect {
+        self.set.classes.get(job.req.class.0).map_or(Effect::SingleShot, |c| c.effect)
+    }
+
+    /// Rules 2 and 4: whether this request may go to this worker now.
+    fn may_send(&self, job: &Job, s: &Server) -> bool {
+        if job.tries.len() as u32 >= self.set.max_attempts || job.open() {
+            return false;
+        }
+        let ran: Vec<&Try> = job.tries.iter().filter(|t| t.maybe_ran).collect();
+        let effect_ok = s.info.role == Role::Reader && ran.is_empty()
+            || match self.effect(job) {
+                Effect::Free => true,
+                Effect::SingleShot => ran.is_empty(),
+                Effect::Guarded(group) => ran.iter().all(|t| {
+                    let window = self.set.classes.get(job.req.class.0).map(|c| c.dedup_window);
+                    self.now < t.sent + window.unwrap_or_default()
+                        && match group {
+                            Group::All => true,
+                            Group::Zone => t.zone == s.info.zone,
+                            Group::Cell => t.cell == s.info.cell,
+                        }
+                }),
+            };
+        effect_ok && self.cold_room(s)
+    }
+
+    /// Whether a refusal, which says that trying again is harmless, would be true.
+    fn may_refuse(&self, job: &Job) -> bool {
+        let safe = !job.tries.iter().any(|t| t.maybe_ran || t.open);
+        match self.effect(job) {
+            Effect::Free | Effect::Guarded(Group::All) => true,
+            Effect::Guarded(_) | Effect::SingleShot => safe,
+        }
+    }
+
+    /// No worker can ever take it: its attempts are used up, or one may have run.
+    fn hopeless(&self, job: &Job) -> bool {
+        let ran = job.tries.iter().any(|t| t.maybe_ran);
+        job.tries.len() as u32 >= self.set.max_attempts || (ran && self.effect(job) == Effect::SingleShot)
+    }
+
+    /// Rule 4: our sends to a cold worker within the window stay under our part of its budget,
+    /// taking what its warm peers get from us as work that a full capacity bears.
+    fn cold_room(&self, s: &Server) -> bool {
+        let Some(started) = s.info.started else { return true };
+        let age = self.now - started;
+        if age >= self.set.cold_for {
+            return true;
+        }
+        let count = |s: &Server| s.sends.iter().filter(|t| **t + self.set.fall_after > self.now).count();
+        let (mut sends, mut n) = (0, 0);
+        for p in self.servers.values() {
+            let warm = p.info.started.is_none_or(|t| self.now - t >= self.set.cold_for);
+            if p.info.role == s.info.role && p.info.lifecycle == Lifecycle::In && warm {
+                sends += count(p);
+                n += 1;
+            }
+        }
+        let warmth = age.as_secs_f64() / self.set.cold_for.as_secs_f64().max(1e-6);
+        let present = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
+        let mean = sends as f64 / f64::from(n.max(1));
+        let budget = mean * self.set.fall_multiple * present * COLD_SHARE;
+        (count(s) as f64) < budget.max(1.0)
+    }
+}
+
+/// A failure in a row; enough of them bench the worker, each time for longer.
+fn strike(s: &mut Server, now: Micros) {
+    s.strikes += 1;
+    if s.strikes >= STRIKES {
+        let doublings = (s.strikes - STRIKES).min(BENCH_DOUBLINGS);
+        s.benched_until = now + Micros(BENCH.0 << doublings);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/common/mod.rs
@@ -0,0 +1,199 @@
+//! A hand-fed router: settings of an invented site, events in, actions out.
+#![allow(dead_code, clippy::unwrap_used, clippy::panic, missing_docs)]
+
+use chalkyard_policy::*;
+
+pub fn secs(s: f64) -> Micros {
+    Micros::from_secs_f64(s)
+}
+
+pub fn settings() -> Settings {
+    let class = |effect| Class {
+        aim: secs(1.0),
+        aim_per_1000_tokens: secs(0.1),
+        deadline: secs(6.0),
+        token_aim: secs(0.06),
+        worth: 1.0,
+        late_worth: 0.2,
+        effect,
+        dedup_window: secs(3.0),
+    };
+    Settings {
+        routers: 2,
+        zone: Some(ZoneId(0)),
+        classes: vec![class(Effect::Free), class(Effect::SingleShot), class(Effect::Guarded(Group::Cell))],
+        tenants: vec![Tenant { allowance_per_s: Some(10.0) }, Tenant { allowance_per_s: None }],
+        discovery: Discovery::Push,
+        must_ask_in: secs(10.0),
+        self_prefill: true,
+        may_book: false,
+        resume: false,
+        release: secs(0.5),
+        max_attempts: 4,
+        parallel_tries: false,
+        may_cancel: true,
+        may_probe: false,
+        may_tell: false,
+        max_retry_after: secs(1.0),
+        drain_grace: secs(0.25),
+        fall_multiple: 3.0,
+        fall_after: secs(2.0),
+        cold_from: 0.25,
+        cold_for: secs(10.0),
+        answer_slack: secs(0.01),
+        tick: secs(0.002),
+        over_share_worth: 0.2,
+        far_price: 0.03,
+        cross_zone_price: 0.0,
+        weighted: false,
+        reports: Reports::InAnswers,
+    }
+}
+
+pub const FREE: ClassId = ClassId(0);
+pub const SINGLE: ClassId = ClassId(1);
+pub const GUARDED: ClassId = ClassId(2);
+
+pub fn worker(id: &str, role: Role, cell: u64) -> Worker {
+    Worker {
+        id: id.into(),
+        zone: Some(ZoneId(0)),
+        cell: CellId(cell),
+        role,
+        kv_tokens: Some(100_000),
+        lifecycle: Lifecycle::In,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+/// Three readers r0..r2 and three writers w0..w2 in two cells.
+pub fn fleet() -> Vec<Worker> {
+    let mut all = Vec::new();
+    for i in 0..3 {
+        all.push(worker(&format!("r{i}"), Role::Reader, i % 2));
+        all.push(worker(&format!("w{i}"), Role::Writer, i % 2));
+    }
+    all
+}
+
+pub struct Rig {
+    pub router: Router,
+    pub now: Micros,
+}
+
+/// Where something was sent, with its time-out.
+pub type Sent = (String, Option<Micros>);
+
+impl Rig {
+    pub fn new(settings: Settings, workers: Vec<Worker>) -> Self {
+        let mut rig = Self { router: Router::new(settings, 7), now: secs(100.0) };
+        rig.feed(Event::Workers { kind: ListKind::Full, workers });
+        rig
+    }
+
+    pub fn feed(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.router.handle(self.now, event, &mut out);
+        out
+    }
+
+    pub fn wait(&mut self, s: f64) {
+        self.now = self.now + secs(s);
+    }
+
+    pub fn request(&self, id: &str, session: &str, class: ClassId, tokens: u64) -> Request {
+        Request {
+            id: id.into(),
+            class,
+            tenant: None,
+            session: Some(session.into()),
+            prefix: None,
+            prefix_tokens: 0,
+            prompt_tokens: tokens,
+            max_output: 200,
+            hint: None,
+            deadline: self.now + secs(5.0),
+            retry: false,
+            came_back: false,
+        }
+    }
+
+    pub fn ask(&mut self, id: &str, session: &str, class: ClassId, tokens: u64) -> Vec<Action> {
+        let request = self.request(id, session, class, tokens);
+        self.feed(Event::Request(request))
+    }
+
+    pub fn end(&mut self, id: &str, attempt: u32, outcome: Outcome, kept: u64) -> Vec<Action> {
+        self.end_with(id, attempt, outcome, kept, None)
+    }
+
+    pub fn end_with(
+        &mut self,
+        id: &str,
+        attempt: u32,
+        outcome: Outcome,
+        kept: u64,
+        report: Option<Report>,
+    ) -> Vec<Action> {
+        self.feed(Event::Verdict {
+            id: id.into(),
+            attempt: AttemptNo(attempt),
+            outcome,
+            elapsed: secs(0.1),
+            over: outcome == Outcome::Served,
+            kept,
+            report,
+        })
+    }
+
+    pub fn stream(&mut self, id: &str, attempt: u32) -> Vec<Action> {
+        self.feed(Event::Streaming { id: id.into(), attempt: AttemptNo(attempt), elapsed: secs(0.1) })
+    }
+
+    /// Runs one request through reader and writer to its end; gives both workers.
+    pub fn whole(&mut self, id: &str, session: &str, tokens: u64) -> (String, String) {
+        let reader = sent(&self.ask(id, session, FREE, tokens)).unwrap().0;
+        self.wait(0.1);
+        let writer = sent(&self.end(id, 0, Outcome::Parsed, 0)).unwrap().0;
+        self.wait(0.1);
+        self.stream(id, 1);
+        self.wait(1.0);
+        self.end(id, 1, Outcome::Served, 0);
+        (reader, writer)
+    }
+
+    /// Fires the timers that the actions set, at their time; gives the actions of all of them.
+    pub fn fire(&mut self, actions: &[Action]) -> Vec<Action> {
+        let mut out = Vec::new();
+        for a in actions {
+            if let Action::SetTimer { timer, after } = a {
+                self.now = self.now + *after;
+                out.extend(self.feed(Event::Timer(*timer)));
+            }
+        }
+        out
+    }
+}
+
+pub fn sent(actions: &[Action]) -> Option<Sent> {
+    let mut all = actions.iter().filter_map(|a| match a {
+        Action::Send { worker, give_up, .. } => Some((worker.0.to_string(), *give_up)),
+        _ => None,
+    });
+    let first = all.next();
+    assert!(all.next().is_none(), "more than one send: {actions:?}");
+    first
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+pub fn failed(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail(_)))
+}
+
+pub fn let_go(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::LetGo(_)))
+}
--- /dev/null
+++ b/crates/policy/tests/mechanism.rs
@@ -0,0 +1,154 @@
+//! The ordinary path: the branches of the design, one by one.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod common;
+use chalkyard_policy::*;
+use common::*;
+
+const LONG: u64 = 6_000;
+
+#[test]
+fn a_long_prompt_is_read_at_a_reader_and_then_pulled_by_a_writer() {
+    let mut rig = Rig::new(settings(), fleet());
+    let (reader, writer) = rig.whole("a", "s", LONG);
+    assert!(reader.starts_with('r'));
+    assert!(writer.starts_with('w'));
+}
+
+#[test]
+fn a_short_remainder_goes_straight_to_the_home() {
+    let mut rig = Rig::new(settings(), fleet());
+    let (_, writer) = rig.whole("a", "s", LONG);
+    let again = sent(&rig.ask("b", "s", FREE, LONG + 100)).unwrap().0;
+    assert_eq!(again, writer);
+}
+
+#[test]
+fn a_long_remainder_goes_to_a_reader_although_a_home_is_known() {
+    let mut rig = Rig::new(settings(), fleet());
+    rig.whole("a", "s", LONG);
+    let again = sent(&rig.ask("b", "s", FREE, 2 * LONG)).unwrap().0;
+    assert!(again.starts_with('r'));
+}
+
+#[test]
+fn a_short_prompt_of_a_new_session_is_read_where_it_is_written() {
+    let mut rig = Rig::new(settings(), fleet());
+    assert!(sent(&rig.ask("a", "s", FREE, 80)).unwrap().0.starts_with('w'));
+}
+
+#[test]
+fn writers_that_cannot_read_get_no_prompt_unread() {
+    let mut rig = Rig::new(Settings { self_prefill: false, ..settings() }, fleet());
+    assert!(sent(&rig.ask("a", "s", FREE, 80)).unwrap().0.starts_with('r'));
+    let (_, _) = rig.whole("b", "t", LONG);
+    assert!(sent(&rig.ask("c", "t", FREE, LONG + 10)).unwrap().0.starts_with('r'));
+}
+
+#[test]
+fn a_home_that_is_gone_is_forgotten() {
+    let mut rig = Rig::new(settings(), fleet());
+    let (_, writer) = rig.whole("a", "s", LONG);
+    let left = fleet().into_iter().filter(|w| *w.id.0 != *writer).collect();
+    rig.feed(Event::Workers { kind: ListKind::Full, workers: left });
+    assert!(sent(&rig.ask("b", "s", FREE, LONG + 100)).unwrap().0.starts_with('r'));
+}
+
+#[test]
+fn a_restarted_home_keeps_nothing() {
+    let mut rig = Rig::new(settings(), fleet());
+    let (_, writer) = rig.whole("a", "s", LONG);
+    let mut w = worker(&writer, Role::Writer, 0);
+    w.started = Some(rig.now);
+    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![w] });
+    assert!(sent(&rig.ask("b", "s", FREE, LONG + 100)).unwrap().0.starts_with('r'));
+}
+
+#[test]
+fn a_kept_count_far_under_the_note_voids_older_notes_of_that_writer() {
+    let mut rig = Rig::new(settings(), vec![worker("r0", Role::Reader, 0), worker("w0", Role::Writer, 0)]);
+    rig.whole("a", "s", LONG);
+    rig.whole("b", "t", LONG);
+    assert_eq!(sent(&rig.ask("c", "s", FREE, LONG + 100)).unwrap().0, "w0");
+    rig.stream("c", 0);
+    rig.wait(0.5);
+    rig.end("c", 0, Outcome::Served, 0);
+    assert_eq!(sent(&rig.ask("d", "t", FREE, LONG + 100)).unwrap().0, "r0", "the older note is void");
+    assert_eq!(sent(&rig.ask("e", "s", FREE, LONG + 200)).unwrap().0, "w0", "the new note holds");
+}
+
+#[test]
+fn requests_of_one_beginning_share_two_readers_on_every_router() {
+    let workers: Vec<Worker> = (0..8)
+        .map(|i| worker(&format!("r{i}"), Role::Reader, 0))
+        .chain([worker("w0", Role::Writer, 0)])
+        .collect();
+    let mut seen = std::collections::BTreeSet::new();
+    for seed in 0..4 {
+        let mut rig = Rig::new(settings(), workers.clone());
+        rig.router = Router::new(settings(), seed);
+        rig.feed(Event::Workers { kind: ListKind::Full, workers: workers.clone() });
+        for i in 0..6 {
+            let mut request = rig.request(&format!("{i}"), &format!("s{i}"), FREE, LONG);
+            request.prefix = Some("shared".into());
+            seen.insert(sent(&rig.feed(Event::Request(request))).unwrap().0);
+        }
+    }
+    assert_eq!(seen.len(), 2, "{seen:?}");
+}
+
+#[test]
+fn of_two_readers_the_one_with_fewer_of_our_reads_out_is_taken() {
+    let workers =
+        vec![worker("r0", Role::Reader, 0), worker("r1", Role::Reader, 0), worker("w0", Role::Writer, 0)];
+    let mut rig = Rig::new(settings(), workers);
+    let first = sent(&rig.ask("a", "s", FREE, LONG)).unwrap().0;
+    let second = sent(&rig.ask("b", "s", FREE, LONG)).unwrap().0;
+    assert_ne!(first, second);
+}
+
+#[test]
+fn the_writer_with_most_room_by_its_report_is_taken() {
+    let mut rig = Rig::new(settings(), fleet());
+    let mut writers = std::collections::BTreeSet::new();
+    // Learn one report from each writer: w1 has most room.
+    for i in 0..30 {
+        let id = format!("l{i}");
+        rig.ask(&id, &id, FREE, LONG);
+        let writer = sent(&rig.end(&id, 0, Outcome::Parsed, 0)).unwrap().0;
+        rig.stream(&id, 1);
+        rig.wait(0.5);
+        let used = if writer == "w1" { 0.1 } else { 0.8 };
+        let report = Report { slots_used: Some(used), ..Report::default() };
+        rig.end_with(&id, 1, Outcome::Served, 0, Some(report));
+        writers.insert(writer);
+    }
+    rig.ask("a", "new", FREE, LONG);
+    assert_eq!(sent(&rig.end("a", 0, Outcome::Parsed, 0)).unwrap().0, "w1");
+    assert!(writers.contains("w1"));
+}
+
+#[test]
+fn without_reports_the_writer_with_fewest_of_our_streams_is_taken() {
+    let mut rig = Rig::new(settings(), fleet());
+    let mut count = std::collections::BTreeMap::new();
+    for i in 0..9 {
+        let id = format!("{i}");
+        rig.ask(&id, &id, FREE, LONG);
+        let writer = sent(&rig.end(&id, 0, Outcome::Parsed, 0)).unwrap().0;
+        rig.stream(&id, 1);
+        *count.entry(writer).or_insert(0) += 1;
+    }
+    assert!(count.values().all(|n| (2..=4).contains(n)), "{count:?}");
+}
+
+#[test]
+fn mixed_servers_take_their_share_whole() {
+    let mut workers = fleet();
+    workers.extend((0..2).map(|i| worker(&format!("m{i}"), Role::Mixed, i)));
+    let mut rig = Rig::new(settings(), workers);
+    let mixed = (0..16)
+        .filter(|i| sent(&rig.ask(&format!("{i}"), &format!("s{i}"), FREE, LONG)).unwrap().0.starts_with('m'))
+        .count();
+    assert_eq!(mixed, 4, "two of eight servers");
+}
