Cold budget from what warm peers finish

Cause: in a jam peers are sent many times what they can do, so the budget for a cold worker grew with the jam.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -19,7 +19,7 @@
 /// A silent attempt is overdue after this multiple of what its peers take ...
 const OVERDUE_FACTOR: f64 = 4.0;
 /// ... but not before this share of the request's aim.
-const OVERDUE_FLOOR: f64 = 0.4;
+const OVERDUE_FLOOR: f64 = 0.8;
 /// Weight of a new observation in every EWMA.
 const GAIN: f64 = 0.1;
 /// Failures in a row that bench a worker, and the first span of the bench (it doubles).
@@ -61,8 +61,9 @@
     /// Last report, and our streams sent since as (time, tokens).
     report: Option<Report>,
     since: VecDeque<(Micros, f64)>,
-    /// Our sends within the cold window.
+    /// Our sends and what was answered or read for us, within the cold window.
     sends: VecDeque<Micros>,
+    done: VecDeque<Micros>,
     /// Prompt tokens that we sent there so far: the clock by which notes age.
     poured: u64,
     /// Notes made up to this time are void: what a worker kept is lost with a restart.
@@ -71,6 +72,8 @@
     strikes: u32,
     benched_until: Micros,
     overdue: u32,
+    /// When it last began an answer or ended a read or an answer.
+    heard: Micros,
 }
 
 impl Server {
@@ -82,11 +85,13 @@
             report: None,
             since: VecDeque::new(),
             sends: VecDeque::new(),
+            done: VecDeque::new(),
             poured: 0,
             void_before: now,
             strikes: 0,
             benched_until: Micros(0),
             overdue: 0,
+            heard: Micros(0),
         }
     }
 
@@ -154,6 +159,7 @@
     sent: Micros,
     /// When its silence becomes suspicious; none once it has answered or was counted.
     due: Option<Micros>,
+    patience: Micros,
     overdue: bool,
     open: bool,
     maybe_ran: bool,
@@ -329,7 +335,7 @@
 
     /// Brings a request one step on, whatever woke it, and keeps it while anything is open.
     fn settle(&mut self, mut job: Job, out: &mut Vec<Action>) {
-        self.mark_overdue(&mut job);
+        self.mark_overdue(&mut job, out);
         let open = job.open();
         if !open && job.held.is_some() && (job.done || self.now >= self.release_at(&job)) {
             out.push(Action::LetGo(job.req.id.clone()));
@@ -503,10 +509,7 @@
         let now = self.now;
         let effect = self.effect(job);
         let Some(s) = self.servers.get_mut(&worker) else { return };
-        while s.sends.front().is_some_and(|t| *t + self.set.fall_after <= now) {
-            s.sends.pop_front();
-        }
-        s.sends.push_back(now);
+        note_time(&mut s.sends, now, self.set.fall_after);
         s.poured += job.req.prompt_tokens;
         let usual = match stage {
             Stage::Read => {
@@ -522,10 +525,9 @@
             }
         };
         let patience = job.aim.mul_f64((usual.0.unwrap_or(0.0) * OVERDUE_FACTOR).max(OVERDUE_FLOOR));
-        // A silent read is repeated elsewhere at no risk; so is a free request's first token.
+        // Where nothing can be cancelled, a time-out has to be set beforehand.
         let again = stage == Stage::Read || effect == Effect::Free;
-        let last = job.tries.len() as u32 + 2 >= self.set.max_attempts;
-        let give_up = (again && !last && now + patience < job.req.deadline).then_some(patience);
+        let give_up = Some(patience + patience).filter(|g| !self.set.may_cancel && again && g.0 > 0);
         job.tries.push(Try {
             worker: worker.clone(),
             zone: s.info.zone,
@@ -533,12 +535,12 @@
             stage,
             sent: now,
             due: Some(now + patience),
+            patience,
             overdue: false,
             open: true,
             maybe_ran: true,
             predicted,
         });
-        let give_up = give_up.map(|g| g.max(Micros(1)));
         out.push(Action::Send { id: job.req.id.clone(), worker, give_up });
     }
 
@@ -555,6 +557,7 @@
         t.due = None;
         if let Some(s) = self.servers.get_mut(&t.worker) {
             s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
+            s.heard = self.now;
         }
     }
 
@@ -585,9 +588,13 @@
                 s.since.retain(|(at, _)| *at + REPORT_LAG > now);
             }
             match outcome {
-                Outcome::Served | Outcome::Parsed => s.strikes = 0,
+                Outcome::Served | Outcome::Parsed => {
+                    s.strikes = 0;
+                    s.heard = now;
+                    note_time(&mut s.done, now, self.set.fall_after);
+                }
                 Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => strike(s, now),
-                Outcome::TimedOut if !job.streaming => strike(s, now),
+                Outcome::TimedOut | Outcome::Cancelled if !job.streaming && !job.done => strike(s, now),
                 _ => {}
             }
             // The count corrects the note: far less kept than was told voids older notes there.
@@ -616,15 +623,22 @@
         }
     }
 
-    /// Counts attempts whose silence has lasted too long against their worker.
-    fn mark_overdue(&mut self, job: &mut Job) {
-        for t in job.tries.iter_mut().filter(|t| t.open) {
-            if t.due.is_some_and(|d| d <= self.now) {
+    /// Counts attempts whose silence has lasted too long against their worker. One that has said
+    /// nothing to anybody since is taken to hang: what can be repeated is called back from it.
+    fn mark_overdue(&mut self, job: &mut Job, out: &mut Vec<Action>) {
+        let free = self.effect(job) == Effect::Free;
+        let (now, id, done) = (self.now, &job.req.id, job.done);
+        for (i, t) in job.tries.iter_mut().enumerate().filter(|(_, t)| t.open) {
+            if t.due.is_none_or(|d| d > now) {
+                continue;
+            }
+            t.due = Some(now + t.patience.max(self.set.tick));
+            let Some(s) = self.servers.get_mut(&t.worker) else { continue };
+            s.overdue += u32::from(!std::mem::replace(&mut t.overdue, true));
+            let again = t.stage == Stage::Read || free;
+            if s.heard <= t.sent && again && !done && self.set.may_cancel {
+                out.push(Action::Cancel { id: id.clone(), attempt: AttemptNo(i as u32) });
                 t.due = None;
-                if let Some(s) = self.servers.get_mut(&t.worker) {
-                    t.overdue = true;
-                    s.overdue += 1;
-                }
             }
         }
     }
@@ -716,28 +730,29 @@
         job.tries.len() as u32 >= self.set.max_attempts || (ran && self.effect(job) == Effect::SingleShot)
     }
 
-    /// Rule 4: our sends to a cold worker within the window stay under our part of its budget,
-    /// taking what its warm peers get from us as work that a full capacity bears.
+    /// Rule 4: our sends to a cold worker within the window stay under our part of its budget.
+    /// What its warm peers finish for us is work that a full capacity bears; what they are sent is
+    /// not: in a jam that is many times more.
     fn cold_room(&self, s: &Server) -> bool {
         let Some(started) = s.info.started else { return true };
         let age = self.now - started;
         if age >= self.set.cold_for {
             return true;
         }
-        let count = |s: &Server| s.sends.iter().filter(|t| **t + self.set.fall_after > self.now).count();
-        let (mut sends, mut n) = (0, 0);
+        let count = |q: &VecDeque<Micros>| q.iter().filter(|t| **t + self.set.fall_after > self.now).count();
+        let (mut done, mut n) = (0, 0);
         for p in self.servers.values() {
             let warm = p.info.started.is_none_or(|t| self.now - t >= self.set.cold_for);
             if p.info.role == s.info.role && p.info.lifecycle == Lifecycle::In && warm {
-                sends += count(p);
+                done += count(&p.done);
                 n += 1;
             }
         }
         let warmth = age.as_secs_f64() / self.set.cold_for.as_secs_f64().max(1e-6);
         let present = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
-        let mean = sends as f64 / f64::from(n.max(1));
+        let mean = done as f64 / f64::from(n.max(1));
         let budget = mean * self.set.fall_multiple * present * COLD_SHARE;
-        (count(s) as f64) < budget.max(1.0)
+        (count(&s.sends) as f64) < budget.max(1.0)
     }
 }
 
@@ -749,3 +764,11 @@
         s.benched_until = now + Micros(BENCH.0 << doublings);
     }
 }
+
+/// Appends to a list of times that reaches back over `span` only.
+fn note_time(list: &mut VecDeque<Micros>, now: Micros, span: Micros) {
+    while list.front().is_some_and(|t| *t + span <= now) {
+        list.pop_front();
+    }
+    list.push_back(now);
+}
