Threshold from the tightest first-token aim

Cause: classes with time for reading sent remainders of 2,500 tokens into writers, where every stream waited.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -12,8 +12,9 @@
 
 // ---- Tuned values. Each is a plain ratio or count that should make sense on any site.
 
-/// Share of a class's first-token aim that a local read at the home writer may take.
-const LOCAL_READ_SHARE: f64 = 0.12;
+/// Share of the tightest class's first-token aim that a local read may take: every stream of the
+/// writer waits for as long, so the threshold does not grow with a class that has time.
+const LOCAL_READ_SHARE: f64 = 0.07;
 /// Pace of a writer's own reading before any was seen, in tokens a second.
 const FIRST_GUESS_PACE: f64 = 7_000.0;
 /// A silent attempt is overdue after this multiple of what its peers take ...
@@ -410,7 +411,8 @@
     /// A short remainder is read where it is written: at the session's home, or, where the whole
     /// prompt is short, at the roomiest writer.
     fn local(&self, job: &Job) -> Option<(WorkerId, u64)> {
-        let threshold = (job.aim.as_secs_f64() * LOCAL_READ_SHARE * FIRST_GUESS_PACE) as u64;
+        let tightest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or_default();
+        let threshold = (tightest.as_secs_f64() * LOCAL_READ_SHARE * FIRST_GUESS_PACE) as u64;
         let home = job.req.session.as_ref().and_then(|s| self.homes.get(s)).and_then(|h| {
             let s = self.servers.get(&h.worker)?;
             // A note ages with what was poured over it: memory is finite and others pour as well.
