Refuse early by Little's law; threshold at a twentieth of the tightest aim

Cause: in a jam everything was taken and everything came late. The forecast is waiting requests over the rate of first tokens.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -14,7 +14,7 @@
 
 /// Share of the tightest class's first-token aim that a local read may take: every stream of the
 /// writer waits for as long, so the threshold does not grow with a class that has time.
-const LOCAL_READ_SHARE: f64 = 0.07;
+const LOCAL_READ_SHARE: f64 = 0.05;
 /// Pace of a writer's own reading before any was seen, in tokens a second.
 const FIRST_GUESS_PACE: f64 = 7_000.0;
 /// A silent attempt is overdue after this multiple of what its peers take ...
@@ -35,8 +35,13 @@
 const RETRY_WAIT: Micros = Micros(40_000);
 /// Streams sent this long before a report came are not in it yet.
 const REPORT_LAG: Micros = Micros(300_000);
-/// First-token time over aim (EWMA) from which over-share requests are refused.
-const PRESSURE_OVER_SHARE: f64 = 0.7;
+/// A new request is refused when its forecast first token takes more than this multiple of its aim,
+/// one beyond its tenant's share much earlier.
+const ADMIT: f64 = 1.0;
+const ADMIT_OVER_SHARE: f64 = 0.4;
+/// The rate of first tokens is taken over about this span, and not judged before so many.
+const RATE_SPAN: Micros = Micros(3_000_000);
+const RATE_LEAST: f64 = 5.0;
 /// A tenant may save up this many seconds of its share.
 const BUCKET_S: f64 = 2.0;
 
@@ -52,6 +57,27 @@
     }
 }
 
+/// Events a second, older ones fading.
+#[derive(Debug, Clone, Copy, Default)]
+struct Rate {
+    count: f64,
+    at: Micros,
+}
+
+impl Rate {
+    fn fade(&self, now: Micros) -> f64 {
+        self.count * (-((now - self.at).as_secs_f64() / RATE_SPAN.as_secs_f64())).exp()
+    }
+
+    fn add(&mut self, now: Micros) {
+        *self = Self { count: self.fade(now) + 1.0, at: now };
+    }
+
+    fn per_s(&self, now: Micros) -> f64 {
+        self.fade(now) / RATE_SPAN.as_secs_f64()
+    }
+}
+
 /// A worker and what this router has seen of it.
 #[derive(Debug)]
 struct Server {
@@ -207,8 +233,8 @@
     /// Time of reads and of first tokens, each over the request's aim.
     read_time: Ewma,
     first_time: Ewma,
-    /// Time from arrival to first token over the aim.
-    pressure: Ewma,
+    /// First tokens of our requests.
+    firsts: Rate,
     /// Token buckets of the tenants: tokens left, last filled.
     buckets: Vec<(f64, Micros)>,
 }
@@ -228,7 +254,7 @@
             next_timer: 0,
             read_time: Ewma::default(),
             first_time: Ewma::default(),
-            pressure: Ewma::default(),
+            firsts: Rate::default(),
             buckets,
         }
     }
@@ -311,13 +337,27 @@
             streaming: false,
             done: false,
         };
-        if over_share && self.pressure.0.is_some_and(|p| p > PRESSURE_OVER_SHARE) {
+        let most = if over_share { ADMIT_OVER_SHARE } else { ADMIT };
+        if self.forecast() > aim.mul_f64(most) {
             self.finish(job, out);
         } else {
             self.settle(job, out);
         }
     }
 
+    /// How long the next request is likely to wait for its first token, by Little's law: those of
+    /// ours that wait, over the rate at which they get one. Guards against every jam, wherever it
+    /// sits; too early a refusal would follow from a rate that lags behind a sudden rise, so a few
+    /// that wait (one a worker) are never too many: they also keep a jam that has passed in sight.
+    fn forecast(&self) -> Micros {
+        let waiting = self.jobs.values().filter(|j| !j.streaming && !j.done).count();
+        if waiting <= self.servers.len() / self.set.routers.max(1) as usize {
+            return Micros(0);
+        }
+        let rate = self.firsts.per_s(self.now).max(RATE_LEAST / RATE_SPAN.as_secs_f64());
+        Micros::from_secs_f64(waiting as f64 / rate)
+    }
+
     /// Takes a request from its tenant's token bucket; tells whether it is beyond the share.
     fn over_share(&mut self, tenant: Option<TenantId>) -> bool {
         let Some(i) = tenant.map(|t| t.0) else { return false };
@@ -554,7 +594,7 @@
         job.held = None;
         let over_aim = |t: Micros| t.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
         self.first_time.add(over_aim(elapsed));
-        self.pressure.add(over_aim(self.now - job.arrived));
+        self.firsts.add(self.now);
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
         t.due = None;
         if let Some(s) = self.servers.get_mut(&t.worker) {
