--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -33,6 +33,9 @@
 const COLD_SHARE: f64 = 0.5;
 /// A request that finds no worker looks again after this span.
 const RETRY_WAIT: Micros = Micros(40_000);
+/// A writer in the state's cell is preferred until another has this much more room (share of memory;
+/// without reports, share of the mean number of our streams); one in its zone by half as much.
+const NEAR: f64 = 0.3;
 /// Streams sent this long before a report came are not in it yet.
 const REPORT_LAG: Micros = Micros(300_000);
 /// A new request is refused when its forecast first token takes more than this multiple of its aim,
@@ -516,19 +519,26 @@
         let rooms: Vec<_> = pool.iter().map(|s| s.room()).collect();
         let heard: Vec<f64> = rooms.iter().flatten().copied().collect();
         let mean = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        let cell = from.and_then(|r| self.servers.get(r)).map(|s| s.info.cell);
+        let streams: u32 = pool.iter().map(|s| s.streams).sum();
+        let unit = if heard.is_empty() { 1.0 + f64::from(streams) / pool.len().max(1) as f64 } else { 1.0 };
+        let at = from.and_then(|r| self.servers.get(r)).map(|s| &s.info);
         pool.iter()
             .zip(rooms)
             .map(|(s, room)| {
                 let weight = if self.set.weighted { s.info.weight.max(0.01) } else { 1.0 };
-                let (room, unit) = if heard.is_empty() {
-                    (-f64::from(s.streams) / weight, 1.0)
-                } else {
-                    (room.unwrap_or(mean), job.req.prompt_tokens as f64 / s.kv())
+                let room = match room {
+                    _ if heard.is_empty() => -f64::from(s.streams) / weight,
+                    room => room.unwrap_or(mean),
                 };
-                // Among writers of like room the one in the state's cell: it saves the shared link.
-                let near = if cell == Some(s.info.cell) { unit } else { 0.0 };
-                (room + near, self.toss(&job.req.id, &s.info.id), *s)
+                // The nearer of like room: it saves the one link that the whole cell shares, which
+                // is where a slow link or many long prompts jam first. With one cell full and the
+                // next empty the bonus must lose, or the near cell's streams would crawl.
+                let near = match at {
+                    Some(r) if r.cell == s.info.cell => NEAR,
+                    Some(r) if r.zone == s.info.zone => NEAR / 2.0,
+                    _ => 0.0,
+                };
+                (room + near * unit, self.toss(&job.req.id, &s.info.id), *s)
             })
             .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
             .map(|(_, _, s)| s.info.id.clone())
