--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -12,9 +12,11 @@
 
 // ---- Tuned values. Each is a plain ratio or count that should make sense on any site.
 
-/// Share of the tightest class's first-token aim that a local read may take: every stream of the
-/// writer waits for as long, so the threshold does not grow with a class that has time.
-const LOCAL_READ_SHARE: f64 = 0.05;
+/// A remainder is short when the writer reads it in no more time than reads take us now, within
+/// these shares of the tightest class's first-token aim: every stream of the writer waits for as
+/// long, so the threshold does not grow with a class that has time.
+const LOCAL_LEAST: f64 = 0.04;
+const LOCAL_MOST: f64 = 0.12;
 /// Pace of a writer's own reading before any was seen, in tokens a second.
 const FIRST_GUESS_PACE: f64 = 7_000.0;
 /// A silent attempt is overdue after this multiple of what its peers take ...
@@ -236,6 +238,9 @@
     /// Time of reads and of first tokens, each over the request's aim.
     read_time: Ewma,
     first_time: Ewma,
+    /// Time of reads, and of first tokens from a state that was pulled, in seconds.
+    read_s: Ewma,
+    pull_s: Ewma,
     /// First tokens of our requests.
     firsts: Rate,
     /// Token buckets of the tenants: tokens left, last filled.
@@ -257,6 +262,8 @@
             next_timer: 0,
             read_time: Ewma::default(),
             first_time: Ewma::default(),
+            read_s: Ewma::default(),
+            pull_s: Ewma::default(),
             firsts: Rate::default(),
             buckets,
         }
@@ -455,7 +462,10 @@
     /// prompt is short, at the roomiest writer.
     fn local(&self, job: &Job) -> Option<(WorkerId, u64)> {
         let tightest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or_default();
-        let threshold = (tightest.as_secs_f64() * LOCAL_READ_SHARE * FIRST_GUESS_PACE) as u64;
+        let (least, most) = (tightest.mul_f64(LOCAL_LEAST), tightest.mul_f64(LOCAL_MOST));
+        let ahead = self.read_s.0.unwrap_or(0.0) - 2.0 * self.pull_s.0.unwrap_or(0.0);
+        let even = Micros::from_secs_f64(ahead).clamp(least, most);
+        let threshold = (even.as_secs_f64() * FIRST_GUESS_PACE) as u64;
         let home = job.req.session.as_ref().and_then(|s| self.homes.get(s)).and_then(|h| {
             let s = self.servers.get(&h.worker)?;
             // A note ages with what was poured over it: memory is finite and others pour as well.
@@ -601,6 +611,9 @@
     fn streaming(&mut self, id: &RequestId, attempt: AttemptNo, elapsed: Micros) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.streaming = true;
+        if job.held.is_some() {
+            self.pull_s.add(elapsed.as_secs_f64());
+        }
         job.held = None;
         let over_aim = |t: Micros| t.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
         self.first_time.add(over_aim(elapsed));
@@ -667,6 +680,7 @@
         }
         match outcome {
             Outcome::Parsed => {
+                self.read_s.add(elapsed.as_secs_f64());
                 self.read_time.add(elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6));
                 job.held = Some(t.worker.clone());
             }
