--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -38,6 +38,8 @@
 /// A writer in the state's cell is preferred until another has this much more room (share of memory;
 /// without reports, share of the mean number of our streams); one in its zone by half as much.
 const NEAR: f64 = 0.3;
+/// So many more of our requests at both of a hashed pair than at the least busy widen the pair.
+const WIDEN: u32 = 2;
 /// Streams sent this long before a report came are not in it yet.
 const REPORT_LAG: Micros = Micros(300_000);
 /// A new request is refused when its forecast first token takes more than this multiple of its aim,
@@ -512,12 +514,15 @@
         let mut ranked: Vec<_> =
             pool.iter().map(|s| (xxh3_64_with_seed(s.info.id.0.as_bytes(), salt), *s)).collect();
         ranked.sort_by_key(|r| std::cmp::Reverse(r.0));
-        ranked
-            .into_iter()
-            .take(2)
-            .enumerate()
-            .min_by_key(|(i, (_, s))| (s.reads + if s.info.role == Role::Mixed { s.streams } else { 0 }, *i))
-            .map(|(_, (_, s))| s.info.id.clone())
+        let load = |s: &Server| s.reads + if s.info.role == Role::Mixed { s.streams } else { 0 };
+        let least = pool.iter().map(|s| load(s)).min().unwrap_or(0);
+        // A shared beginning can be too hot for two, or one of them slow: the pair widens, in the
+        // order of the hash, past all that have a queue while somebody has none. What it costs is
+        // reading the beginning once more there.
+        let pair = ranked.iter().take(2).map(|(_, s)| *s).min_by_key(|s| load(s));
+        let open = |s: &&Server| load(s) < least + WIDEN;
+        let wide = ranked.iter().map(|(_, s)| *s).find(open);
+        pair.filter(open).or(wide).map(|s| s.info.id.clone())
     }
 
     /// The writer with most room; `from` is the reader that holds the state.
