--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -91,6 +91,7 @@
     info: Worker,
     /// Our reads and our writing attempts that are out.
     reads: u32,
+    read_tokens: u64,
     streams: u32,
     /// Last report, and our streams sent since as (time, tokens).
     report: Option<Report>,
@@ -115,6 +116,7 @@
         Self {
             info,
             reads: 0,
+            read_tokens: 0,
             streams: 0,
             report: None,
             since: VecDeque::new(),
@@ -240,6 +242,8 @@
     /// Time of reads and of first tokens, each over the request's aim.
     read_time: Ewma,
     first_time: Ewma,
+    /// Prompt tokens of a request.
+    prompt: Ewma,
     /// Time of reads, and of first tokens from a state that was pulled, in seconds.
     read_s: Ewma,
     pull_s: Ewma,
@@ -264,6 +268,7 @@
             next_timer: 0,
             read_time: Ewma::default(),
             first_time: Ewma::default(),
+            prompt: Ewma::default(),
             read_s: Ewma::default(),
             pull_s: Ewma::default(),
             firsts: Rate::default(),
@@ -339,6 +344,7 @@
         };
         let aim = class.aim + class.aim_per_1000_tokens.mul_f64(req.prompt_tokens as f64 / 1e3);
         let over_share = self.over_share(req.tenant);
+        self.prompt.add(req.prompt_tokens as f64);
         let job = Job {
             req,
             arrived: self.now,
@@ -514,7 +520,12 @@
         let mut ranked: Vec<_> =
             pool.iter().map(|s| (xxh3_64_with_seed(s.info.id.0.as_bytes(), salt), *s)).collect();
         ranked.sort_by_key(|r| std::cmp::Reverse(r.0));
-        let load = |s: &Server| s.reads + if s.info.role == Role::Mixed { s.streams } else { 0 };
+        // A very long prompt counts as as many reads as there are usual ones in it.
+        let usual = self.prompt.0.unwrap_or(1.0).max(1.0);
+        let load = |s: &Server| match s.info.role {
+            Role::Mixed => s.streams,
+            _ => s.reads.max((s.read_tokens as f64 / usual) as u32),
+        };
         let least = pool.iter().map(|s| load(s)).min().unwrap_or(0);
         // A shared beginning can be too hot for two, or one of them slow: the pair widens, in the
         // order of the hash, past all that have a queue while somebody has none. What it costs is
@@ -581,6 +592,7 @@
         let usual = match stage {
             Stage::Read => {
                 s.reads += 1;
+                s.read_tokens += job.req.prompt_tokens;
                 self.read_time
             }
             Stage::Write => {
@@ -591,7 +603,10 @@
                 self.first_time
             }
         };
-        let patience = job.aim.mul_f64((usual.0.unwrap_or(0.0) * OVERDUE_FACTOR).max(OVERDUE_FLOOR));
+        // Reading takes its time: what we know to lie before this one, and itself, is allowed for.
+        let reading = (s.read_tokens + job.req.prompt_tokens) as f64 / FIRST_GUESS_PACE;
+        let patience = job.aim.mul_f64((usual.0.unwrap_or(0.0) * OVERDUE_FACTOR).max(OVERDUE_FLOOR))
+            + Micros::from_secs_f64(reading);
         // Where nothing can be cancelled, a time-out has to be set beforehand.
         let again = stage == Stage::Read || effect == Effect::Free;
         let give_up = Some(patience + patience).filter(|g| !self.set.may_cancel && again && g.0 > 0);
@@ -649,7 +664,10 @@
         let now = self.now;
         if let Some(s) = self.servers.get_mut(&t.worker) {
             match t.stage {
-                Stage::Read => s.reads = s.reads.saturating_sub(1),
+                Stage::Read => {
+                    s.reads = s.reads.saturating_sub(1);
+                    s.read_tokens = s.read_tokens.saturating_sub(job.req.prompt_tokens);
+                }
                 Stage::Write => s.streams = s.streams.saturating_sub(1),
             }
             s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
