--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -135,15 +135,16 @@
         self.info.kv_tokens.map_or(f64::INFINITY, |t| t.max(1) as f64)
     }
 
-    /// Room by the last report less our streams sent since, as a share of its memory.
-    fn room(&self) -> Option<f64> {
+    /// Room by the last report less our streams sent since, as a share of its memory. The other
+    /// routers are taken to send as we do: reports come seldom, and all herd to the same writer.
+    fn room(&self, routers: u32) -> Option<f64> {
         let r = self.report?;
         let used = match (r.kv_used, r.slots_used) {
             (None, None) => return None,
             (k, s) => k.unwrap_or(0.0).max(s.unwrap_or(0.0)),
         };
         let sent: f64 = self.since.iter().map(|(_, t)| t).sum();
-        let waiting = r.waiting_tokens.unwrap_or(0.0) + sent;
+        let waiting = r.waiting_tokens.unwrap_or(0.0) + sent * f64::from(routers);
         Some(1.0 - used - waiting / self.kv() - r.queued.unwrap_or(0.0) * 0.02)
     }
 }
@@ -542,7 +543,7 @@
         if pool.is_empty() {
             pool = self.pool(job, |r| r == Role::Mixed);
         }
-        let rooms: Vec<_> = pool.iter().map(|s| s.room()).collect();
+        let rooms: Vec<_> = pool.iter().map(|s| s.room(self.set.routers)).collect();
         let heard: Vec<f64> = rooms.iter().flatten().copied().collect();
         let mean = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
         let streams: u32 = pool.iter().map(|s| s.streams).sum();
