Unheard writers: average room less our streams; forecast without those stuck at one worker

Cause: unheard writers kept average room however much we sent; one jammed writer made the forecast refuse a third.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -137,15 +137,19 @@
 
     /// Room by the last report less our streams sent since, as a share of its memory. The other
     /// routers are taken to send as we do: reports come seldom, and all herd to the same writer.
-    fn room(&self, routers: u32) -> Option<f64> {
-        let r = self.report?;
-        let used = match (r.kv_used, r.slots_used) {
-            (None, None) => return None,
-            (k, s) => k.unwrap_or(0.0).max(s.unwrap_or(0.0)),
-        };
+    /// One that was not heard from counts as having the average room.
+    fn room(&self, routers: u32, average: f64) -> f64 {
         let sent: f64 = self.since.iter().map(|(_, t)| t).sum();
+        let r = self.report.unwrap_or_default();
         let waiting = r.waiting_tokens.unwrap_or(0.0) + sent * f64::from(routers);
-        Some(1.0 - used - waiting / self.kv() - r.queued.unwrap_or(0.0) * 0.02)
+        let queued = r.queued.unwrap_or(0.0) * 0.02;
+        self.told().unwrap_or(average) - waiting / self.kv() - queued
+    }
+
+    /// Room as last reported.
+    fn told(&self) -> Option<f64> {
+        let r = self.report.filter(|r| r.kv_used.is_some() || r.slots_used.is_some())?;
+        Some(1.0 - r.kv_used.unwrap_or(0.0).max(r.slots_used.unwrap_or(0.0)))
     }
 }
 
@@ -369,7 +373,12 @@
     /// sits; too early a refusal would follow from a rate that lags behind a sudden rise, so a few
     /// that wait (one a worker) are never too many: they also keep a jam that has passed in sight.
     fn forecast(&self) -> Micros {
-        let waiting = self.jobs.values().filter(|j| !j.streaming && !j.done).count();
+        // Those stuck at a worker that its peers outdo tell nothing of the others.
+        let stuck = |j: &Job| {
+            let at = j.tries.iter().find(|t| t.open).and_then(|t| self.servers.get(&t.worker));
+            at.is_some_and(|s| !self.fit(s) && self.mostly_fit(s.info.role))
+        };
+        let waiting = self.jobs.values().filter(|j| !j.streaming && !j.done && !stuck(j)).count();
         if waiting <= self.servers.len() / self.set.routers.max(1) as usize {
             return Micros(0);
         }
@@ -543,19 +552,18 @@
         if pool.is_empty() {
             pool = self.pool(job, |r| r == Role::Mixed);
         }
-        let rooms: Vec<_> = pool.iter().map(|s| s.room(self.set.routers)).collect();
-        let heard: Vec<f64> = rooms.iter().flatten().copied().collect();
+        let heard: Vec<f64> = pool.iter().filter_map(|s| s.told()).collect();
         let mean = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
         let streams: u32 = pool.iter().map(|s| s.streams).sum();
         let unit = if heard.is_empty() { 1.0 + f64::from(streams) / pool.len().max(1) as f64 } else { 1.0 };
         let at = from.and_then(|r| self.servers.get(r)).map(|s| &s.info);
         pool.iter()
-            .zip(rooms)
-            .map(|(s, room)| {
+            .map(|s| {
                 let weight = if self.set.weighted { s.info.weight.max(0.01) } else { 1.0 };
-                let room = match room {
-                    _ if heard.is_empty() => -f64::from(s.streams) / weight,
-                    room => room.unwrap_or(mean),
+                let room = if heard.is_empty() {
+                    -f64::from(s.streams) / weight
+                } else {
+                    s.room(self.set.routers, mean)
                 };
                 // The nearer of like room: it saves the one link that the whole cell shares, which
                 // is where a slow link or many long prompts jam first. With one cell full and the
@@ -598,7 +606,7 @@
             }
             Stage::Write => {
                 s.streams += 1;
-                if s.report.is_some() {
+                if self.set.reports != Reports::Off {
                     s.since.push_back((now, job.req.prompt_tokens as f64));
                 }
                 self.first_time
@@ -675,6 +683,8 @@
             if let Some(r) = report {
                 s.report = Some(r);
                 s.since.retain(|(at, _)| *at + REPORT_LAG > now);
+            } else if t.stage == Stage::Write {
+                s.since.pop_front();
             }
             match outcome {
                 Outcome::Served | Outcome::Parsed => {
@@ -773,6 +783,11 @@
         }
     }
 
+    fn mostly_fit(&self, role: Role) -> bool {
+        let of_role = || self.servers.values().filter(|s| s.info.role == role);
+        of_role().filter(|s| self.fit(s)).count() * 2 > of_role().count()
+    }
+
     fn fit(&self, s: &Server) -> bool {
         let trial = s.strikes < STRIKES || s.reads + s.streams == 0;
         self.now >= s.benched_until && trial && s.overdue == 0
