Called-back attempts bench at once; overdue reads count as strikes

Cause: a slow or hanging mixed server or reader looked idle as soon as its attempt was called back and got the next.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -679,7 +679,8 @@
                 }
                 Stage::Write => s.streams = s.streams.saturating_sub(1),
             }
-            s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
+            let slow = std::mem::take(&mut t.overdue);
+            s.overdue -= u32::from(slow).min(s.overdue);
             if let Some(r) = report {
                 s.report = Some(r);
                 s.since.retain(|(at, _)| *at + REPORT_LAG > now);
@@ -687,13 +688,18 @@
                 s.since.pop_front();
             }
             match outcome {
+                // A read that took far longer than its peers' is no sign of health.
+                Outcome::Parsed if slow => strike(s, now, 1),
                 Outcome::Served | Outcome::Parsed => {
                     s.strikes = 0;
                     s.heard = now;
                     note_time(&mut s.done, now, self.set.fall_after);
                 }
-                Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => strike(s, now),
-                Outcome::TimedOut | Outcome::Cancelled if !job.streaming && !job.done => strike(s, now),
+                Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => strike(s, now, 1),
+                // Long silence weighs more than one error: an idle hanging worker would look best.
+                Outcome::TimedOut | Outcome::Cancelled if !job.streaming && !job.done => {
+                    strike(s, now, STRIKES);
+                }
                 _ => {}
             }
             // The count corrects the note: far less kept than was told voids older notes there.
@@ -862,8 +868,8 @@
 }
 
 /// A failure in a row; enough of them bench the worker, each time for longer.
-fn strike(s: &mut Server, now: Micros) {
-    s.strikes += 1;
+fn strike(s: &mut Server, now: Micros, weight: u32) {
+    s.strikes += weight;
     if s.strikes >= STRIKES {
         let doublings = (s.strikes - STRIKES).min(BENCH_DOUBLINGS);
         s.benched_until = now + Micros(BENCH.0 << doublings);
