--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -42,7 +42,7 @@
 const WIDEN: u32 = 2;
 /// Streams sent this long before a report came are not in it yet.
 const REPORT_LAG: Micros = Micros(300_000);
-/// A new request is refused when its forecast first token takes more than this multiple of its aim,
+/// A new request is refused when its forecast first token takes more than this multiple of the tightest aim,
 /// one beyond its tenant's share much earlier.
 const ADMIT: f64 = 1.0;
 const ADMIT_OVER_SHARE: f64 = 0.4;
@@ -361,7 +361,8 @@
             done: false,
         };
         let most = if over_share { ADMIT_OVER_SHARE } else { ADMIT };
-        if self.forecast() > aim.mul_f64(most) {
+        // By the tightest class's aim: a jam that settles at a longer one starves the others.
+        if self.forecast() > self.tightest().mul_f64(most) {
             self.finish(job, out);
         } else {
             self.settle(job, out);
@@ -386,6 +387,11 @@
         Micros::from_secs_f64(waiting as f64 / rate)
     }
 
+    /// The shortest first-token aim of any class.
+    fn tightest(&self) -> Micros {
+        self.set.classes.iter().map(|c| c.aim).min().unwrap_or_default()
+    }
+
     /// Takes a request from its tenant's token bucket; tells whether it is beyond the share.
     fn over_share(&mut self, tenant: Option<TenantId>) -> bool {
         let Some(i) = tenant.map(|t| t.0) else { return false };
@@ -479,7 +485,7 @@
     /// A short remainder is read where it is written: at the session's home, or, where the whole
     /// prompt is short, at the roomiest writer.
     fn local(&self, job: &Job) -> Option<(WorkerId, u64)> {
-        let tightest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or_default();
+        let tightest = self.tightest();
         let (least, most) = (tightest.mul_f64(LOCAL_LEAST), tightest.mul_f64(LOCAL_MOST));
         let ahead = self.read_s.0.unwrap_or(0.0) - 2.0 * self.pull_s.0.unwrap_or(0.0);
         let even = Micros::from_secs_f64(ahead).clamp(least, most);
