--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -46,6 +46,8 @@
 /// one beyond its tenant's share much earlier.
 const ADMIT: f64 = 1.0;
 const ADMIT_OVER_SHARE: f64 = 0.4;
+/// ... and only while first tokens do take at least this share of that: a rise alone is no jam.
+const FELT: f64 = 0.5;
 /// The rate of first tokens is taken over about this span, and not judged before so many.
 const RATE_SPAN: Micros = Micros(3_000_000);
 const RATE_LEAST: f64 = 5.0;
@@ -247,6 +249,8 @@
     /// Time of reads and of first tokens, each over the request's aim.
     read_time: Ewma,
     first_time: Ewma,
+    /// Time from arrival to the first token, in seconds.
+    wait_s: Ewma,
     /// Prompt tokens of a request.
     prompt: Ewma,
     /// Time of reads, and of first tokens from a state that was pulled, in seconds.
@@ -273,6 +277,7 @@
             next_timer: 0,
             read_time: Ewma::default(),
             first_time: Ewma::default(),
+            wait_s: Ewma::default(),
             prompt: Ewma::default(),
             read_s: Ewma::default(),
             pull_s: Ewma::default(),
@@ -362,7 +367,9 @@
         };
         let most = if over_share { ADMIT_OVER_SHARE } else { ADMIT };
         // By the tightest class's aim: a jam that settles at a longer one starves the others.
-        if self.forecast() > self.tightest().mul_f64(most) {
+        let limit = self.tightest().mul_f64(most);
+        let felt = self.wait_s.0.is_some_and(|w| w > limit.as_secs_f64() * FELT);
+        if felt && self.forecast() > limit {
             self.finish(job, out);
         } else {
             self.settle(job, out);
@@ -653,6 +660,7 @@
         let over_aim = |t: Micros| t.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
         self.first_time.add(over_aim(elapsed));
         self.firsts.add(self.now);
+        self.wait_s.add((self.now - job.arrived).as_secs_f64());
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
         t.due = None;
         if let Some(s) = self.servers.get_mut(&t.worker) {
