--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -40,6 +40,8 @@
 const NEAR: f64 = 0.3;
 /// So many more of our requests at both of a hashed pair than at the least busy widen the pair.
 const WIDEN: u32 = 2;
+/// The share of mixed servers is raised by at most this factor.
+const TILT: f64 = 3.0;
 /// Streams sent this long before a report came are not in it yet.
 const REPORT_LAG: Micros = Micros(300_000);
 /// A new request is refused when its forecast first token takes more than this multiple of the tightest aim,
@@ -253,9 +255,11 @@
     wait_s: Ewma,
     /// Prompt tokens of a request.
     prompt: Ewma,
-    /// Time of reads, and of first tokens from a state that was pulled, in seconds.
+    /// Time of reads, of first tokens from a state that was pulled, and of those of requests that
+    /// were sent whole, in seconds.
     read_s: Ewma,
     pull_s: Ewma,
+    mixed_s: Ewma,
     /// First tokens of our requests.
     firsts: Rate,
     /// Token buckets of the tenants: tokens left, last filled.
@@ -281,6 +285,7 @@
             prompt: Ewma::default(),
             read_s: Ewma::default(),
             pull_s: Ewma::default(),
+            mixed_s: Ewma::default(),
             firsts: Rate::default(),
             buckets,
         }
@@ -518,7 +523,10 @@
         None
     }
 
-    /// Mixed servers take their share: as many of our requests out on each as on the others.
+    /// Mixed servers take their share: as many of our requests out on each as on the others, more
+    /// where the way over a reader takes longer to the first token. Guards against a fleet with few
+    /// readers, slow ones and a jam of writers; it would harm where mixed servers answer early and
+    /// then write slowly, so it is bounded.
     fn mixed_turn(&self, mixed: &[&Server]) -> bool {
         let (mut out, mut n) = (0, 0);
         for s in self.servers.values() {
@@ -528,7 +536,9 @@
             }
         }
         let here: u32 = mixed.iter().map(|s| s.reads + s.streams).sum();
-        here as usize * n <= out as usize * mixed.len()
+        let split = self.read_s.0.zip(self.pull_s.0).map(|(r, p)| r + p);
+        let tilt = split.zip(self.mixed_s.0).map_or(1.0, |(s, m)| (s / m.max(1e-6)).clamp(1.0, TILT));
+        f64::from(here) * n as f64 <= f64::from(out) * mixed.len() as f64 * tilt
     }
 
     /// Rendezvous hashing of the shared beginning, else the session, over the pool: of the first
@@ -655,6 +665,8 @@
         job.streaming = true;
         if job.held.is_some() {
             self.pull_s.add(elapsed.as_secs_f64());
+        } else if job.tries.get(attempt.0 as usize).is_some_and(|t| t.predicted.is_none()) {
+            self.mixed_s.add(elapsed.as_secs_f64());
         }
         job.held = None;
         let over_aim = |t: Micros| t.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
