--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -25,8 +25,12 @@
 const OVERDUE_FLOOR: f64 = 0.8;
 /// Weight of a new observation in every EWMA.
 const GAIN: f64 = 0.1;
-/// Failures in a row that bench a worker, and the first span of the bench (it doubles).
-const STRIKES: u32 = 2;
+/// A failure closes this share of the gap between a worker's failing and 1, a success takes off that
+/// share of it; from FAILING on it is benched, each time for longer. Two failures in a row do, and so
+/// does one in three for a while: partial failures count, not runs alone.
+const FAIL_GAIN: f64 = 0.3;
+const WELL_GAIN: f64 = 0.15;
+const FAILING: f64 = 0.45;
 const BENCH: Micros = Micros(1_000_000);
 const BENCH_DOUBLINGS: u32 = 4;
 /// Held state is let go after this share of the told release time.
@@ -107,8 +111,9 @@
     poured: u64,
     /// Notes made up to this time are void: what a worker kept is lost with a restart.
     void_before: Micros,
-    /// Health: failures in a row, end of the bench, silent attempts past their time.
-    strikes: u32,
+    /// Health: share of failures, benches in a row, end of the bench, silent attempts past their time.
+    failing: f64,
+    benches: u32,
     benched_until: Micros,
     overdue: u32,
     /// When it last began an answer or ended a read or an answer.
@@ -128,7 +133,8 @@
             done: VecDeque::new(),
             poured: 0,
             void_before: now,
-            strikes: 0,
+            failing: 0.0,
+            benches: 0,
             benched_until: Micros(0),
             overdue: 0,
             heard: Micros(0),
@@ -715,16 +721,19 @@
             }
             match outcome {
                 // A read that took far longer than its peers' is no sign of health.
-                Outcome::Parsed if slow => strike(s, now, 1),
+                Outcome::Parsed if slow => strike(s, now, FAIL_GAIN),
                 Outcome::Served | Outcome::Parsed => {
-                    s.strikes = 0;
+                    s.failing *= 1.0 - WELL_GAIN;
+                    s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
                     note_time(&mut s.done, now, self.set.fall_after);
                 }
-                Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => strike(s, now, 1),
+                Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => {
+                    strike(s, now, FAIL_GAIN)
+                }
                 // Long silence weighs more than one error: an idle hanging worker would look best.
                 Outcome::TimedOut | Outcome::Cancelled if !job.streaming && !job.done => {
-                    strike(s, now, STRIKES);
+                    strike(s, now, 1.0);
                 }
                 _ => {}
             }
@@ -821,7 +830,7 @@
     }
 
     fn fit(&self, s: &Server) -> bool {
-        let trial = s.strikes < STRIKES || s.reads + s.streams == 0;
+        let trial = s.failing < FAILING || s.reads + s.streams == 0;
         self.now >= s.benched_until && trial && s.overdue == 0
     }
 
@@ -893,12 +902,12 @@
     }
 }
 
-/// A failure in a row; enough of them bench the worker, each time for longer.
-fn strike(s: &mut Server, now: Micros, weight: u32) {
-    s.strikes += weight;
-    if s.strikes >= STRIKES {
-        let doublings = (s.strikes - STRIKES).min(BENCH_DOUBLINGS);
-        s.benched_until = now + Micros(BENCH.0 << doublings);
+/// A failure; enough of them bench the worker, each time for longer.
+fn strike(s: &mut Server, now: Micros, weight: f64) {
+    s.failing += (1.0 - s.failing) * weight;
+    if s.failing >= FAILING && now >= s.benched_until {
+        s.benched_until = now + Micros(BENCH.0 << s.benches.min(BENCH_DOUBLINGS));
+        s.benches += 1;
     }
 }
 
