--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -46,6 +46,8 @@
 const WIDEN: u32 = 2;
 /// The share of mixed servers is raised by at most this factor.
 const TILT: f64 = 3.0;
+/// Without reports, a stream of ours that still waits at a writer counts as so many more.
+const PENDING: f64 = 3.0;
 /// Streams sent this long before a report came are not in it yet.
 const REPORT_LAG: Micros = Micros(300_000);
 /// A new request is refused when its forecast first token takes more than this multiple of the tightest aim,
@@ -101,6 +103,8 @@
     reads: u32,
     read_tokens: u64,
     streams: u32,
+    /// Those of the streams that have no first token yet.
+    pending: u32,
     /// Last report, and our streams sent since as (time, tokens).
     report: Option<Report>,
     since: VecDeque<(Micros, f64)>,
@@ -127,6 +131,7 @@
             reads: 0,
             read_tokens: 0,
             streams: 0,
+            pending: 0,
             report: None,
             since: VecDeque::new(),
             sends: VecDeque::new(),
@@ -212,6 +217,8 @@
     due: Option<Micros>,
     patience: Micros,
     overdue: bool,
+    /// It has its first token.
+    begun: bool,
     open: bool,
     maybe_ran: bool,
     /// Tokens that the table said the worker keeps (local reads only).
@@ -590,7 +597,8 @@
             .map(|s| {
                 let weight = if self.set.weighted { s.info.weight.max(0.01) } else { 1.0 };
                 let room = if heard.is_empty() {
-                    -f64::from(s.streams) / weight
+                    // One that has no first token yet tells of a queue there.
+                    -(f64::from(s.streams) + f64::from(s.pending) * PENDING) / weight
                 } else {
                     s.room(self.set.routers, mean)
                 };
@@ -635,6 +643,7 @@
             }
             Stage::Write => {
                 s.streams += 1;
+                s.pending += 1;
                 if self.set.reports != Reports::Off {
                     s.since.push_back((now, job.req.prompt_tokens as f64));
                 }
@@ -657,6 +666,7 @@
             due: Some(now + patience),
             patience,
             overdue: false,
+            begun: false,
             open: true,
             maybe_ran: true,
             predicted,
@@ -681,7 +691,9 @@
         self.wait_s.add((self.now - job.arrived).as_secs_f64());
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
         t.due = None;
+        t.begun = true;
         if let Some(s) = self.servers.get_mut(&t.worker) {
+            s.pending = s.pending.saturating_sub(1);
             s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
             s.heard = self.now;
         }
@@ -709,7 +721,10 @@
                     s.reads = s.reads.saturating_sub(1);
                     s.read_tokens = s.read_tokens.saturating_sub(job.req.prompt_tokens);
                 }
-                Stage::Write => s.streams = s.streams.saturating_sub(1),
+                Stage::Write => {
+                    s.streams = s.streams.saturating_sub(1);
+                    s.pending -= u32::from(!t.begun).min(s.pending);
+                }
             }
             let slow = std::mem::take(&mut t.overdue);
             s.overdue -= u32::from(slow).min(s.overdue);
