--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -591,7 +591,8 @@
         let heard: Vec<f64> = pool.iter().filter_map(|s| s.told()).collect();
         let mean = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
         let streams: u32 = pool.iter().map(|s| s.streams).sum();
-        let unit = if heard.is_empty() { 1.0 + f64::from(streams) / pool.len().max(1) as f64 } else { 1.0 };
+        let unit =
+            if heard.is_empty() { 1.0 + NEAR * f64::from(streams) / pool.len().max(1) as f64 } else { 1.0 };
         let at = from.and_then(|r| self.servers.get(r)).map(|s| &s.info);
         pool.iter()
             .map(|s| {
