--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -62,6 +62,10 @@
 /// A tenant may save up this many seconds of its share.
 const BUCKET_S: f64 = 2.0;
 
+/// Bounds of a generation of the session table; in between the writers' memory sets its size.
+const HOMES_LEAST: usize = 256;
+const HOMES_MOST: usize = 65_536;
+
 // ---- What is known.
 
 /// An exponentially weighted mean.
@@ -710,6 +714,7 @@
         kept: u64,
         report: Option<Report>,
     ) {
+        let most = self.most_homes();
         let Some(t) = job.tries.get_mut(attempt.0 as usize).filter(|t| t.open) else { return };
         t.open = false;
         t.due = None;
@@ -765,7 +770,6 @@
                     noted: now,
                     poured: s.poured,
                 };
-                let most = self.set.classes.len().max(1) * 4096;
                 self.homes.note(session.clone(), home, most);
             }
         }
@@ -780,6 +784,13 @@
         }
     }
 
+    /// As many sessions as the writers could keep, if each kept a usual prompt.
+    fn most_homes(&self) -> usize {
+        let writers = self.servers.values().filter(|s| s.info.role != Role::Reader);
+        let memory: u64 = writers.filter_map(|s| s.info.kv_tokens).sum();
+        ((memory as f64 / self.prompt.0.unwrap_or(1.0).max(1.0)) as usize).clamp(HOMES_LEAST, HOMES_MOST)
+    }
+
     /// Counts attempts whose silence has lasted too long against their worker. One that has said
     /// nothing to anybody since is taken to hang: what can be repeated is called back from it.
     fn mark_overdue(&mut self, job: &mut Job, out: &mut Vec<Action>) {
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -1,5 +1,5 @@
 //! The ordinary path: the branches of the design, one by one.
-#![allow(clippy::unwrap_used, missing_docs)]
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing, missing_docs)]
 
 mod common;
 use chalkyard_policy::*;
@@ -89,9 +89,14 @@
         rig.router = Router::new(settings(), seed);
         rig.feed(Event::Workers { kind: ListKind::Full, workers: workers.clone() });
         for i in 0..6 {
-            let mut request = rig.request(&format!("{i}"), &format!("s{i}"), FREE, LONG);
+            let id = format!("{i}");
+            let mut request = rig.request(&id, &format!("s{i}"), FREE, LONG);
             request.prefix = Some("shared".into());
             seen.insert(sent(&rig.feed(Event::Request(request))).unwrap().0);
+            if i % 2 == 1 {
+                rig.end(&id, 0, Outcome::Parsed, 0);
+                rig.end(&format!("{}", i - 1), 0, Outcome::Parsed, 0);
+            }
         }
     }
     assert_eq!(seen.len(), 2, "{seen:?}");
@@ -152,3 +157,73 @@
         .count();
     assert_eq!(mixed, 4, "two of eight servers");
 }
+
+#[test]
+fn a_beginning_too_hot_for_two_readers_widens_to_more() {
+    let workers: Vec<Worker> = (0..8)
+        .map(|i| worker(&format!("r{i}"), Role::Reader, 0))
+        .chain([worker("w0", Role::Writer, 0)])
+        .collect();
+    let mut rig = Rig::new(settings(), workers);
+    let mut seen = std::collections::BTreeMap::new();
+    for i in 0..12 {
+        let mut request = rig.request(&format!("{i}"), &format!("s{i}"), FREE, LONG);
+        request.prefix = Some("hot".into());
+        *seen.entry(sent(&rig.feed(Event::Request(request))).unwrap().0).or_insert(0) += 1;
+    }
+    assert!(seen.len() > 2, "{seen:?}");
+    assert!(seen.values().all(|n| *n <= 4), "{seen:?}");
+}
+
+#[test]
+fn a_very_long_read_counts_as_many() {
+    let workers =
+        vec![worker("r0", Role::Reader, 0), worker("r1", Role::Reader, 0), worker("w0", Role::Writer, 0)];
+    let mut rig = Rig::new(settings(), workers);
+    for i in 0..20 {
+        rig.whole(&format!("l{i}"), &format!("l{i}"), LONG);
+    }
+    let long = sent(&rig.ask("long", "long", FREE, 10 * LONG)).unwrap().0;
+    for i in 0..3 {
+        let next = sent(&rig.ask(&format!("n{i}"), &format!("n{i}"), FREE, LONG)).unwrap().0;
+        assert_ne!(next, long, "read {i} queues behind a prompt ten times as long");
+    }
+}
+
+#[test]
+fn slow_reads_raise_the_share_of_mixed_servers() {
+    let mut workers = fleet();
+    workers.extend((0..2).map(|i| worker(&format!("m{i}"), Role::Mixed, i)));
+    let share = |read_s: f64| {
+        let mut rig = Rig::new(settings(), workers.clone());
+        // Finished requests, two at a time so that both ways are used: reads take `read_s`,
+        // everything else a tenth of a second.
+        for i in 0..20 {
+            let ids = [format!("l{i}"), format!("k{i}")];
+            let firsts: Vec<_> = ids.iter().map(|id| sent(&rig.ask(id, id, FREE, LONG)).unwrap().0).collect();
+            for (id, first) in ids.iter().zip(firsts) {
+                let mut attempt = 0;
+                if first.starts_with('r') {
+                    rig.feed(Event::Verdict {
+                        id: id.as_str().into(),
+                        attempt: AttemptNo(0),
+                        outcome: Outcome::Parsed,
+                        elapsed: secs(read_s),
+                        over: false,
+                        kept: 0,
+                        report: None,
+                    });
+                    attempt = 1;
+                }
+                rig.stream(id, attempt);
+                rig.end(id, attempt, Outcome::Served, 0);
+            }
+        }
+        (0..32)
+            .filter(|i| {
+                sent(&rig.ask(&format!("{i}"), &format!("s{i}"), FREE, LONG)).unwrap().0.starts_with('m')
+            })
+            .count()
+    };
+    assert!(share(0.4) > share(0.05), "{} {}", share(0.4), share(0.05));
+}
--- /dev/null
+++ b/crates/policy/tests/rules.rs
@@ -0,0 +1,395 @@
+//! The five rules and the health judgements, each by a scripted run.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing, missing_docs)]
+
+mod common;
+use chalkyard_policy::*;
+use common::*;
+
+const LONG: u64 = 6_000;
+
+fn pair() -> Vec<Worker> {
+    vec![
+        worker("r0", Role::Reader, 0),
+        worker("r1", Role::Reader, 1),
+        worker("w0", Role::Writer, 0),
+        worker("w1", Role::Writer, 1),
+    ]
+}
+
+// ---- Rule 1: one final answer, in time.
+
+#[test]
+fn with_no_worker_the_final_answer_still_comes_in_time() {
+    let mut rig = Rig::new(settings(), vec![]);
+    let deadline = rig.now + secs(5.0);
+    let mut actions = rig.ask("a", "s", FREE, LONG);
+    for _ in 0..1_000 {
+        if refused(&actions) || failed(&actions) {
+            assert!(rig.now <= deadline);
+            return;
+        }
+        actions = rig.fire(&actions);
+    }
+    unreachable!("never answered");
+}
+
+#[test]
+fn no_answer_at_the_deadline_is_answered_at_once() {
+    let mut rig = Rig::new(settings(), pair());
+    rig.ask("a", "s", FREE, LONG);
+    rig.wait(5.0);
+    let actions = rig.end("a", 0, Outcome::TimedOut, 0);
+    assert!(failed(&actions) || refused(&actions));
+    assert!(sent(&actions).is_none());
+}
+
+#[test]
+fn nothing_is_sent_after_the_client_has_gone() {
+    let mut rig = Rig::new(settings(), pair());
+    rig.ask("a", "s", FREE, LONG);
+    rig.feed(Event::ClientGone("a".into()));
+    let actions = rig.end("a", 0, Outcome::ServerError, 0);
+    assert!(sent(&actions).is_none() && !failed(&actions) && !refused(&actions));
+}
+
+#[test]
+fn attempts_stay_within_the_allowed_number() {
+    let mut rig = Rig::new(settings(), pair());
+    let mut actions = rig.ask("a", "s", FREE, LONG);
+    let mut sends = 0;
+    while sent(&actions).is_some() {
+        sends += 1;
+        actions = rig.end("a", sends - 1, Outcome::NoConnection, 0);
+    }
+    assert!(sends <= 4, "{sends}");
+}
+
+#[test]
+fn a_time_out_is_never_zero() {
+    let mut set = settings();
+    set.may_cancel = false;
+    for class in &mut set.classes {
+        class.aim = Micros(0);
+        class.aim_per_1000_tokens = Micros(0);
+    }
+    let mut rig = Rig::new(set, pair());
+    let (_, give_up) = sent(&rig.ask("a", "s", FREE, 0)).unwrap();
+    assert!(give_up.is_none_or(|g| g.0 > 0));
+}
+
+// ---- Rule 2: no effect twice.
+
+fn at_writer(rig: &mut Rig, class: ClassId) {
+    rig.ask("a", "s", class, LONG);
+    assert!(sent(&rig.end("a", 0, Outcome::Parsed, 0)).is_some());
+}
+
+#[test]
+fn a_single_shot_that_may_have_run_is_failed_not_resent_or_refused() {
+    for outcome in [Outcome::ServerError, Outcome::TimedOut, Outcome::ConnectionLost, Outcome::Cancelled] {
+        let mut rig = Rig::new(settings(), pair());
+        at_writer(&mut rig, SINGLE);
+        let actions = rig.end("a", 1, outcome, 0);
+        assert!(sent(&actions).is_none(), "{outcome:?}");
+        assert!(failed(&actions) && !refused(&actions), "{outcome:?}");
+        assert!(let_go(&actions), "the state is still held: {outcome:?}");
+    }
+}
+
+#[test]
+fn a_single_shot_that_was_turned_away_tries_the_other_writer() {
+    let mut rig = Rig::new(settings(), pair());
+    at_writer(&mut rig, SINGLE);
+    let again = sent(&rig.end("a", 1, Outcome::Refused { no_state: false }, 0)).unwrap().0;
+    assert!(again.starts_with('w'));
+}
+
+#[test]
+fn a_read_has_no_effect_and_may_be_repeated() {
+    let mut rig = Rig::new(settings(), pair());
+    let first = sent(&rig.ask("a", "s", SINGLE, LONG)).unwrap().0;
+    let second = sent(&rig.end("a", 0, Outcome::ServerError, 0)).unwrap().0;
+    assert!(second.starts_with('r') && second != first);
+}
+
+#[test]
+fn a_guarded_request_stays_in_its_group_and_window() {
+    let mut workers = pair();
+    workers.push(worker("w2", Role::Writer, 0));
+    workers.push(worker("w3", Role::Writer, 1));
+    let mut rig = Rig::new(settings(), workers.clone());
+    rig.ask("a", "s", GUARDED, LONG);
+    let first = sent(&rig.end("a", 0, Outcome::Parsed, 0)).unwrap().0;
+    let cell = |id: &str| workers.iter().find(|w| *w.id.0 == *id).map(|w| w.cell);
+    let second = sent(&rig.end("a", 1, Outcome::ConnectionLost, 0)).unwrap().0;
+    assert_eq!(cell(&first), cell(&second));
+    rig.wait(3.1);
+    let actions = rig.end("a", 2, Outcome::ConnectionLost, 0);
+    assert!(sent(&actions).is_none(), "the window has passed");
+}
+
+#[test]
+fn never_two_attempts_at_once() {
+    let mut rig = Rig::new(settings(), pair());
+    let actions = rig.ask("a", "s", FREE, LONG);
+    for a in rig.fire(&actions) {
+        assert!(!matches!(a, Action::Send { .. }), "the first is still out");
+    }
+}
+
+// ---- Rule 3: drains.
+
+#[test]
+fn a_draining_or_removed_worker_gets_nothing_not_even_a_held_request() {
+    for lifecycle in [Lifecycle::Draining, Lifecycle::Out] {
+        let mut rig = Rig::new(settings(), pair());
+        rig.ask("a", "s", FREE, LONG);
+        let mut w0 = worker("w0", Role::Writer, 0);
+        w0.lifecycle = lifecycle;
+        rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![w0] });
+        let next = sent(&rig.end("a", 0, Outcome::Parsed, 0)).unwrap().0;
+        assert_eq!(next, "w1");
+        let actions = rig.end("a", 1, Outcome::Refused { no_state: false }, 0);
+        assert!(sent(&actions).is_none_or(|s| s.0 != "w0"));
+    }
+}
+
+#[test]
+fn a_home_that_drains_draws_no_local_read() {
+    let mut rig = Rig::new(settings(), pair());
+    let (_, home) = rig.whole("a", "s", LONG);
+    let mut w = worker(&home, Role::Writer, 0);
+    w.lifecycle = Lifecycle::Draining;
+    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![w] });
+    assert!(sent(&rig.ask("b", "s", FREE, LONG + 50)).unwrap().0.starts_with('r'));
+}
+
+// ---- Rule 4: cold workers.
+
+fn sends_to(rig: &mut Rig, target: &str, requests: usize) -> usize {
+    (0..requests)
+        .filter(|i| {
+            sent(&rig.ask(&format!("c{i}"), &format!("c{i}"), FREE, LONG)).is_some_and(|s| s.0 == target)
+        })
+        .count()
+}
+
+#[test]
+fn a_cold_worker_gets_a_trickle_even_when_its_peers_jam() {
+    let mut workers = vec![worker("w0", Role::Writer, 0)];
+    workers.extend((0..2).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
+    let mut rig = Rig::new(settings(), workers);
+    // The warm reader is sent much and finishes nothing.
+    let mut cold = worker("r1", Role::Reader, 0);
+    cold.started = Some(rig.now);
+    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![cold] });
+    assert!(sends_to(&mut rig, "r1", 60) <= 1);
+}
+
+#[test]
+fn a_cold_workers_budget_follows_what_warm_peers_finish() {
+    let mut workers = vec![worker("w0", Role::Writer, 0)];
+    workers.extend((0..2).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
+    let mut rig = Rig::new(settings(), workers);
+    let mut cold = worker("r1", Role::Reader, 0);
+    cold.started = Some(rig.now);
+    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![cold] });
+    let (mut warm_done, mut to_cold) = (0, 0);
+    for i in 0..20 {
+        let id = format!("{i}");
+        if sent(&rig.ask(&id, &id, FREE, LONG)).unwrap().0 == "r1" {
+            to_cold += 1;
+        } else {
+            warm_done += 1;
+        }
+        rig.end(&id, 0, Outcome::Parsed, 0);
+    }
+    // A third of the multiple times the cold share at the start, of what the warm peer did.
+    assert!(to_cold >= 2, "{to_cold}");
+    assert!(f64::from(to_cold) <= 1.0 + f64::from(warm_done) * 3.0 * 0.25, "{to_cold} against {warm_done}");
+}
+
+// ---- Rule 5: nothing pinned.
+
+#[test]
+fn a_state_that_no_writer_takes_is_let_go_in_time() {
+    let mut rig = Rig::new(Settings { self_prefill: false, ..settings() }, pair());
+    rig.ask("a", "s", FREE, LONG);
+    let mut gone = pair();
+    gone.retain(|w| w.role == Role::Reader);
+    rig.feed(Event::Workers { kind: ListKind::Full, workers: gone });
+    let since = rig.now;
+    let mut actions = rig.end("a", 0, Outcome::Parsed, 0);
+    for _ in 0..100 {
+        if let_go(&actions) {
+            assert!(rig.now <= since + secs(0.5));
+            return;
+        }
+        actions = rig.fire(&actions);
+    }
+    unreachable!("never let go");
+}
+
+#[test]
+fn a_state_read_for_a_client_that_has_gone_is_let_go_at_once() {
+    let mut rig = Rig::new(settings(), pair());
+    rig.ask("a", "s", FREE, LONG);
+    rig.feed(Event::ClientGone("a".into()));
+    let actions = rig.end("a", 0, Outcome::Parsed, 0);
+    assert!(let_go(&actions) && sent(&actions).is_none());
+}
+
+#[test]
+fn a_client_that_leaves_while_its_state_is_fetched_leaves_nothing_behind() {
+    let mut rig = Rig::new(settings(), pair());
+    at_writer(&mut rig, FREE);
+    rig.feed(Event::ClientGone("a".into()));
+    let actions = rig.end("a", 1, Outcome::Cancelled, 0);
+    assert!(let_go(&actions));
+}
+
+// ---- Health.
+
+#[test]
+fn a_worker_that_fails_twice_is_benched_and_tried_again_later() {
+    let mut rig = Rig::new(settings(), fleet());
+    let mut bad = None;
+    for i in 0..40 {
+        let id = format!("{i}");
+        let first = sent(&rig.ask(&id, "one", FREE, LONG)).unwrap().0;
+        let bad = bad.get_or_insert(first.clone());
+        if first == *bad {
+            rig.end(&id, 0, Outcome::ServerError, 0);
+        } else {
+            rig.end(&id, 0, Outcome::Parsed, 0);
+        }
+    }
+    let bad = bad.unwrap();
+    let late = (40..60)
+        .filter(|i| {
+            let id = format!("{i}");
+            let to = sent(&rig.ask(&id, "one", FREE, LONG)).unwrap().0;
+            rig.end(&id, 0, Outcome::Parsed, 0);
+            to == bad
+        })
+        .count();
+    assert_eq!(late, 0, "benched");
+    rig.wait(60.0);
+    let again = (60..80).any(|i| {
+        let id = format!("{i}");
+        let to = sent(&rig.ask(&id, "one", FREE, LONG)).unwrap().0;
+        rig.end(&id, 0, Outcome::Parsed, 0);
+        to == bad
+    });
+    assert!(again, "a way to recover");
+}
+
+#[test]
+fn a_pool_that_fails_as_a_whole_is_still_used() {
+    let mut rig = Rig::new(settings(), vec![worker("r0", Role::Reader, 0), worker("w0", Role::Writer, 0)]);
+    for i in 0..6 {
+        let id = format!("{i}");
+        rig.ask(&id, &id, FREE, LONG);
+        rig.end(&id, 0, Outcome::ServerError, 0);
+        rig.feed(Event::ClientGone(id.as_str().into()));
+    }
+    rig.wait(0.1);
+    assert!(sent(&rig.ask("z", "z", FREE, LONG)).is_some());
+}
+
+#[test]
+fn a_hanging_worker_loses_its_attempts_and_draws_no_more() {
+    let mut rig = Rig::new(settings(), fleet());
+    let (_, home) = rig.whole("a", "s", LONG);
+    // A local read at the home, which says nothing more.
+    let asked = rig.ask("b", "s", FREE, LONG + 50);
+    assert_eq!(sent(&asked).unwrap().0, home);
+    let late = rig.fire(&asked);
+    assert!(late.iter().any(|a| matches!(a, Action::Cancel { .. })), "{late:?}");
+    let next = sent(&rig.end("b", 0, Outcome::Cancelled, 0)).unwrap().0;
+    assert_ne!(next, home);
+    assert_ne!(sent(&rig.ask("c", "s", FREE, LONG + 100)).unwrap().0, home, "nor local reads");
+}
+
+#[test]
+fn a_busy_worker_that_still_answers_keeps_its_attempts() {
+    let mut rig = Rig::new(settings(), vec![worker("r0", Role::Reader, 0), worker("w0", Role::Writer, 0)]);
+    let first = rig.ask("a", "s", FREE, LONG);
+    rig.wait(0.5);
+    rig.ask("b", "t", FREE, LONG);
+    rig.wait(0.5);
+    rig.end("b", 0, Outcome::Parsed, 0);
+    let late = rig.fire(&first);
+    assert!(!late.iter().any(|a| matches!(a, Action::Cancel { .. })), "{late:?}");
+}
+
+// ---- Overload.
+
+#[test]
+fn a_jam_refuses_early_and_the_over_share_first() {
+    let run = |tenant: usize| {
+        let mut rig = Rig::new(settings(), fleet());
+        let mut refusals = Vec::new();
+        // Slow first tokens, far more requests than are answered.
+        for i in 0..400 {
+            rig.wait(0.02);
+            let id = format!("{i}");
+            let mut request = rig.request(&id, &id, FREE, LONG);
+            request.tenant = Some(TenantId(tenant));
+            request.deadline = rig.now + secs(60.0);
+            let actions = rig.feed(Event::Request(request));
+            if refused(&actions) {
+                assert!(!let_go(&actions) && sent(&actions).is_none());
+                refusals.push(i);
+            } else if i % 4 == 0 {
+                rig.end(&id, 0, Outcome::Parsed, 0);
+                rig.wait(1.0);
+                rig.stream(&id, 1);
+            }
+        }
+        refusals
+    };
+    let (within, over) = (run(1), run(0));
+    assert!(!over.is_empty(), "a jam must be seen");
+    assert!(over.len() >= within.len(), "{} {}", over.len(), within.len());
+}
+
+// ---- Bounds and determinism.
+
+#[test]
+fn nothing_is_remembered_of_requests_that_are_over() {
+    let mut rig = Rig::new(settings(), fleet());
+    let mut size = Vec::new();
+    for round in 0..3 {
+        for i in 0..20_000 {
+            let id = format!("{round}/{i}");
+            rig.whole(&id, &id, LONG);
+        }
+        // Every timer that was ever set comes due.
+        for timer in 0..200_000 {
+            rig.feed(Event::Timer(TimerId(timer)));
+        }
+        let seen = format!("{:?}", rig.router);
+        assert_eq!(seen.matches("Job {").count(), 0);
+        // Three writers of 100,000 tokens keep fifty such prompts: the least table will do.
+        assert!((1..=512).contains(&seen.matches("Home {").count()));
+        size.push(seen.len());
+    }
+    assert!(size[2] < size[1] * 3 / 2, "{size:?}");
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let run = || {
+        let mut rig = Rig::new(settings(), fleet());
+        let mut all = Vec::new();
+        for i in 0..200 {
+            let id = format!("{i}");
+            all.extend(rig.ask(&id, &format!("s{}", i % 17), FREE, 100 + 37 * i));
+            rig.wait(0.01);
+            all.extend(rig.end(&id, 0, Outcome::Parsed, 0));
+        }
+        all
+    };
+    assert_eq!(run(), run());
+}
