--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -820,7 +820,9 @@
         job.done = true;
         let late = self.now + self.set.tick >= job.req.deadline;
         if !late && self.may_refuse(&job) {
-            let retry_after = Some(self.set.max_retry_after).filter(|t| t.0 > 0);
+            // As long as the queue that we see takes to fall to what is admitted.
+            let drained = self.forecast() - self.tightest().mul_f64(ADMIT / 2.0);
+            let retry_after = Some(drained.min(self.set.max_retry_after)).filter(|t| t.0 > 0);
             out.push(Action::Refuse { id, retry_after });
         } else {
             out.push(Action::Fail(id));
