--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -121,6 +121,8 @@
     void_before: Micros,
     /// Health: share of failures, benches in a row, end of the bench, silent attempts past their time.
     failing: f64,
+    /// Its last failure proved that nobody listens there.
+    down: bool,
     benches: u32,
     benched_until: Micros,
     overdue: u32,
@@ -143,6 +145,7 @@
             poured: 0,
             void_before: now,
             failing: 0.0,
+            down: false,
             benches: 0,
             benched_until: Micros(0),
             overdue: 0,
@@ -740,6 +743,7 @@
             } else if t.stage == Stage::Write {
                 s.since.pop_front();
             }
+            s.down = outcome == Outcome::NoConnection;
             match outcome {
                 // A read that took far longer than its peers' is no sign of health.
                 Outcome::Parsed if slow => strike(s, now, FAIL_GAIN),
@@ -835,12 +839,14 @@
     // ---- Health and the guards of the rules.
 
     /// The workers that may get this request's next attempt. Benched and silent ones are left out
-    /// unless they are half of the pool or more: then the trouble is elsewhere.
+    /// unless they are half of the pool or more: then the trouble is elsewhere. One where nobody
+    /// listens stays out in any case: it fails so fast that it would eat every attempt.
     fn pool(&self, job: &Job, role: impl Fn(Role) -> bool) -> Vec<&Server> {
         let all: Vec<&Server> = self
             .servers
             .values()
             .filter(|s| s.info.lifecycle == Lifecycle::In && role(s.info.role))
+            .filter(|s| !s.down || self.fit(s) || s.failing < FAILING)
             .collect();
         let fit: Vec<&Server> = all.iter().copied().filter(|s| self.fit(s)).collect();
         let judged = if fit.len() * 2 > all.len() { fit } else { all };
