--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -56,6 +56,10 @@
 const ADMIT_OVER_SHARE: f64 = 0.4;
 /// ... and only while first tokens do take at least this share of that: a rise alone is no jam.
 const FELT: f64 = 0.5;
+/// One request's wait counts in that up to this multiple of that aim, and a prompt of more than so
+/// many usual ones is no part of the queue: reading it takes long without any jam.
+const WAIT_CLIP: f64 = 2.0;
+const LONG: f64 = 4.0;
 /// The rate of first tokens is taken over about this span, and not judged before so many.
 const RATE_SPAN: Micros = Micros(3_000_000);
 const RATE_LEAST: f64 = 5.0;
@@ -83,6 +87,8 @@
 struct Rate {
     count: f64,
     at: Micros,
+    /// Its first event.
+    since: Option<Micros>,
 }
 
 impl Rate {
@@ -91,11 +97,13 @@
     }
 
     fn add(&mut self, now: Micros) {
-        *self = Self { count: self.fade(now) + 1.0, at: now };
+        *self = Self { count: self.fade(now) + 1.0, at: now, since: self.since.or(Some(now)) };
     }
 
+    /// A router that has just started has seen only part of the span.
     fn per_s(&self, now: Micros) -> f64 {
-        self.fade(now) / RATE_SPAN.as_secs_f64()
+        let age = self.since.map_or(0.0, |s| (now - s).as_secs_f64()) / RATE_SPAN.as_secs_f64();
+        self.fade(now) / (RATE_SPAN.as_secs_f64() * (1.0 - (-age).exp()).max(0.1))
     }
 }
 
@@ -271,8 +279,8 @@
     /// Time of reads and of first tokens, each over the request's aim.
     read_time: Ewma,
     first_time: Ewma,
-    /// Time from arrival to the first token, in seconds.
-    wait_s: Ewma,
+    /// Time from arrival to the first token over the tightest aim.
+    wait: Ewma,
     /// Prompt tokens of a request.
     prompt: Ewma,
     /// Time of reads, of first tokens from a state that was pulled, and of those of requests that
@@ -301,7 +309,7 @@
             next_timer: 0,
             read_time: Ewma::default(),
             first_time: Ewma::default(),
-            wait_s: Ewma::default(),
+            wait: Ewma::default(),
             prompt: Ewma::default(),
             read_s: Ewma::default(),
             pull_s: Ewma::default(),
@@ -393,7 +401,7 @@
         let most = if over_share { ADMIT_OVER_SHARE } else { ADMIT };
         // By the tightest class's aim: a jam that settles at a longer one starves the others.
         let limit = self.tightest().mul_f64(most);
-        let felt = self.wait_s.0.is_some_and(|w| w > limit.as_secs_f64() * FELT);
+        let felt = self.wait.0.is_some_and(|w| w > most * FELT);
         if felt && self.forecast() > limit {
             self.finish(job, out);
         } else {
@@ -411,7 +419,9 @@
             let at = j.tries.iter().find(|t| t.open).and_then(|t| self.servers.get(&t.worker));
             at.is_some_and(|s| !self.fit(s) && self.mostly_fit(s.info.role))
         };
-        let waiting = self.jobs.values().filter(|j| !j.streaming && !j.done && !stuck(j)).count();
+        let long = |j: &Job| j.req.prompt_tokens as f64 > self.prompt.0.unwrap_or(0.0) * LONG;
+        let waits = |j: &&Job| !j.streaming && !j.done && !stuck(j) && !long(j);
+        let waiting = self.jobs.values().filter(waits).count();
         if waiting <= self.servers.len() / self.set.routers.max(1) as usize {
             return Micros(0);
         }
@@ -685,6 +695,7 @@
     // ---- What comes back.
 
     fn streaming(&mut self, id: &RequestId, attempt: AttemptNo, elapsed: Micros) {
+        let tightest = self.tightest().as_secs_f64();
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.streaming = true;
         if job.held.is_some() {
@@ -696,7 +707,8 @@
         let over_aim = |t: Micros| t.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
         self.first_time.add(over_aim(elapsed));
         self.firsts.add(self.now);
-        self.wait_s.add((self.now - job.arrived).as_secs_f64());
+        let wait = (self.now - job.arrived).as_secs_f64();
+        self.wait.add((wait / tightest.max(1e-6)).min(WAIT_CLIP));
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
         t.due = None;
         t.begun = true;
