Pace of local reads is learnt

A fixed guess of 7,000 tokens a second was a figure for these fleets; now the first guess is 5,000 and local reads correct it, the shares of the tightest aim are 0.06 to 0.18.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -15,10 +15,10 @@
 /// A remainder is short when the writer reads it in no more time than reads take us now, within
 /// these shares of the tightest class's first-token aim: every stream of the writer waits for as
 /// long, so the threshold does not grow with a class that has time.
-const LOCAL_LEAST: f64 = 0.04;
-const LOCAL_MOST: f64 = 0.12;
+const LOCAL_LEAST: f64 = 0.06;
+const LOCAL_MOST: f64 = 0.18;
 /// Pace of a writer's own reading before any was seen, in tokens a second.
-const FIRST_GUESS_PACE: f64 = 7_000.0;
+const FIRST_GUESS_PACE: f64 = 5_000.0;
 /// A silent attempt is overdue after this multiple of what its peers take ...
 const OVERDUE_FACTOR: f64 = 4.0;
 /// ... but not before this share of the request's aim.
@@ -288,6 +288,8 @@
     read_s: Ewma,
     pull_s: Ewma,
     mixed_s: Ewma,
+    /// Tokens a second of local reads.
+    local_pace: Ewma,
     /// First tokens of our requests.
     firsts: Rate,
     /// Token buckets of the tenants: tokens left, last filled.
@@ -314,6 +316,7 @@
             read_s: Ewma::default(),
             pull_s: Ewma::default(),
             mixed_s: Ewma::default(),
+            local_pace: Ewma::default(),
             firsts: Rate::default(),
             buckets,
         }
@@ -429,6 +432,11 @@
         Micros::from_secs_f64(waiting as f64 / rate)
     }
 
+    /// What a writer reads by itself, in tokens a second, as local reads show it.
+    fn pace(&self) -> f64 {
+        self.local_pace.0.unwrap_or(FIRST_GUESS_PACE).max(1.0)
+    }
+
     /// The shortest first-token aim of any class.
     fn tightest(&self) -> Micros {
         self.set.classes.iter().map(|c| c.aim).min().unwrap_or_default()
@@ -531,7 +539,7 @@
         let (least, most) = (tightest.mul_f64(LOCAL_LEAST), tightest.mul_f64(LOCAL_MOST));
         let ahead = self.read_s.0.unwrap_or(0.0) - 2.0 * self.pull_s.0.unwrap_or(0.0);
         let even = Micros::from_secs_f64(ahead).clamp(least, most);
-        let threshold = (even.as_secs_f64() * FIRST_GUESS_PACE) as u64;
+        let threshold = (even.as_secs_f64() * self.pace()) as u64;
         let home = job.req.session.as_ref().and_then(|s| self.homes.get(s)).and_then(|h| {
             let s = self.servers.get(&h.worker)?;
             // A note ages with what was poured over it: memory is finite and others pour as well.
@@ -649,7 +657,7 @@
         out: &mut Vec<Action>,
     ) {
         let now = self.now;
-        let effect = self.effect(job);
+        let (effect, pace) = (self.effect(job), self.pace());
         let Some(s) = self.servers.get_mut(&worker) else { return };
         note_time(&mut s.sends, now, self.set.fall_after);
         s.poured += job.req.prompt_tokens;
@@ -669,7 +677,7 @@
             }
         };
         // Reading takes its time: what we know to lie before this one, and itself, is allowed for.
-        let reading = (s.read_tokens + job.req.prompt_tokens) as f64 / FIRST_GUESS_PACE;
+        let reading = (s.read_tokens + job.req.prompt_tokens) as f64 / pace;
         let patience = job.aim.mul_f64((usual.0.unwrap_or(0.0) * OVERDUE_FACTOR).max(OVERDUE_FLOOR))
             + Micros::from_secs_f64(reading);
         // Where nothing can be cancelled, a time-out has to be set beforehand.
@@ -700,8 +708,14 @@
         job.streaming = true;
         if job.held.is_some() {
             self.pull_s.add(elapsed.as_secs_f64());
-        } else if job.tries.get(attempt.0 as usize).is_some_and(|t| t.predicted.is_none()) {
-            self.mixed_s.add(elapsed.as_secs_f64());
+        } else {
+            match job.tries.get(attempt.0 as usize).and_then(|t| t.predicted) {
+                Some(kept) => {
+                    let read = job.req.prompt_tokens.saturating_sub(kept) as f64;
+                    self.local_pace.add(read / elapsed.as_secs_f64().max(1e-3));
+                }
+                None => self.mixed_s.add(elapsed.as_secs_f64()),
+            }
         }
         job.held = None;
         let over_aim = |t: Micros| t.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
