--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -46,7 +46,7 @@
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub Arc<str>);
 
         impl From<&str> for $name {
@@ -87,7 +87,7 @@
 pub struct ZoneId(pub usize);
 
 /// A cell (rack): a small group of workers with a link of their own.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CellId(pub u64);
 
 /// What a timer gives back when it fires; chosen by the module.
@@ -99,13 +99,14 @@
 pub struct AttemptNo(pub u32);
 
 /// What a worker does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Role {
     /// Reads prompts; its read state is then pulled by a writer.
     Reader,
     /// Pulls read state and writes answers; may read by itself where the settings say so.
     Writer,
     /// Does both.
+    #[default]
     Mixed,
 }
 
@@ -241,18 +242,19 @@
 }
 
 /// Whether a worker takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Lifecycle {
     /// Takes work.
     In,
     /// Finishes its work; nothing new may be sent.
     Draining,
     /// Removed.
+    #[default]
     Out,
 }
 
 /// An entry of the list of workers.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Worker {
     /// Its id.
     pub id: WorkerId,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,8 +2,8 @@
 //! (prefill) and whose answers are written (decode) on different servers.
 //!
 //! The module is sans-IO: it has no clock, no sockets and no knowledge of any wire. The program
-//! around it feeds [`Event`](interface::Event)s with the time and carries out the
-//! [`Action`](interface::Action)s that come back.
+//! around it feeds [`Event`]s with the time and carries out the
+//! [`Action`]s that come back.
 
 pub mod interface;
 pub mod policy;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -17,6 +17,8 @@
 /// long, so the threshold does not grow with a class that has time.
 const LOCAL_LEAST: f64 = 0.06;
 const LOCAL_MOST: f64 = 0.18;
+/// The source's default threshold, in tokens; ours is never lower.
+const THRESHOLD_LEAST: u64 = 64;
 /// Pace of a writer's own reading before any was seen, in tokens a second.
 const FIRST_GUESS_PACE: f64 = 5_000.0;
 /// A silent attempt is overdue after this multiple of what its peers take ...
@@ -50,8 +52,8 @@
 const PENDING: f64 = 3.0;
 /// Streams sent this long before a report came are not in it yet.
 const REPORT_LAG: Micros = Micros(300_000);
-/// A new request is refused when its forecast first token takes more than this multiple of the tightest aim,
-/// one beyond its tenant's share much earlier.
+/// A new request is refused when its forecast first token takes more than this multiple of the
+/// tightest aim, one beyond its tenant's share much earlier.
 const ADMIT: f64 = 1.0;
 const ADMIT_OVER_SHARE: f64 = 0.4;
 /// ... and only while first tokens do take at least this share of that: a rise alone is no jam.
@@ -63,6 +65,8 @@
 /// The rate of first tokens is taken over about this span, and not judged before so many.
 const RATE_SPAN: Micros = Micros(3_000_000);
 const RATE_LEAST: f64 = 5.0;
+/// After a failed call the list is asked for again after this share of the longest span allowed.
+const ASK_AGAIN: f64 = 0.1;
 /// A tenant may save up this many seconds of its share.
 const BUCKET_S: f64 = 2.0;
 
@@ -108,7 +112,7 @@
 }
 
 /// A worker and what this router has seen of it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Server {
     info: Worker,
     /// Our reads and our writing attempts that are out.
@@ -139,28 +143,6 @@
 }
 
 impl Server {
-    fn new(info: Worker, now: Micros) -> Self {
-        Self {
-            info,
-            reads: 0,
-            read_tokens: 0,
-            streams: 0,
-            pending: 0,
-            report: None,
-            since: VecDeque::new(),
-            sends: VecDeque::new(),
-            done: VecDeque::new(),
-            poured: 0,
-            void_before: now,
-            failing: 0.0,
-            down: false,
-            benches: 0,
-            benched_until: Micros(0),
-            overdue: 0,
-            heard: Micros(0),
-        }
-    }
-
     fn kv(&self) -> f64 {
         self.info.kv_tokens.map_or(f64::INFINITY, |t| t.max(1) as f64)
     }
@@ -265,17 +247,9 @@
     }
 }
 
-/// The decision module of one router.
-#[derive(Debug)]
-pub struct Router {
-    set: Settings,
-    seed: u64,
-    now: Micros,
-    servers: BTreeMap<WorkerId, Server>,
-    jobs: BTreeMap<RequestId, Job>,
-    homes: Homes,
-    timers: BTreeMap<TimerId, RequestId>,
-    next_timer: u64,
+/// What requests of all kinds took lately.
+#[derive(Debug, Default)]
+struct Seen {
     /// Time of reads and of first tokens, each over the request's aim.
     read_time: Ewma,
     first_time: Ewma,
@@ -292,6 +266,21 @@
     local_pace: Ewma,
     /// First tokens of our requests.
     firsts: Rate,
+}
+
+/// The decision module of one router.
+#[derive(Debug)]
+pub struct Router {
+    set: Settings,
+    seed: u64,
+    now: Micros,
+    servers: BTreeMap<WorkerId, Server>,
+    jobs: BTreeMap<RequestId, Job>,
+    homes: Homes,
+    /// What each timer wakes: a request, or asking for the list again.
+    timers: BTreeMap<TimerId, Option<RequestId>>,
+    next_timer: u64,
+    seen: Seen,
     /// Token buckets of the tenants: tokens left, last filled.
     buckets: Vec<(f64, Micros)>,
 }
@@ -309,15 +298,7 @@
             homes: Homes::default(),
             timers: BTreeMap::new(),
             next_timer: 0,
-            read_time: Ewma::default(),
-            first_time: Ewma::default(),
-            wait: Ewma::default(),
-            prompt: Ewma::default(),
-            read_s: Ewma::default(),
-            pull_s: Ewma::default(),
-            mixed_s: Ewma::default(),
-            local_pace: Ewma::default(),
-            firsts: Rate::default(),
+            seen: Seen::default(),
             buckets,
         }
     }
@@ -342,11 +323,15 @@
                     self.settle(job, out);
                 }
             }
-            Event::Timer(timer) => {
-                if let Some(job) = self.timers.remove(&timer).and_then(|id| self.jobs.remove(&id)) {
-                    self.settle(job, out);
+            Event::Timer(timer) => match self.timers.remove(&timer) {
+                Some(None) => out.push(Action::Subscribe),
+                Some(Some(id)) => {
+                    if let Some(job) = self.jobs.remove(&id) {
+                        self.settle(job, out);
+                    }
                 }
-            }
+                None => {}
+            },
             Event::Probed { worker, report, .. } => {
                 if let (Some(s), Some(r)) = (self.servers.get_mut(&worker), report) {
                     s.report = Some(r);
@@ -372,15 +357,28 @@
                 }
                 Some(s) if s.info.started == w.started => s.info = w,
                 _ => {
-                    self.servers.insert(w.id.clone(), Server::new(w, self.now));
+                    let fresh = Server { void_before: self.now, info: w, ..Server::default() };
+                    self.servers.insert(fresh.info.id.clone(), fresh);
                 }
             }
         }
-        if self.set.discovery == Discovery::Ask && matches!(kind, ListKind::Stale | ListKind::Failed) {
-            out.push(Action::Subscribe);
+        // Where the list has to be asked for: subscribe at the start, and again some time after a
+        // call has failed, since all routers ask the same service.
+        match kind {
+            ListKind::Stale if self.set.discovery == Discovery::Ask => out.push(Action::Subscribe),
+            ListKind::Failed => self.set_timer(self.now + self.set.must_ask_in.mul_f64(ASK_AGAIN), None, out),
+            _ => {}
         }
     }
 
+    fn set_timer(&mut self, at: Micros, wakes: Option<RequestId>, out: &mut Vec<Action>) {
+        let timer = TimerId(self.next_timer);
+        self.next_timer += 1;
+        self.timers.insert(timer, wakes);
+        let after = (at - self.now).max(self.set.tick).max(Micros(1));
+        out.push(Action::SetTimer { timer, after });
+    }
+
     // ---- The ordinary path.
 
     fn request(&mut self, req: Request, out: &mut Vec<Action>) {
@@ -390,7 +388,7 @@
         };
         let aim = class.aim + class.aim_per_1000_tokens.mul_f64(req.prompt_tokens as f64 / 1e3);
         let over_share = self.over_share(req.tenant);
-        self.prompt.add(req.prompt_tokens as f64);
+        self.seen.prompt.add(req.prompt_tokens as f64);
         let job = Job {
             req,
             arrived: self.now,
@@ -404,7 +402,7 @@
         let most = if over_share { ADMIT_OVER_SHARE } else { ADMIT };
         // By the tightest class's aim: a jam that settles at a longer one starves the others.
         let limit = self.tightest().mul_f64(most);
-        let felt = self.wait.0.is_some_and(|w| w > most * FELT);
+        let felt = self.seen.wait.0.is_some_and(|w| w > most * FELT);
         if felt && self.forecast() > limit {
             self.finish(job, out);
         } else {
@@ -422,19 +420,19 @@
             let at = j.tries.iter().find(|t| t.open).and_then(|t| self.servers.get(&t.worker));
             at.is_some_and(|s| !self.fit(s) && self.mostly_fit(s.info.role))
         };
-        let long = |j: &Job| j.req.prompt_tokens as f64 > self.prompt.0.unwrap_or(0.0) * LONG;
+        let long = |j: &Job| j.req.prompt_tokens as f64 > self.seen.prompt.0.unwrap_or(0.0) * LONG;
         let waits = |j: &&Job| !j.streaming && !j.done && !stuck(j) && !long(j);
         let waiting = self.jobs.values().filter(waits).count();
         if waiting <= self.servers.len() / self.set.routers.max(1) as usize {
             return Micros(0);
         }
-        let rate = self.firsts.per_s(self.now).max(RATE_LEAST / RATE_SPAN.as_secs_f64());
+        let rate = self.seen.firsts.per_s(self.now).max(RATE_LEAST / RATE_SPAN.as_secs_f64());
         Micros::from_secs_f64(waiting as f64 / rate)
     }
 
     /// What a writer reads by itself, in tokens a second, as local reads show it.
     fn pace(&self) -> f64 {
-        self.local_pace.0.unwrap_or(FIRST_GUESS_PACE).max(1.0)
+        self.seen.local_pace.0.unwrap_or(FIRST_GUESS_PACE).max(1.0)
     }
 
     /// The shortest first-token aim of any class.
@@ -499,11 +497,7 @@
             Some((self.now + RETRY_WAIT).min(last_call).min(held.unwrap_or(last_call)))
         };
         if let Some(at) = at {
-            let timer = TimerId(self.next_timer);
-            self.next_timer += 1;
-            self.timers.insert(timer, job.req.id.clone());
-            let after = (at - self.now).max(self.set.tick).max(Micros(1));
-            out.push(Action::SetTimer { timer, after });
+            self.set_timer(at, Some(job.req.id.clone()), out);
         }
     }
 
@@ -537,9 +531,9 @@
     fn local(&self, job: &Job) -> Option<(WorkerId, u64)> {
         let tightest = self.tightest();
         let (least, most) = (tightest.mul_f64(LOCAL_LEAST), tightest.mul_f64(LOCAL_MOST));
-        let ahead = self.read_s.0.unwrap_or(0.0) - 2.0 * self.pull_s.0.unwrap_or(0.0);
+        let ahead = self.seen.read_s.0.unwrap_or(0.0) - 2.0 * self.seen.pull_s.0.unwrap_or(0.0);
         let even = Micros::from_secs_f64(ahead).clamp(least, most);
-        let threshold = (even.as_secs_f64() * self.pace()) as u64;
+        let threshold = ((even.as_secs_f64() * self.pace()) as u64).max(THRESHOLD_LEAST);
         let home = job.req.session.as_ref().and_then(|s| self.homes.get(s)).and_then(|h| {
             let s = self.servers.get(&h.worker)?;
             // A note ages with what was poured over it: memory is finite and others pour as well.
@@ -574,8 +568,8 @@
             }
         }
         let here: u32 = mixed.iter().map(|s| s.reads + s.streams).sum();
-        let split = self.read_s.0.zip(self.pull_s.0).map(|(r, p)| r + p);
-        let tilt = split.zip(self.mixed_s.0).map_or(1.0, |(s, m)| (s / m.max(1e-6)).clamp(1.0, TILT));
+        let split = self.seen.read_s.0.zip(self.seen.pull_s.0).map(|(r, p)| r + p);
+        let tilt = split.zip(self.seen.mixed_s.0).map_or(1.0, |(s, m)| (s / m.max(1e-6)).clamp(1.0, TILT));
         f64::from(here) * n as f64 <= f64::from(out) * mixed.len() as f64 * tilt
     }
 
@@ -592,7 +586,7 @@
             pool.iter().map(|s| (xxh3_64_with_seed(s.info.id.0.as_bytes(), salt), *s)).collect();
         ranked.sort_by_key(|r| std::cmp::Reverse(r.0));
         // A very long prompt counts as as many reads as there are usual ones in it.
-        let usual = self.prompt.0.unwrap_or(1.0).max(1.0);
+        let usual = self.seen.prompt.0.unwrap_or(1.0).max(1.0);
         let load = |s: &Server| match s.info.role {
             Role::Mixed => s.streams,
             _ => s.reads.max((s.read_tokens as f64 / usual) as u32),
@@ -665,7 +659,7 @@
             Stage::Read => {
                 s.reads += 1;
                 s.read_tokens += job.req.prompt_tokens;
-                self.read_time
+                self.seen.read_time
             }
             Stage::Write => {
                 s.streams += 1;
@@ -673,7 +667,7 @@
                 if self.set.reports != Reports::Off {
                     s.since.push_back((now, job.req.prompt_tokens as f64));
                 }
-                self.first_time
+                self.seen.first_time
             }
         };
         // Reading takes its time: what we know to lie before this one, and itself, is allowed for.
@@ -707,22 +701,22 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.streaming = true;
         if job.held.is_some() {
-            self.pull_s.add(elapsed.as_secs_f64());
+            self.seen.pull_s.add(elapsed.as_secs_f64());
         } else {
             match job.tries.get(attempt.0 as usize).and_then(|t| t.predicted) {
                 Some(kept) => {
                     let read = job.req.prompt_tokens.saturating_sub(kept) as f64;
-                    self.local_pace.add(read / elapsed.as_secs_f64().max(1e-3));
+                    self.seen.local_pace.add(read / elapsed.as_secs_f64().max(1e-3));
                 }
-                None => self.mixed_s.add(elapsed.as_secs_f64()),
+                None => self.seen.mixed_s.add(elapsed.as_secs_f64()),
             }
         }
         job.held = None;
         let over_aim = |t: Micros| t.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
-        self.first_time.add(over_aim(elapsed));
-        self.firsts.add(self.now);
+        self.seen.first_time.add(over_aim(elapsed));
+        self.seen.firsts.add(self.now);
         let wait = (self.now - job.arrived).as_secs_f64();
-        self.wait.add((wait / tightest.max(1e-6)).min(WAIT_CLIP));
+        self.seen.wait.add((wait / tightest.max(1e-6)).min(WAIT_CLIP));
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
         t.due = None;
         t.begun = true;
@@ -805,8 +799,8 @@
         }
         match outcome {
             Outcome::Parsed => {
-                self.read_s.add(elapsed.as_secs_f64());
-                self.read_time.add(elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6));
+                self.seen.read_s.add(elapsed.as_secs_f64());
+                self.seen.read_time.add(elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6));
                 job.held = Some(t.worker.clone());
             }
             Outcome::Refused { no_state: true } => job.held = None,
@@ -818,7 +812,7 @@
     fn most_homes(&self) -> usize {
         let writers = self.servers.values().filter(|s| s.info.role != Role::Reader);
         let memory: u64 = writers.filter_map(|s| s.info.kv_tokens).sum();
-        ((memory as f64 / self.prompt.0.unwrap_or(1.0).max(1.0)) as usize).clamp(HOMES_LEAST, HOMES_MOST)
+        ((memory as f64 / self.seen.prompt.0.unwrap_or(1.0).max(1.0)) as usize).clamp(HOMES_LEAST, HOMES_MOST)
     }
 
     /// Counts attempts whose silence has lasted too long against their worker. One that has said
@@ -931,10 +925,15 @@
         }
     }
 
-    /// No worker can ever take it: its attempts are used up, or one may have run.
+    /// No worker can ever take it: its attempts are used up, or one that may have run bars more.
     fn hopeless(&self, job: &Job) -> bool {
-        let ran = job.tries.iter().any(|t| t.maybe_ran);
-        job.tries.len() as u32 >= self.set.max_attempts || (ran && self.effect(job) == Effect::SingleShot)
+        let window = self.set.classes.get(job.req.class.0).map_or(Micros(0), |c| c.dedup_window);
+        job.tries.len() as u32 >= self.set.max_attempts
+            || job.tries.iter().filter(|t| t.maybe_ran).any(|t| match self.effect(job) {
+                Effect::Free => false,
+                Effect::SingleShot => true,
+                Effect::Guarded(_) => self.now >= t.sent + window,
+            })
     }
 
     /// Rule 4: our sends to a cold worker within the window stay under our part of its budget.
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -354,6 +354,77 @@
     assert!(over.len() >= within.len(), "{} {}", over.len(), within.len());
 }
 
+// ---- The list of workers.
+
+#[test]
+fn a_list_that_must_be_asked_for_is_subscribed_to_and_asked_for_again_after_a_failure() {
+    let mut rig = Rig::new(Settings { discovery: Discovery::Ask, ..settings() }, vec![]);
+    let start = rig.feed(Event::Workers { kind: ListKind::Stale, workers: fleet() });
+    assert_eq!(start, [Action::Subscribe]);
+    let failed = rig.feed(Event::Workers { kind: ListKind::Failed, workers: vec![] });
+    assert!(!failed.contains(&Action::Subscribe), "not at once: the service is loaded");
+    let before = rig.now;
+    assert_eq!(rig.fire(&failed), [Action::Subscribe]);
+    assert!(rig.now < before + secs(10.0));
+    assert!(sent(&rig.ask("a", "s", FREE, LONG)).is_some(), "the previous list stays");
+}
+
+#[test]
+fn readers_that_are_all_down_leave_reading_to_the_writers() {
+    let mut rig = Rig::new(settings(), fleet());
+    for i in 0..12 {
+        let id = format!("{i}");
+        let mut to = sent(&rig.ask(&id, &id, FREE, LONG));
+        let mut attempt = 0;
+        while to.as_ref().is_some_and(|t| t.0.starts_with('r')) {
+            to = sent(&rig.end(&id, attempt, Outcome::NoConnection, 0));
+            attempt += 1;
+        }
+        rig.feed(Event::ClientGone(id.as_str().into()));
+    }
+    assert!(sent(&rig.ask("z", "z", FREE, LONG)).unwrap().0.starts_with('w'));
+}
+
+#[test]
+fn herds_are_foreseen_between_two_reports() {
+    let mut rig = Rig::new(settings(), fleet());
+    let report = |used| Some(Report { kv_used: Some(used), ..Report::default() });
+    // All writers have told their room; the nearest has a little more.
+    let mut n = 0;
+    let mut told = std::collections::BTreeSet::new();
+    while told.len() < 3 {
+        n += 1;
+        let id = format!("l{n}");
+        rig.ask(&id, &id, FREE, LONG);
+        let writer = sent(&rig.end(&id, 0, Outcome::Parsed, 0)).unwrap().0;
+        rig.stream(&id, 1);
+        rig.wait(0.4);
+        rig.end_with(&id, 1, Outcome::Served, 0, report(0.2));
+        told.insert(writer);
+    }
+    let mut count = std::collections::BTreeMap::new();
+    for i in 0..12 {
+        let id = format!("{i}");
+        rig.ask(&id, &id, FREE, LONG);
+        *count.entry(sent(&rig.end(&id, 0, Outcome::Parsed, 0)).unwrap().0).or_insert(0) += 1;
+    }
+    assert!(count.values().all(|c| *c <= 6), "no writer gets all until its next report: {count:?}");
+}
+
+#[test]
+fn long_prompts_alone_refuse_nobody() {
+    let mut rig = Rig::new(settings(), fleet());
+    for i in 0..60 {
+        rig.wait(0.1);
+        rig.whole(&format!("l{i}"), &format!("l{i}"), 1_000);
+    }
+    for i in 0..8 {
+        rig.ask(&format!("x{i}"), &format!("x{i}"), FREE, 60_000);
+        rig.wait(0.2);
+    }
+    assert!(sent(&rig.ask("a", "a", FREE, 1_000)).is_some());
+}
+
 // ---- Bounds and determinism.
 
 #[test]
