--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -15,8 +15,8 @@
 /// A remainder is short when the writer reads it in no more time than reads take us now, within
 /// these shares of the tightest class's first-token aim: every stream of the writer waits for as
 /// long, so the threshold does not grow with a class that has time.
-const LOCAL_LEAST: f64 = 0.09;
-const LOCAL_MOST: f64 = 0.18;
+const LOCAL_LEAST: f64 = 0.13;
+const LOCAL_MOST: f64 = 0.2;
 /// The source's default threshold, in tokens; ours is never lower.
 const THRESHOLD_LEAST: u64 = 64;
 /// Pace of a writer's own reading before any was seen, in tokens a second.
