--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -35,6 +35,9 @@
 const FAILING: f64 = 0.45;
 const BENCH: Micros = Micros(1_000_000);
 const BENCH_DOUBLINGS: u32 = 4;
+/// One that turned away is left alone for this span, doubled for each time in a row.
+const FULL_WAIT: Micros = Micros(50_000);
+const FULL_DOUBLINGS: u32 = 6;
 /// Held state is let go after this share of the told release time.
 const RELEASE_SHARE: f64 = 0.8;
 /// Share of the cold budget that is used; the rest is for chance and unequal routers.
@@ -138,6 +141,9 @@
     benches: u32,
     benched_until: Micros,
     overdue: u32,
+    /// Refusals in a row, and until when it is left alone for them.
+    refusals: u32,
+    full_until: Micros,
     /// When it last began an answer or ended a read or an answer.
     heard: Micros,
 }
@@ -521,9 +527,12 @@
         if let Some(s) = self.hashed(job, &readers) {
             return Some((s, Stage::Read, None));
         }
-        // No reader is left: a writer reads, if it can.
-        let w = self.roomiest(job, None).filter(|_| self.set.self_prefill)?;
-        Some((w, Stage::Write, None))
+        // No reader is left, not merely full: a writer reads, if it can.
+        let left = |s: &Server| s.info.role == Role::Reader && s.info.lifecycle == Lifecycle::In && !s.down;
+        if !self.set.self_prefill || self.servers.values().any(left) {
+            return None;
+        }
+        Some((self.roomiest(job, None)?, Stage::Write, None))
     }
 
     /// A short remainder is read where it is written: at the session's home, or, where the whole
@@ -722,6 +731,7 @@
         t.begun = true;
         if let Some(s) = self.servers.get_mut(&t.worker) {
             s.pending = s.pending.saturating_sub(1);
+            s.refusals = 0;
             s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
             s.heard = self.now;
         }
@@ -767,7 +777,12 @@
             match outcome {
                 // A read that took far longer than its peers' is no sign of health.
                 Outcome::Parsed if slow => strike(s, now, FAIL_GAIN),
+                Outcome::Refused { no_state: false } => {
+                    s.full_until = now + Micros(FULL_WAIT.0 << s.refusals.min(FULL_DOUBLINGS));
+                    s.refusals += 1;
+                }
                 Outcome::Served | Outcome::Parsed => {
+                    s.refusals = 0;
                     s.failing *= 1.0 - WELL_GAIN;
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
@@ -870,7 +885,10 @@
             .collect();
         let fit: Vec<&Server> = all.iter().copied().filter(|s| self.fit(s)).collect();
         let judged = if fit.len() * 2 > all.len() { fit } else { all };
-        let allowed: Vec<&Server> = judged.into_iter().filter(|s| self.may_send(job, s)).collect();
+        // One that turns away looks empty. It is no sick one, but is left alone for a moment, longer
+        // each time: a full one has room again, one that drains before the list says so never has.
+        let ready = |s: &&Server| self.now >= s.full_until && self.may_send(job, s);
+        let allowed: Vec<&Server> = judged.into_iter().filter(ready).collect();
         let fresh: Vec<&Server> = allowed.iter().copied().filter(|s| !job.tried(&s.info.id)).collect();
         if fresh.is_empty() {
             allowed
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -323,6 +323,44 @@
     assert!(!late.iter().any(|a| matches!(a, Action::Cancel { .. })), "{late:?}");
 }
 
+#[test]
+fn a_worker_that_turns_away_at_once_does_not_look_empty() {
+    let mut rig = Rig::new(Settings { reports: Reports::Off, ..settings() }, fleet());
+    let mut sends = 0;
+    for i in 0..100 {
+        rig.wait(0.05);
+        let id = format!("{i}");
+        rig.ask(&id, &id, FREE, LONG);
+        let mut to = sent(&rig.end(&id, 0, Outcome::Parsed, 0));
+        let mut attempt = 1;
+        while to.as_ref().is_some_and(|t| t.0 == "w0") {
+            sends += 1;
+            to = sent(&rig.end(&id, attempt, Outcome::Refused { no_state: false }, 0));
+            attempt += 1;
+        }
+        assert!(to.is_some(), "another writer is there");
+        rig.stream(&id, attempt);
+    }
+    // Five seconds of refusals: at growing distances, not once for every request.
+    assert!((1..=10).contains(&sends), "{sends}");
+}
+
+#[test]
+fn full_readers_are_waited_for_not_replaced_by_writers() {
+    let mut rig = Rig::new(settings(), pair());
+    let mut actions = rig.ask("a", "s", FREE, LONG);
+    let mut attempt = 0;
+    while let Some((to, _)) = sent(&actions) {
+        assert!(to.starts_with('r'), "{to}");
+        actions = rig.end("a", attempt, Outcome::Refused { no_state: false }, 0);
+        attempt += 1;
+    }
+    assert!(attempt <= 2, "both are left alone now");
+    let later = rig.fire(&actions);
+    let again = if sent(&later).is_some() { later } else { rig.fire(&later) };
+    assert!(sent(&again).unwrap().0.starts_with('r'));
+}
+
 // ---- Overload.
 
 #[test]
