--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -791,8 +791,11 @@
                 Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => {
                     strike(s, now, FAIL_GAIN)
                 }
-                // Long silence weighs more than one error: an idle hanging worker would look best.
-                Outcome::TimedOut | Outcome::Cancelled if !job.streaming && !job.done => {
+                // Long silence weighs more than one error: an idle hanging worker would look best. A
+                // client that gives up early says nothing of the worker.
+                Outcome::TimedOut | Outcome::Cancelled
+                    if (slow || elapsed >= job.aim) && !job.streaming && !job.done =>
+                {
                     strike(s, now, 1.0);
                 }
                 _ => {}
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -345,6 +345,17 @@
     assert!((1..=10).contains(&sends), "{sends}");
 }
 
+#[test]
+fn clients_that_give_up_early_do_not_bench_the_worker() {
+    let mut rig = Rig::new(settings(), vec![worker("r0", Role::Reader, 0), worker("r1", Role::Reader, 0)]);
+    let mut request = rig.request("a", "s", FREE, LONG);
+    request.deadline = rig.now + secs(0.3);
+    let first = sent(&rig.feed(Event::Request(request))).unwrap().0;
+    rig.wait(0.3);
+    rig.end("a", 0, Outcome::TimedOut, 0);
+    assert_eq!(sent(&rig.ask("b", "s", FREE, LONG)).unwrap().0, first, "still the first of its pair");
+}
+
 #[test]
 fn full_readers_are_waited_for_not_replaced_by_writers() {
     let mut rig = Rig::new(settings(), pair());
