--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -270,8 +270,9 @@
     mixed_s: Ewma,
     /// Tokens a second of local reads.
     local_pace: Ewma,
-    /// First tokens of our requests.
+    /// First tokens of our requests, and what a warm worker of a role finishes in the cold window.
     firsts: Rate,
+    warm_done: BTreeMap<Role, Ewma>,
 }
 
 /// The decision module of one router.
@@ -350,11 +351,8 @@
 
     /// The list of workers. A worker that is not `In` gets nothing more from this moment on.
     fn list(&mut self, kind: ListKind, workers: Vec<Worker>, out: &mut Vec<Action>) {
-        match kind {
-            ListKind::Full | ListKind::Stale => {
-                self.servers.retain(|id, _| workers.iter().any(|w| w.id == *id));
-            }
-            ListKind::Changes | ListKind::Failed => {}
+        if matches!(kind, ListKind::Full | ListKind::Stale) {
+            self.servers.retain(|id, _| workers.iter().any(|w| w.id == *id));
         }
         for w in workers {
             match self.servers.get_mut(&w.id) {
@@ -388,10 +386,7 @@
     // ---- The ordinary path.
 
     fn request(&mut self, req: Request, out: &mut Vec<Action>) {
-        let Some(class) = self.set.classes.get(req.class.0) else {
-            out.push(Action::Fail(req.id));
-            return;
-        };
+        let Some(class) = self.set.classes.get(req.class.0) else { return out.push(Action::Fail(req.id)) };
         let aim = class.aim + class.aim_per_1000_tokens.mul_f64(req.prompt_tokens as f64 / 1e3);
         let over_share = self.over_share(req.tenant);
         self.seen.prompt.add(req.prompt_tokens as f64);
@@ -454,12 +449,9 @@
         let rate = rate / f64::from(self.set.routers.max(1));
         *left = (*left + rate * (self.now - *filled).as_secs_f64()).min(rate * BUCKET_S + 1.0);
         *filled = self.now;
-        *left -= 1.0;
-        if *left < 0.0 {
-            *left += 1.0;
-            return true;
-        }
-        false
+        let over = *left < 1.0;
+        *left -= if over { 0.0 } else { 1.0 };
+        over
     }
 
     /// Brings a request one step on, whatever woke it, and keeps it while anything is open.
@@ -529,6 +521,7 @@
         }
         // No reader is left, not merely full: a writer reads, if it can.
         let left = |s: &Server| s.info.role == Role::Reader && s.info.lifecycle == Lifecycle::In && !s.down;
+        let left = |s: &Server| left(s) && self.may_send(job, s);
         if !self.set.self_prefill || self.servers.values().any(left) {
             return None;
         }
@@ -787,6 +780,9 @@
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
                     note_time(&mut s.done, now, self.set.fall_after);
+                    if s.info.started.is_none_or(|t| now - t >= self.set.cold_for) {
+                        self.seen.warm_done.entry(s.info.role).or_default().add(s.done.len() as f64);
+                    }
                 }
                 Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => {
                     strike(s, now, FAIL_GAIN)
@@ -860,8 +856,7 @@
             out.push(Action::LetGo(id.clone()));
         }
         job.done = true;
-        let late = self.now + self.set.tick >= job.req.deadline;
-        if !late && self.may_refuse(&job) {
+        if self.now + self.set.tick < job.req.deadline && self.may_refuse(&job) {
             // As long as the queue that we see takes to fall to what is admitted.
             let drained = self.forecast() - self.tightest().mul_f64(ADMIT / 2.0);
             let retry_after = Some(drained.min(self.set.max_retry_after)).filter(|t| t.0 > 0);
@@ -977,7 +972,9 @@
         }
         let warmth = age.as_secs_f64() / self.set.cold_for.as_secs_f64().max(1e-6);
         let present = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
-        let mean = done as f64 / f64::from(n.max(1));
+        // Where all of the role are cold: what its warm workers did when there were any.
+        let then = self.seen.warm_done.get(&s.info.role).map_or(0.0, |d| d.0.unwrap_or(0.0));
+        let mean = if n > 0 { done as f64 / f64::from(n) } else { then };
         let budget = mean * self.set.fall_multiple * present * COLD_SHARE;
         (count(&s.sends) as f64) < budget.max(1.0)
     }
