--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -59,6 +59,8 @@
 /// tightest aim, one beyond its tenant's share much earlier.
 const ADMIT: f64 = 1.0;
 const ADMIT_OVER_SHARE: f64 = 0.4;
+/// ... and only with more than so many (or one a worker and router, if that is more) waiting ...
+const FEW: usize = 4;
 /// ... and only while first tokens do take at least this share of that: a rise alone is no jam.
 const FELT: f64 = 0.5;
 /// One request's wait counts in that up to this multiple of that aim, and a prompt of more than so
@@ -424,7 +426,7 @@
         let long = |j: &Job| j.req.prompt_tokens as f64 > self.seen.prompt.0.unwrap_or(0.0) * LONG;
         let waits = |j: &&Job| !j.streaming && !j.done && !stuck(j) && !long(j);
         let waiting = self.jobs.values().filter(waits).count();
-        if waiting <= self.servers.len() / self.set.routers.max(1) as usize {
+        if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
             return Micros(0);
         }
         let rate = self.seen.firsts.per_s(self.now).max(RATE_LEAST / RATE_SPAN.as_secs_f64());
