Attempts are overdue from 0.4 of the aim

Slow workers are left out, and silent ones called back, earlier; patience still allows for known reading and four times the peers' time.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -24,7 +24,7 @@
 /// A silent attempt is overdue after this multiple of what its peers take ...
 const OVERDUE_FACTOR: f64 = 4.0;
 /// ... but not before this share of the request's aim.
-const OVERDUE_FLOOR: f64 = 0.8;
+const OVERDUE_FLOOR: f64 = 0.4;
 /// Weight of a new observation in every EWMA.
 const GAIN: f64 = 0.1;
 /// A failure closes this share of the gap between a worker's failing and 1, a success takes off that
