--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -406,7 +406,11 @@
         // By the tightest class's aim: a jam that settles at a longer one starves the others.
         let limit = self.tightest().mul_f64(most);
         let felt = self.seen.wait.0.is_some_and(|w| w > most * FELT);
-        if felt && self.forecast() > limit {
+        // What its client will not wait for is not begun while others wait.
+        let usual = self.seen.read_s.0.zip(self.seen.pull_s.0).map_or(0.0, |(r, p)| r + p);
+        let late = self.now + Micros::from_secs_f64(usual) > job.req.deadline;
+        let (ahead, doomed) = (self.forecast(), late && self.local(&job).is_none());
+        if (felt && ahead > limit) || (doomed && ahead.0 > 0) {
             self.finish(job, out);
         } else {
             self.settle(job, out);
