--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -406,11 +406,12 @@
         // By the tightest class's aim: a jam that settles at a longer one starves the others.
         let limit = self.tightest().mul_f64(most);
         let felt = self.seen.wait.0.is_some_and(|w| w > most * FELT);
-        // What its client will not wait for is not begun while others wait.
+        let slow = self.seen.wait.0.is_some_and(|w| w > ADMIT_OVER_SHARE);
+        // What its client will not wait for is not begun while first tokens are slow.
         let usual = self.seen.read_s.0.zip(self.seen.pull_s.0).map_or(0.0, |(r, p)| r + p);
         let late = self.now + Micros::from_secs_f64(usual) > job.req.deadline;
         let (ahead, doomed) = (self.forecast(), late && self.local(&job).is_none());
-        if (felt && ahead > limit) || (doomed && ahead.0 > 0) {
+        if (felt && ahead > limit) || (doomed && slow) {
             self.finish(job, out);
         } else {
             self.settle(job, out);
@@ -600,9 +601,8 @@
             _ => s.reads.max((s.read_tokens as f64 / usual) as u32),
         };
         let least = pool.iter().map(|s| load(s)).min().unwrap_or(0);
-        // A shared beginning can be too hot for two, or one of them slow: the pair widens, in the
-        // order of the hash, past all that have a queue while somebody has none. What it costs is
-        // reading the beginning once more there.
+        // A shared beginning can be too hot for two, or one of them slow: the pair widens in the
+        // order of the hash. What it costs is reading the beginning once more there.
         let pair = ranked.iter().take(2).map(|(_, s)| *s).min_by_key(|s| load(s));
         let open = |s: &&Server| load(s) < least + WIDEN;
         let wide = ranked.iter().map(|(_, s)| *s).find(open);
@@ -630,9 +630,8 @@
                 } else {
                     s.room(self.set.routers, mean)
                 };
-                // The nearer of like room: it saves the one link that the whole cell shares, which
-                // is where a slow link or many long prompts jam first. With one cell full and the
-                // next empty the bonus must lose, or the near cell's streams would crawl.
+                // The nearer of like room saves the link that its whole cell shares, which jams first.
+                // With one cell full the bonus must lose, or the streams there would crawl.
                 let near = match at {
                     Some(r) if r.cell == s.info.cell => NEAR,
                     Some(r) if r.zone == s.info.zone => NEAR / 2.0,
