Forecast and local look-up only when they matter; one dedup window, one test loop

Every request counted all waiting ones and looked up its home, also when neither could refuse it; both are now evaluated last. The window of a guarded class was looked up in two places. Tests share the loop that fires timers and the verdict of a read.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -409,9 +409,8 @@
         let slow = self.seen.wait.0.is_some_and(|w| w > ADMIT_OVER_SHARE);
         // What its client will not wait for is not begun while first tokens are slow.
         let usual = self.seen.read_s.0.zip(self.seen.pull_s.0).map_or(0.0, |(r, p)| r + p);
-        let late = self.now + Micros::from_secs_f64(usual) > job.req.deadline;
-        let (ahead, doomed) = (self.forecast(), late && self.local(&job).is_none());
-        if (felt && ahead > limit) || (doomed && slow) {
+        let doomed = slow && self.now + Micros::from_secs_f64(usual) > job.req.deadline;
+        if (felt && self.forecast() > limit) || (doomed && self.local(&job).is_none()) {
             self.finish(job, out);
         } else {
             self.settle(job, out);
@@ -914,6 +913,10 @@
         self.set.classes.get(job.req.class.0).map_or(Effect::SingleShot, |c| c.effect)
     }
 
+    fn window(&self, job: &Job) -> Micros {
+        self.set.classes.get(job.req.class.0).map_or(Micros(0), |c| c.dedup_window)
+    }
+
     /// Rules 2 and 4: whether this request may go to this worker now.
     fn may_send(&self, job: &Job, s: &Server) -> bool {
         if job.tries.len() as u32 >= self.set.max_attempts || job.open() {
@@ -925,8 +928,7 @@
                 Effect::Free => true,
                 Effect::SingleShot => ran.is_empty(),
                 Effect::Guarded(group) => ran.iter().all(|t| {
-                    let window = self.set.classes.get(job.req.class.0).map(|c| c.dedup_window);
-                    self.now < t.sent + window.unwrap_or_default()
+                    self.now < t.sent + self.window(job)
                         && match group {
                             Group::All => true,
                             Group::Zone => t.zone == s.info.zone,
@@ -948,12 +950,11 @@
 
     /// No worker can ever take it: its attempts are used up, or one that may have run bars more.
     fn hopeless(&self, job: &Job) -> bool {
-        let window = self.set.classes.get(job.req.class.0).map_or(Micros(0), |c| c.dedup_window);
         job.tries.len() as u32 >= self.set.max_attempts
             || job.tries.iter().filter(|t| t.maybe_ran).any(|t| match self.effect(job) {
                 Effect::Free => false,
                 Effect::SingleShot => true,
-                Effect::Guarded(_) => self.now >= t.sent + window,
+                Effect::Guarded(_) => self.now >= t.sent + self.window(job),
             })
     }
 
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -136,15 +136,27 @@
         kept: u64,
         report: Option<Report>,
     ) -> Vec<Action> {
-        self.feed(Event::Verdict {
-            id: id.into(),
-            attempt: AttemptNo(attempt),
-            outcome,
-            elapsed: secs(0.1),
-            over: outcome == Outcome::Served,
-            kept,
-            report,
-        })
+        let (id, attempt, elapsed) = (id.into(), AttemptNo(attempt), secs(0.1));
+        let over = outcome == Outcome::Served;
+        self.feed(Event::Verdict { id, attempt, outcome, elapsed, over, kept, report })
+    }
+
+    /// The end of a first attempt that was a read of `s` seconds.
+    pub fn parsed_after(&mut self, id: &str, s: f64) -> Vec<Action> {
+        let (id, attempt, elapsed) = (id.into(), AttemptNo(0), secs(s));
+        let outcome = Outcome::Parsed;
+        self.feed(Event::Verdict { id, attempt, outcome, elapsed, over: false, kept: 0, report: None })
+    }
+
+    /// Fires timers, those set on the way too, until the actions are as wanted, `most` times at most.
+    pub fn fire_until(&mut self, mut actions: Vec<Action>, most: u32, wanted: impl Fn(&[Action]) -> bool) {
+        for _ in 0..most {
+            if wanted(&actions) {
+                return;
+            }
+            actions = self.fire(&actions);
+        }
+        unreachable!("never happened");
     }
 
     pub fn stream(&mut self, id: &str, attempt: u32) -> Vec<Action> {
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -204,15 +204,7 @@
             for (id, first) in ids.iter().zip(firsts) {
                 let mut attempt = 0;
                 if first.starts_with('r') {
-                    rig.feed(Event::Verdict {
-                        id: id.as_str().into(),
-                        attempt: AttemptNo(0),
-                        outcome: Outcome::Parsed,
-                        elapsed: secs(read_s),
-                        over: false,
-                        kept: 0,
-                        report: None,
-                    });
+                    rig.parsed_after(id, read_s);
                     attempt = 1;
                 }
                 rig.stream(id, attempt);
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -22,15 +22,9 @@
 fn with_no_worker_the_final_answer_still_comes_in_time() {
     let mut rig = Rig::new(settings(), vec![]);
     let deadline = rig.now + secs(5.0);
-    let mut actions = rig.ask("a", "s", FREE, LONG);
-    for _ in 0..1_000 {
-        if refused(&actions) || failed(&actions) {
-            assert!(rig.now <= deadline);
-            return;
-        }
-        actions = rig.fire(&actions);
-    }
-    unreachable!("never answered");
+    let actions = rig.ask("a", "s", FREE, LONG);
+    rig.fire_until(actions, 1_000, |a| refused(a) || failed(a));
+    assert!(rig.now <= deadline);
 }
 
 #[test]
@@ -219,15 +213,9 @@
     gone.retain(|w| w.role == Role::Reader);
     rig.feed(Event::Workers { kind: ListKind::Full, workers: gone });
     let since = rig.now;
-    let mut actions = rig.end("a", 0, Outcome::Parsed, 0);
-    for _ in 0..100 {
-        if let_go(&actions) {
-            assert!(rig.now <= since + secs(0.5));
-            return;
-        }
-        actions = rig.fire(&actions);
-    }
-    unreachable!("never let go");
+    let actions = rig.end("a", 0, Outcome::Parsed, 0);
+    rig.fire_until(actions, 100, let_go);
+    assert!(rig.now <= since + secs(0.5));
 }
 
 #[test]
@@ -411,15 +399,7 @@
             let id = format!("l{i}");
             rig.ask(&id, &id, FREE, LONG);
             rig.wait(wait);
-            rig.feed(Event::Verdict {
-                id: id.as_str().into(),
-                attempt: AttemptNo(0),
-                outcome: Outcome::Parsed,
-                elapsed: secs(wait),
-                over: false,
-                kept: 0,
-                report: None,
-            });
+            rig.parsed_after(&id, wait);
             rig.stream(&id, 1);
             rig.wait(1.0);
             rig.end(&id, 1, Outcome::Served, 0);
