--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -101,18 +101,19 @@
 }
 
 impl Rate {
-    fn fade(&self, now: Micros) -> f64 {
-        self.count * (-((now - self.at).as_secs_f64() / RATE_SPAN.as_secs_f64())).exp()
+    fn fade(&self, now: Micros, span: Micros) -> f64 {
+        self.count * (-((now - self.at).as_secs_f64() / span.as_secs_f64().max(1e-6))).exp()
     }
 
-    fn add(&mut self, now: Micros) {
-        *self = Self { count: self.fade(now) + 1.0, at: now, since: self.since.or(Some(now)) };
+    fn add(&mut self, now: Micros, span: Micros) {
+        *self = Self { count: self.fade(now, span) + 1.0, at: now, since: self.since.or(Some(now)) };
     }
 
     /// A router that has just started has seen only part of the span.
-    fn per_s(&self, now: Micros) -> f64 {
-        let age = self.since.map_or(0.0, |s| (now - s).as_secs_f64()) / RATE_SPAN.as_secs_f64();
-        self.fade(now) / (RATE_SPAN.as_secs_f64() * (1.0 - (-age).exp()).max(0.1))
+    fn per_s(&self, now: Micros, span: Micros) -> f64 {
+        let span_s = span.as_secs_f64().max(1e-6);
+        let age = self.since.map_or(0.0, |s| (now - s).as_secs_f64()) / span_s;
+        self.fade(now, span) / (span_s * (1.0 - (-age).exp()).max(0.1))
     }
 }
 
@@ -129,9 +130,8 @@
     /// Last report, and our streams sent since as (time, tokens).
     report: Option<Report>,
     since: VecDeque<(Micros, f64)>,
-    /// Our sends and what was answered or read for us, within the cold window.
+    /// Our sends within the cold window.
     sends: VecDeque<Micros>,
-    done: VecDeque<Micros>,
     /// Prompt tokens that we sent there so far: the clock by which notes age.
     poured: u64,
     /// Notes made up to this time are void: what a worker kept is lost with a restart.
@@ -272,9 +272,9 @@
     mixed_s: Ewma,
     /// Tokens a second of local reads.
     local_pace: Ewma,
-    /// First tokens of our requests, and what a warm worker of a role finishes in the cold window.
+    /// First tokens of our requests, and what all warm workers of a role finish for us.
     firsts: Rate,
-    warm_done: BTreeMap<Role, Ewma>,
+    finished: BTreeMap<Role, Rate>,
 }
 
 /// The decision module of one router.
@@ -433,7 +433,7 @@
         if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
             return Micros(0);
         }
-        let rate = self.seen.firsts.per_s(self.now).max(RATE_LEAST / RATE_SPAN.as_secs_f64());
+        let rate = self.seen.firsts.per_s(self.now, RATE_SPAN).max(RATE_LEAST / RATE_SPAN.as_secs_f64());
         Micros::from_secs_f64(waiting as f64 / rate)
     }
 
@@ -636,15 +636,15 @@
                     Some(r) if r.zone == s.info.zone => NEAR / 2.0,
                     _ => 0.0,
                 };
-                (room + near * unit, self.toss(&job.req.id, &s.info.id), *s)
+                (room + near * unit, self.toss(job.req.id.0.as_bytes(), &s.info.id), *s)
             })
             .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
             .map(|(_, _, s)| s.info.id.clone())
     }
 
-    /// A coin for ties, from the instance's seed.
-    fn toss(&self, id: &RequestId, w: &WorkerId) -> u64 {
-        xxh3_64_with_seed(w.0.as_bytes(), self.seed ^ xxh3_64_with_seed(id.0.as_bytes(), self.seed))
+    /// A coin from the instance's seed.
+    fn toss(&self, what: &[u8], w: &WorkerId) -> u64 {
+        xxh3_64_with_seed(w.0.as_bytes(), self.seed ^ xxh3_64_with_seed(what, self.seed))
     }
 
     /// The one place that sends.
@@ -720,7 +720,7 @@
         job.held = None;
         let over_aim = |t: Micros| t.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
         self.seen.first_time.add(over_aim(elapsed));
-        self.seen.firsts.add(self.now);
+        self.seen.firsts.add(self.now, RATE_SPAN);
         let wait = (self.now - job.arrived).as_secs_f64();
         self.seen.wait.add((wait / tightest.max(1e-6)).min(WAIT_CLIP));
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
@@ -783,9 +783,8 @@
                     s.failing *= 1.0 - WELL_GAIN;
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
-                    note_time(&mut s.done, now, self.set.fall_after);
                     if s.info.started.is_none_or(|t| now - t >= self.set.cold_for) {
-                        self.seen.warm_done.entry(s.info.role).or_default().add(s.done.len() as f64);
+                        self.seen.finished.entry(s.info.role).or_default().add(now, self.set.cold_for);
                     }
                 }
                 Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => {
@@ -936,7 +935,7 @@
                         }
                 }),
             };
-        effect_ok && self.cold_room(s)
+        effect_ok && self.cold_room(job, s)
     }
 
     /// Whether a refusal, which says that trying again is harmless, would be true.
@@ -958,31 +957,33 @@
             })
     }
 
-    /// Rule 4: our sends to a cold worker within the window stay under our part of its budget.
-    /// What its warm peers finish for us is work that a full capacity bears; what they are sent is
-    /// not: in a jam that is many times more.
-    fn cold_room(&self, s: &Server) -> bool {
+    /// Rule 4: our sends to a cold worker within the window stay under our part of its budget. What
+    /// the role's warm workers finish for us is work that full capacities bear; what they are sent is
+    /// not: in a jam that is many times more. Among many routers the part is under one request: then a
+    /// coin, tossed anew for each window, gives it to as many of them as the budget bears.
+    fn cold_room(&self, job: &Job, s: &Server) -> bool {
         let Some(started) = s.info.started else { return true };
         let age = self.now - started;
         if age >= self.set.cold_for {
             return true;
         }
-        let count = |q: &VecDeque<Micros>| q.iter().filter(|t| **t + self.set.fall_after > self.now).count();
-        let (mut done, mut n) = (0, 0);
-        for p in self.servers.values() {
-            let warm = p.info.started.is_none_or(|t| self.now - t >= self.set.cold_for);
-            if p.info.role == s.info.role && p.info.lifecycle == Lifecycle::In && warm {
-                done += count(&p.done);
-                n += 1;
-            }
-        }
+        let window = self.set.fall_after;
+        let sent = s.sends.iter().filter(|t| **t + window > self.now).count();
+        let peers = self.servers.values().filter(|p| p.info.role == s.info.role).count().max(1);
+        let rate = self.seen.finished.get(&s.info.role).map_or(0.0, |r| r.per_s(self.now, self.set.cold_for));
+        let mean = rate * window.as_secs_f64() / peers as f64;
         let warmth = age.as_secs_f64() / self.set.cold_for.as_secs_f64().max(1e-6);
         let present = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
-        // Where all of the role are cold: what its warm workers did when there were any.
-        let then = self.seen.warm_done.get(&s.info.role).map_or(0.0, |d| d.0.unwrap_or(0.0));
-        let mean = if n > 0 { done as f64 / f64::from(n) } else { then };
-        let budget = mean * self.set.fall_multiple * present * COLD_SHARE;
-        (count(&s.sends) as f64) < budget.max(1.0)
+        // Where nothing is known yet, all routers together try one request a window.
+        let least = 1.0 / f64::from(self.set.routers.max(1));
+        let budget = (mean * self.set.fall_multiple * present * COLD_SHARE).max(least);
+        // A long prompt weighs as many usual ones.
+        let usual = self.seen.prompt.0.unwrap_or(1.0).max(1.0);
+        let budget = budget / (job.req.prompt_tokens as f64 / usual).max(1.0);
+        let phase = self.toss(b"phase", &s.info.id) % window.0.max(1);
+        let turn = (self.now.0.saturating_add(phase)) / window.0.max(1);
+        let coin = (self.toss(&turn.to_le_bytes(), &s.info.id) >> 11) as f64 / (1_u64 << 53) as f64;
+        (sent as f64) < budget.floor() + f64::from(u8::from(coin < budget.fract()))
     }
 }
 
