Reader ties fall by session, a beginning is as wide as its part of what we are asked

With a request a second a router's own reads tie at none, and the first of each pair took all: one reader had five times the mean.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -49,6 +49,12 @@
 const NEAR: f64 = 0.3;
 /// So many more of our requests at both of a hashed pair than at the least busy widen the pair.
 const WIDEN: u32 = 2;
+/// ... and so does a beginning with more than its part of what we are asked: to this multiple of that
+/// part of the readers, judged over about this span, with so many imagined others for a start.
+const HOT_WIDTH: f64 = 3.0;
+const HOT_SPAN: Micros = Micros(20_000_000);
+const HOT_LEAST: f64 = 5.0;
+const BEGINNINGS_MOST: usize = 4_096;
 /// The share of mixed servers is raised by at most this factor.
 const TILT: f64 = 3.0;
 /// Without reports, a stream of ours that still waits at a writer counts as so many more.
@@ -274,6 +280,9 @@
     local_pace: Ewma,
     /// First tokens of our requests, and what all warm workers of a role finish for us.
     firsts: Rate,
+    /// What we are asked, and of that what has a shared beginning, by beginning.
+    asked: Rate,
+    beginnings: BTreeMap<PrefixId, Rate>,
     finished: BTreeMap<Role, Rate>,
 }
 
@@ -392,6 +401,14 @@
         let aim = class.aim + class.aim_per_1000_tokens.mul_f64(req.prompt_tokens as f64 / 1e3);
         let over_share = self.over_share(req.tenant);
         self.seen.prompt.add(req.prompt_tokens as f64);
+        self.seen.asked.add(self.now, HOT_SPAN);
+        if let Some(p) = &req.prefix {
+            self.seen.beginnings.entry(p.clone()).or_default().add(self.now, HOT_SPAN);
+            if self.seen.beginnings.len() > BEGINNINGS_MOST {
+                let now = self.now;
+                self.seen.beginnings.retain(|_, r| r.fade(now, HOT_SPAN) >= 1.0);
+            }
+        }
         let job = Job {
             req,
             arrived: self.now,
@@ -582,17 +599,18 @@
     }
 
     /// Rendezvous hashing of the shared beginning, else the session, over the pool: of the first
-    /// two, the one with fewer of our requests out.
+    /// two, the one with fewer of our requests out; of like ones, the same for a session on every
+    /// router, since it keeps the session's earlier prompts too.
     fn hashed(&self, job: &Job, pool: &[&Server]) -> Option<WorkerId> {
-        let key = match (&job.req.prefix, &job.req.session) {
-            (Some(p), _) => &p.0,
-            (None, Some(s)) => &s.0,
-            (None, None) => &job.req.id.0,
+        let session = job.req.session.as_ref().map_or(&job.req.id.0, |s| &s.0);
+        let key = job.req.prefix.as_ref().map_or(session, |p| &p.0);
+        let rank = |key: &str| {
+            let salt = xxh3_64_with_seed(key.as_bytes(), 0);
+            move |s: &Server| xxh3_64_with_seed(s.info.id.0.as_bytes(), salt)
         };
-        let salt = xxh3_64_with_seed(key.as_bytes(), 0);
-        let mut ranked: Vec<_> =
-            pool.iter().map(|s| (xxh3_64_with_seed(s.info.id.0.as_bytes(), salt), *s)).collect();
-        ranked.sort_by_key(|r| std::cmp::Reverse(r.0));
+        let (by_key, by_session) = (rank(key), rank(session));
+        let mut ranked = pool.to_vec();
+        ranked.sort_by_cached_key(|s| std::cmp::Reverse(by_key(s)));
         // A very long prompt counts as as many reads as there are usual ones in it.
         let usual = self.seen.prompt.0.unwrap_or(1.0).max(1.0);
         let load = |s: &Server| match s.info.role {
@@ -601,11 +619,15 @@
         };
         let least = pool.iter().map(|s| load(s)).min().unwrap_or(0);
         // A shared beginning can be too hot for two, or one of them slow: the pair widens in the
-        // order of the hash. What it costs is reading the beginning once more there.
-        let pair = ranked.iter().take(2).map(|(_, s)| *s).min_by_key(|s| load(s));
-        let open = |s: &&Server| load(s) < least + WIDEN;
-        let wide = ranked.iter().map(|(_, s)| *s).find(open);
-        pair.filter(open).or(wide).map(|s| s.info.id.clone())
+        // order of the hash, to its part of what we are asked, or past those with too many of our
+        // reads out. What it costs is reading the beginning once more there.
+        let hot = job.req.prefix.as_ref().and_then(|p| self.seen.beginnings.get(p));
+        let hot = hot.map_or(0.0, |r| r.fade(self.now, HOT_SPAN));
+        let part = hot / (self.seen.asked.fade(self.now, HOT_SPAN) + HOT_LEAST);
+        let width = ((part * HOT_WIDTH * pool.len() as f64).ceil() as usize).max(2);
+        let pair = ranked.iter().take(width).min_by_key(|s| (load(s), by_session(s)));
+        let open = |s: &&&Server| load(s) < least + WIDEN;
+        pair.filter(open).or(ranked.iter().find(open)).map(|s| s.info.id.clone())
     }
 
     /// The writer with most room; `from` is the reader that holds the state.
