Nearness by each cell's part of readers and writers; without reports a larger unit

Racks hold more readers or more writers at size, and a fixed bonus for the reader's rack overran the few writers there.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -47,6 +47,8 @@
 /// A writer in the state's cell is preferred until another has this much more room (share of memory;
 /// without reports, share of the mean number of our streams); one in its zone by half as much.
 const NEAR: f64 = 0.3;
+/// Of the cells with writers to spare, one of another zone weighs so much.
+const FAR: f64 = 0.25;
 /// So many more of our requests at both of a hashed pair than at the least busy widen the pair.
 const WIDEN: u32 = 2;
 /// ... and so does a beginning with more than its part of what we are asked: to this multiple of that
@@ -638,10 +640,13 @@
         }
         let heard: Vec<f64> = pool.iter().filter_map(|s| s.told()).collect();
         let mean = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        let streams: u32 = pool.iter().map(|s| s.streams).sum();
-        let unit =
-            if heard.is_empty() { 1.0 + NEAR * f64::from(streams) / pool.len().max(1) as f64 } else { 1.0 };
+        // Without reports the unit is our streams. Those of the others vary by the root of their number:
+        // a difference of ours under that tells nothing of a writer.
+        let ours = pool.iter().map(|s| f64::from(s.streams)).sum::<f64>() / pool.len().max(1) as f64;
+        let others = ours * f64::from(self.set.routers.saturating_sub(1));
+        let unit = if heard.is_empty() { 1.0 + NEAR * ours + others.sqrt() } else { 1.0 };
         let at = from.and_then(|r| self.servers.get(r)).map(|s| &s.info);
+        let cell = at.and_then(|r| self.cell_for(job, r, &pool));
         pool.iter()
             .map(|s| {
                 let weight = if self.set.weighted { s.info.weight.max(0.01) } else { 1.0 };
@@ -651,10 +656,8 @@
                 } else {
                     s.room(self.set.routers, mean)
                 };
-                // The nearer of like room saves the link that its whole cell shares, which jams first.
-                // With one cell full the bonus must lose, or the streams there would crawl.
                 let near = match at {
-                    Some(r) if r.cell == s.info.cell => NEAR,
+                    Some(_) if cell == Some(s.info.cell) => NEAR,
                     Some(r) if r.zone == s.info.zone => NEAR / 2.0,
                     _ => 0.0,
                 };
@@ -664,6 +667,38 @@
             .map(|(_, _, s)| s.info.id.clone())
     }
 
+    /// The cell whose writers are preferred. The nearer of like room saves the link that its whole cell
+    /// shares, which jams first. But where a cell has more of the readers than of the writers, its
+    /// writers can take only their part: a coin sends the rest to cells with writers to spare, those
+    /// of the reader's zone first, so that far moves are few and no writer gets more than its part.
+    fn cell_for(&self, job: &Job, at: &Worker, pool: &[&Server]) -> Option<CellId> {
+        let mut cells: BTreeMap<CellId, (f64, f64, bool)> = BTreeMap::new();
+        for s in pool {
+            cells.entry(s.info.cell).or_default().0 += 1.0 / pool.len() as f64;
+        }
+        let reads = |s: &&Server| s.info.role == Role::Reader && s.info.lifecycle == Lifecycle::In;
+        let readers = self.servers.values().filter(reads).count().max(1) as f64;
+        for s in self.servers.values().filter(reads) {
+            cells.entry(s.info.cell).or_default().1 += 1.0 / readers;
+        }
+        for s in pool {
+            cells.entry(s.info.cell).or_default().2 = s.info.zone == at.zone;
+        }
+        let coin = (self.toss(job.req.id.0.as_bytes(), &at.id) >> 11) as f64 / (1_u64 << 53) as f64;
+        let (write, read, _) = cells.get(&at.cell).copied().unwrap_or_default();
+        let stay = write / read.max(1e-9);
+        if coin < stay {
+            return Some(at.cell);
+        }
+        let spare = |c: &(f64, f64, bool)| (c.0 - c.1).max(0.0) * if c.2 { 1.0 } else { FAR };
+        let all: f64 = cells.values().map(spare).sum();
+        let mut left = (coin - stay) / (1.0 - stay).max(1e-9) * all;
+        cells.iter().filter(|(_, c)| spare(c) > 0.0).find_map(|(id, c)| {
+            left -= spare(c);
+            (left <= 0.0).then_some(*id)
+        })
+    }
+
     /// A coin from the instance's seed.
     fn toss(&self, what: &[u8], w: &WorkerId) -> u64 {
         xxh3_64_with_seed(w.0.as_bytes(), self.seed ^ xxh3_64_with_seed(what, self.seed))
