--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -59,6 +59,8 @@
 const BEGINNINGS_MOST: usize = 4_096;
 /// The share of mixed servers is raised by at most this factor.
 const TILT: f64 = 3.0;
+/// First tokens within this share of the tightest aim are early enough.
+const WELL: f64 = 0.3;
 /// Without reports, a stream of ours that still waits at a writer counts as so many more.
 const PENDING: f64 = 3.0;
 /// Streams sent this long before a report came are not in it yet.
@@ -536,7 +538,7 @@
         let mixed = self.pool(job, |r| r == Role::Mixed);
         let readers = self.pool(job, |r| r == Role::Reader);
         let writers = self.pool(job, |r| r == Role::Writer);
-        if readers.is_empty() || (writers.is_empty() && mixed.is_empty()) || self.mixed_turn(&mixed) {
+        if readers.is_empty() || (writers.is_empty() && mixed.is_empty()) || self.mixed_turn(job, &mixed) {
             if let Some(s) = self.hashed(job, &mixed) {
                 return Some((s, Stage::Write, None));
             }
@@ -583,11 +585,12 @@
     }
 
     /// Mixed servers take their share: as many of our requests out on each as on the others, more
-    /// where the way over a reader takes longer to the first token. Guards against a fleet with few
-    /// readers, slow ones and a jam of writers; it would harm where mixed servers answer early and
-    /// then write slowly, so it is bounded.
-    fn mixed_turn(&self, mixed: &[&Server]) -> bool {
-        let (mut out, mut n) = (0, 0);
+    /// where the way over a reader takes longer to the first token, fewer where they do. Guards
+    /// against few or slow readers, a jam of writers, and mixed servers that are overrun; it would
+    /// harm where mixed servers answer early and then write slowly, so it is bounded. A router with
+    /// next to nothing out has no counts to go by: a coin makes up what is less than one request.
+    fn mixed_turn(&self, job: &Job, mixed: &[&Server]) -> bool {
+        let (mut out, mut n) = (0, 0_u32);
         for s in self.servers.values() {
             if s.info.lifecycle == Lifecycle::In && s.info.role != Role::Mixed {
                 out += s.reads + s.streams;
@@ -596,8 +599,16 @@
         }
         let here: u32 = mixed.iter().map(|s| s.reads + s.streams).sum();
         let split = self.seen.read_s.0.zip(self.seen.pull_s.0).map(|(r, p)| r + p);
-        let tilt = split.zip(self.seen.mixed_s.0).map_or(1.0, |(s, m)| (s / m.max(1e-6)).clamp(1.0, TILT));
-        f64::from(here) * n as f64 <= f64::from(out) * mixed.len() as f64 * tilt
+        let ratio = split.zip(self.seen.mixed_s.0).map_or(1.0, |(s, m)| s / m.max(1e-6));
+        let part = mixed.len() as f64 * ratio.clamp(1.0, TILT);
+        if here + out >= n + mixed.len() as u32 {
+            return f64::from(here * n) <= f64::from(out) * part;
+        }
+        // Slower ones that still begin well within the aim keep their share.
+        let early = self.seen.mixed_s.0.is_some_and(|m| m < self.tightest().as_secs_f64() * WELL);
+        let part = if early { part } else { mixed.len() as f64 * ratio.clamp(1.0 / TILT, TILT) };
+        let due = f64::from(here + out + 1) * part / (part + f64::from(n)).max(1e-6);
+        f64::from(here) < due.floor() + f64::from(u8::from(self.coin(job, &WorkerId::default()) < due.fract()))
     }
 
     /// Rendezvous hashing of the shared beginning, else the session, over the pool: of the first
@@ -684,7 +695,7 @@
         for s in pool {
             cells.entry(s.info.cell).or_default().2 = s.info.zone == at.zone;
         }
-        let coin = (self.toss(job.req.id.0.as_bytes(), &at.id) >> 11) as f64 / (1_u64 << 53) as f64;
+        let coin = self.coin(job, &at.id);
         let (write, read, _) = cells.get(&at.cell).copied().unwrap_or_default();
         let stay = write / read.max(1e-9);
         if coin < stay {
@@ -704,6 +715,11 @@
         xxh3_64_with_seed(w.0.as_bytes(), self.seed ^ xxh3_64_with_seed(what, self.seed))
     }
 
+    /// A coin between 0 and 1 for this request and worker.
+    fn coin(&self, job: &Job, w: &WorkerId) -> f64 {
+        unit(self.toss(job.req.id.0.as_bytes(), w))
+    }
+
     /// The one place that sends.
     fn send(
         &mut self,
@@ -1039,11 +1055,16 @@
         let budget = budget / (job.req.prompt_tokens as f64 / usual).max(1.0);
         let phase = self.toss(b"phase", &s.info.id) % window.0.max(1);
         let turn = (self.now.0.saturating_add(phase)) / window.0.max(1);
-        let coin = (self.toss(&turn.to_le_bytes(), &s.info.id) >> 11) as f64 / (1_u64 << 53) as f64;
+        let coin = unit(self.toss(&turn.to_le_bytes(), &s.info.id));
         (sent as f64) < budget.floor() + f64::from(u8::from(coin < budget.fract()))
     }
 }
 
+/// A hash as a number between 0 and 1.
+fn unit(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 /// A failure; enough of them bench the worker, each time for longer.
 fn strike(s: &mut Server, now: Micros, weight: f64) {
     s.failing += (1.0 - s.failing) * weight;
