--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -35,6 +35,7 @@
 const FAILING: f64 = 0.45;
 const BENCH: Micros = Micros(1_000_000);
 const BENCH_DOUBLINGS: u32 = 4;
+const TRIAL: f64 = 8.0;
 /// One that turned away is left alone for this span, doubled for each time in a row.
 const FULL_WAIT: Micros = Micros(50_000);
 const FULL_DOUBLINGS: u32 = 6;
@@ -818,6 +819,7 @@
         report: Option<Report>,
     ) {
         let most = self.most_homes();
+        let bench = self.bench();
         let Some(t) = job.tries.get_mut(attempt.0 as usize).filter(|t| t.open) else { return };
         t.open = false;
         t.due = None;
@@ -846,7 +848,7 @@
             s.down = outcome == Outcome::NoConnection;
             match outcome {
                 // A read that took far longer than its peers' is no sign of health.
-                Outcome::Parsed if slow => strike(s, now, FAIL_GAIN),
+                Outcome::Parsed if slow => strike(s, now, FAIL_GAIN, bench),
                 Outcome::Refused { no_state: false } => {
                     s.full_until = now + Micros(FULL_WAIT.0 << s.refusals.min(FULL_DOUBLINGS));
                     s.refusals += 1;
@@ -860,15 +862,18 @@
                         self.seen.finished.entry(s.info.role).or_default().add(now, self.set.cold_for);
                     }
                 }
+                // Where nobody listens, or nothing good was heard lately, one failure says enough: a
+                // router that seldom sends to a worker would need minutes to see two in a row.
                 Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => {
-                    strike(s, now, FAIL_GAIN)
+                    let lately = s.heard + BENCH > now && !s.down;
+                    strike(s, now, if lately { FAIL_GAIN } else { FAILING }, bench)
                 }
                 // Long silence weighs more than one error: an idle hanging worker would look best. A
                 // client that gives up early says nothing of the worker.
                 Outcome::TimedOut | Outcome::Cancelled
                     if (slow || elapsed >= job.aim) && !job.streaming && !job.done =>
                 {
-                    strike(s, now, 1.0);
+                    strike(s, now, 1.0, bench);
                 }
                 _ => {}
             }
@@ -898,6 +903,12 @@
         }
     }
 
+    /// The first bench: long enough that a trial is but one of some requests of ours.
+    fn bench(&self) -> Micros {
+        let rate = self.seen.asked.per_s(self.now, HOT_SPAN).max(1e-3);
+        Micros::from_secs_f64(TRIAL / rate).clamp(BENCH, Micros(BENCH.0 << BENCH_DOUBLINGS))
+    }
+
     /// As many sessions as the writers could keep, if each kept a usual prompt.
     fn most_homes(&self) -> usize {
         let writers = self.servers.values().filter(|s| s.info.role != Role::Reader);
@@ -1066,10 +1077,11 @@
 }
 
 /// A failure; enough of them bench the worker, each time for longer.
-fn strike(s: &mut Server, now: Micros, weight: f64) {
+fn strike(s: &mut Server, now: Micros, weight: f64, bench: Micros) {
     s.failing += (1.0 - s.failing) * weight;
     if s.failing >= FAILING && now >= s.benched_until {
-        s.benched_until = now + Micros(BENCH.0 << s.benches.min(BENCH_DOUBLINGS));
+        let longest = Micros(BENCH.0 << BENCH_DOUBLINGS);
+        s.benched_until = now + Micros(bench.0 << s.benches.min(BENCH_DOUBLINGS)).min(longest);
         s.benches += 1;
     }
 }
