--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -99,12 +99,19 @@
 
 /// An exponentially weighted mean.
 #[derive(Debug, Clone, Copy, Default)]
-struct Ewma(Option<f64>);
+struct Ewma(Option<f64>, Micros);
 
 impl Ewma {
     fn add(&mut self, x: f64) {
         self.0 = Some(self.0.map_or(x, |m| m + GAIN * (x - m)));
     }
+
+    /// The same, but old news fades with time where there is little of it.
+    fn add_at(&mut self, now: Micros, x: f64) {
+        let gain = 1.0 - (-((now - self.1).as_secs_f64() / RATE_SPAN.as_secs_f64())).exp();
+        self.0 = Some(self.0.map_or(x, |m| m + gain.max(GAIN) * (x - m)));
+        self.1 = now;
+    }
 }
 
 /// Events a second, older ones fading.
@@ -457,7 +464,10 @@
         let long = |j: &Job| j.req.prompt_tokens as f64 > self.seen.prompt.0.unwrap_or(0.0) * LONG;
         let waits = |j: &&Job| !j.streaming && !j.done && !stuck(j) && !long(j);
         let waiting = self.jobs.values().filter(waits).count();
-        if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
+        // A router that is asked seldom has its few at once: twice what an aim's time brings.
+        let usual = 2.0 * self.seen.asked.per_s(self.now, HOT_SPAN) * self.tightest().as_secs_f64();
+        let few = (usual as usize).min(FEW);
+        if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(few) {
             return Micros(0);
         }
         let rate = self.seen.firsts.per_s(self.now, RATE_SPAN).max(RATE_LEAST / RATE_SPAN.as_secs_f64());
@@ -805,7 +815,7 @@
         self.seen.first_time.add(over_aim(elapsed));
         self.seen.firsts.add(self.now, RATE_SPAN);
         let wait = (self.now - job.arrived).as_secs_f64();
-        self.seen.wait.add((wait / tightest.max(1e-6)).min(WAIT_CLIP));
+        self.seen.wait.add_at(self.now, (wait / tightest.max(1e-6)).min(WAIT_CLIP));
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
         t.due = None;
         t.begun = true;
