--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -79,6 +79,9 @@
 const FEW: usize = 4;
 /// ... and only while first tokens do take at least this share of that: a rise alone is no jam.
 const FELT: f64 = 0.5;
+/// A router with fewer requests than this in the tightest aim's time goes by their waits alone.
+const SELDOM: f64 = 4.0;
+const SELDOM_FELT: f64 = 0.8;
 /// One request's wait counts in that up to this multiple of that aim, and a prompt of more than so
 /// many usual ones is no part of the queue: reading it takes long without any jam.
 const WAIT_CLIP: f64 = 2.0;
@@ -444,7 +447,11 @@
         // What its client will not wait for is not begun while first tokens are slow.
         let usual = self.seen.read_s.0.zip(self.seen.pull_s.0).map_or(0.0, |(r, p)| r + p);
         let doomed = slow && self.now + Micros::from_secs_f64(usual) > job.req.deadline;
-        if (felt && self.forecast() > limit) || (doomed && self.local(&job).is_none()) {
+        // A router that is asked seldom has no queue to count: the longer its first tokens take, of those
+        // that still wait too, the more it refuses, and all routers together settle where that is enough.
+        let seldom = self.seen.asked.per_s(self.now, HOT_SPAN) * self.tightest().as_secs_f64() < SELDOM;
+        let turned = seldom && self.coin(&job, &WorkerId::default()) < self.pressure() / most - SELDOM_FELT;
+        if turned || (!seldom && felt && self.forecast() > limit) || (doomed && self.local(&job).is_none()) {
             self.finish(job, out);
         } else {
             self.settle(job, out);
@@ -474,6 +481,18 @@
         Micros::from_secs_f64(waiting as f64 / rate)
     }
 
+    /// How long first tokens take, over the tightest aim: what was seen, and those that wait longer.
+    fn pressure(&self) -> f64 {
+        let aim = self.tightest().as_secs_f64().max(1e-6);
+        // Old news fades: with all refused there would be no other.
+        let fade = (-((self.now - self.seen.wait.1).as_secs_f64() / RATE_SPAN.as_secs_f64())).exp();
+        let seen = self.seen.wait.0.unwrap_or(0.0) * fade;
+        let ages = self.jobs.values().filter(|j| !j.streaming && !j.done);
+        let ages = ages.map(|j| (self.now - j.arrived).as_secs_f64() / aim).filter(|a| *a > seen);
+        let (n, sum) = ages.fold((1.0, seen), |(n, sum), a| (n + 1.0, sum + a.min(WAIT_CLIP)));
+        sum / n
+    }
+
     /// What a writer reads by itself, in tokens a second, as local reads show it.
     fn pace(&self) -> f64 {
         self.seen.local_pace.0.unwrap_or(FIRST_GUESS_PACE).max(1.0)
