--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -284,9 +284,11 @@
 /// What requests of all kinds took lately.
 #[derive(Debug, Default)]
 struct Seen {
-    /// Time of reads and of first tokens, each over the request's aim.
+    /// Time of reads, of first tokens from a state that was pulled and of those of requests that were
+    /// sent whole, each over the request's aim; what was called back counts with the time it had.
     read_time: Ewma,
-    first_time: Ewma,
+    pull_time: Ewma,
+    whole_time: Ewma,
     /// Time from arrival to the first token over the tightest aim.
     wait: Ewma,
     /// Prompt tokens of a request.
@@ -785,7 +787,7 @@
                 if self.set.reports != Reports::Off {
                     s.since.push_back((now, job.req.prompt_tokens as f64));
                 }
-                self.seen.first_time
+                if job.held.is_some() { self.seen.pull_time } else { self.seen.whole_time }
             }
         };
         // Reading takes its time: what we know to lie before this one, and itself, is allowed for.
@@ -818,9 +820,12 @@
         let tightest = self.tightest().as_secs_f64();
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.streaming = true;
+        let over_aim = elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
         if job.held.is_some() {
             self.seen.pull_s.add(elapsed.as_secs_f64());
+            self.seen.pull_time.add(over_aim);
         } else {
+            self.seen.whole_time.add(over_aim);
             match job.tries.get(attempt.0 as usize).and_then(|t| t.predicted) {
                 Some(kept) => {
                     let read = job.req.prompt_tokens.saturating_sub(kept) as f64;
@@ -830,8 +835,6 @@
             }
         }
         job.held = None;
-        let over_aim = |t: Micros| t.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
-        self.seen.first_time.add(over_aim(elapsed));
         self.seen.firsts.add(self.now, RATE_SPAN);
         let wait = (self.now - job.arrived).as_secs_f64();
         self.seen.wait.add_at(self.now, (wait / tightest.max(1e-6)).min(WAIT_CLIP));
@@ -876,6 +879,14 @@
                 }
             }
             let slow = std::mem::take(&mut t.overdue);
+            if slow && outcome == Outcome::Cancelled {
+                let time = match t.stage {
+                    Stage::Read => &mut self.seen.read_time,
+                    Stage::Write if job.held.is_some() => &mut self.seen.pull_time,
+                    Stage::Write => &mut self.seen.whole_time,
+                };
+                time.add(elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6));
+            }
             s.overdue -= u32::from(slow).min(s.overdue);
             if let Some(r) = report {
                 s.report = Some(r);
