A router that is asked seldom calls nothing back

Silence of a worker says nothing where its next answer to us is not due for many seconds; in every jam the call-backs had work done twice.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -451,7 +451,7 @@
         let doomed = slow && self.now + Micros::from_secs_f64(usual) > job.req.deadline;
         // A router that is asked seldom has no queue to count: the longer its first tokens take, of those
         // that still wait too, the more it refuses, and all routers together settle where that is enough.
-        let seldom = self.seen.asked.per_s(self.now, HOT_SPAN) * self.tightest().as_secs_f64() < SELDOM;
+        let seldom = self.seldom();
         let turned = seldom && self.coin(&job, &WorkerId::default()) < self.pressure() / most - SELDOM_FELT;
         if turned || (!seldom && felt && self.forecast() > limit) || (doomed && self.local(&job).is_none()) {
             self.finish(job, out);
@@ -483,6 +483,11 @@
         Micros::from_secs_f64(waiting as f64 / rate)
     }
 
+    /// Whether this router is asked too seldom to count queues or to know a silent worker from a busy one.
+    fn seldom(&self) -> bool {
+        self.seen.asked.per_s(self.now, HOT_SPAN) * self.tightest().as_secs_f64() < SELDOM
+    }
+
     /// How long first tokens take, over the tightest aim: what was seen, and those that wait longer.
     fn pressure(&self) -> f64 {
         let aim = self.tightest().as_secs_f64().max(1e-6);
@@ -969,7 +974,7 @@
     /// nothing to anybody since is taken to hang: what can be repeated is called back from it.
     fn mark_overdue(&mut self, job: &mut Job, out: &mut Vec<Action>) {
         let free = self.effect(job) == Effect::Free;
-        let (now, id, done) = (self.now, &job.req.id, job.done);
+        let (now, id, done, seldom) = (self.now, &job.req.id, job.done, self.seldom());
         for (i, t) in job.tries.iter_mut().enumerate().filter(|(_, t)| t.open) {
             if t.due.is_none_or(|d| d > now) {
                 continue;
@@ -978,7 +983,7 @@
             let Some(s) = self.servers.get_mut(&t.worker) else { continue };
             s.overdue += u32::from(!std::mem::replace(&mut t.overdue, true));
             let again = t.stage == Stage::Read || free;
-            if s.heard <= t.sent && again && !done && self.set.may_cancel {
+            if s.heard <= t.sent && !seldom && again && !done && self.set.may_cancel {
                 out.push(Action::Cancel { id: id.clone(), attempt: AttemptNo(i as u32) });
                 t.due = None;
             }
