--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -17,6 +17,11 @@
 /// long, so the threshold does not grow with a class that has time.
 const LOCAL_LEAST: f64 = 0.13;
 const LOCAL_MOST: f64 = 0.2;
+/// ... and up to this one while reads take longer than the first share of that aim, and pulls no more
+/// than the second share of the time of reads.
+const LOCAL_JAM: f64 = 1.0;
+const READS_JAM: f64 = 0.5;
+const WRITERS_IDLE: f64 = 0.2;
 /// The source's default threshold, in tokens; ours is never lower.
 const THRESHOLD_LEAST: u64 = 64;
 /// Pace of a writer's own reading before any was seen, in tokens a second.
@@ -597,7 +602,12 @@
     fn local(&self, job: &Job) -> Option<(WorkerId, u64)> {
         let tightest = self.tightest();
         let (read, pull) = (self.seen.read_s.0.unwrap_or(0.0), self.seen.pull_s.0.unwrap_or(0.0));
-        let (least, most) = (tightest.mul_f64(LOCAL_LEAST), tightest.mul_f64(LOCAL_MOST));
+        // While readers jam and writers tell that they idle, as with half of the readers gone, these read
+        // more. Where writers tell nothing their streams would fall behind unseen.
+        let idle = read > tightest.as_secs_f64() * READS_JAM && pull < read * WRITERS_IDLE;
+        let idle = idle && self.set.reports != Reports::Off && self.seldom();
+        let most = if idle { LOCAL_JAM } else { LOCAL_MOST };
+        let (least, most) = (tightest.mul_f64(LOCAL_LEAST), tightest.mul_f64(most));
         let ahead = read - 2.0 * pull;
         let even = Micros::from_secs_f64(ahead).clamp(least, most);
         let threshold = ((even.as_secs_f64() * self.pace()) as u64).max(THRESHOLD_LEAST);
