--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -86,6 +86,8 @@
 /// many usual ones is no part of the queue: reading it takes long without any jam.
 const WAIT_CLIP: f64 = 2.0;
 const LONG: f64 = 4.0;
+/// One that ends with no first token counts as a wait of at least this multiple.
+const MISSED: f64 = 1.5;
 /// The rate of first tokens is taken over about this span, and not judged before so many.
 const RATE_SPAN: Micros = Micros(3_000_000);
 const RATE_LEAST: f64 = 5.0;
@@ -359,6 +361,7 @@
             }
             Event::ClientGone(id) => {
                 if let Some(mut job) = self.jobs.remove(&id) {
+                    self.missed(&job);
                     job.done = true;
                     self.settle(job, out);
                 }
@@ -992,9 +995,19 @@
         }
     }
 
+    /// A request that was tried and ends with no first token waited for longer than it could: left out,
+    /// those that clients leave early would make every jam look short.
+    fn missed(&mut self, job: &Job) {
+        if !job.streaming && !job.done && !job.tries.is_empty() {
+            let wait = (self.now - job.arrived).as_secs_f64() / self.tightest().as_secs_f64().max(1e-6);
+            self.seen.wait.add_at(self.now, wait.clamp(MISSED, WAIT_CLIP));
+        }
+    }
+
     /// Gives the final answer: a refusal where that is allowed, else a failure.
     fn finish(&mut self, mut job: Job, out: &mut Vec<Action>) {
         let id = job.req.id.clone();
+        self.missed(&job);
         if job.held.take().is_some() {
             out.push(Action::LetGo(id.clone()));
         }
