--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1014,7 +1014,11 @@
         job.done = true;
         if self.now + self.set.tick < job.req.deadline && self.may_refuse(&job) {
             // As long as the queue that we see takes to fall to what is admitted.
-            let drained = self.forecast() - self.tightest().mul_f64(ADMIT / 2.0);
+            // One that is asked seldom sees no queue: the time by which first tokens are too late now.
+            let drained = match self.seldom() {
+                true => self.tightest().mul_f64(self.pressure() - SELDOM_FELT),
+                false => self.forecast() - self.tightest().mul_f64(ADMIT / 2.0),
+            };
             let retry_after = Some(drained.min(self.set.max_retry_after)).filter(|t| t.0 > 0);
             out.push(Action::Refuse { id, retry_after });
         } else {
