--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -59,7 +59,7 @@
 const WIDEN: u32 = 2;
 /// ... and so does a beginning with more than its part of what we are asked: to this multiple of that
 /// part of the readers, judged over about this span, with so many imagined others for a start.
-const HOT_WIDTH: f64 = 3.0;
+const HOT_WIDTH: f64 = 1.5;
 const HOT_SPAN: Micros = Micros(20_000_000);
 const HOT_LEAST: f64 = 5.0;
 const BEGINNINGS_MOST: usize = 4_096;
