--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -133,8 +133,8 @@
         self.count * (-((now - self.at).as_secs_f64() / span.as_secs_f64().max(1e-6))).exp()
     }
 
-    fn add(&mut self, now: Micros, span: Micros) {
-        *self = Self { count: self.fade(now, span) + 1.0, at: now, since: self.since.or(Some(now)) };
+    fn add(&mut self, now: Micros, span: Micros, events: f64) {
+        *self = Self { count: self.fade(now, span) + events, at: now, since: self.since.or(Some(now)) };
     }
 
     /// A router that has just started has seen only part of the span.
@@ -302,7 +302,8 @@
     mixed_s: Ewma,
     /// Tokens a second of local reads.
     local_pace: Ewma,
-    /// First tokens of our requests, and what all warm workers of a role finish for us.
+    /// First tokens of our requests, and what a warm worker of a role finishes for us: over the workers
+    /// there were at the time, since the first to come back finds none beside it.
     firsts: Rate,
     /// What we are asked, and of that what has a shared beginning, by beginning.
     asked: Rate,
@@ -426,9 +427,9 @@
         let aim = class.aim + class.aim_per_1000_tokens.mul_f64(req.prompt_tokens as f64 / 1e3);
         let over_share = self.over_share(req.tenant);
         self.seen.prompt.add(req.prompt_tokens as f64);
-        self.seen.asked.add(self.now, HOT_SPAN);
+        self.seen.asked.add(self.now, HOT_SPAN, 1.0);
         if let Some(p) = &req.prefix {
-            self.seen.beginnings.entry(p.clone()).or_default().add(self.now, HOT_SPAN);
+            self.seen.beginnings.entry(p.clone()).or_default().add(self.now, HOT_SPAN, 1.0);
             if self.seen.beginnings.len() > BEGINNINGS_MOST {
                 let now = self.now;
                 self.seen.beginnings.retain(|_, r| r.fade(now, HOT_SPAN) >= 1.0);
@@ -845,7 +846,7 @@
             }
         }
         job.held = None;
-        self.seen.firsts.add(self.now, RATE_SPAN);
+        self.seen.firsts.add(self.now, RATE_SPAN, 1.0);
         let wait = (self.now - job.arrived).as_secs_f64();
         self.seen.wait.add_at(self.now, (wait / tightest.max(1e-6)).min(WAIT_CLIP));
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
@@ -870,6 +871,8 @@
         report: Option<Report>,
     ) {
         let most = self.most_homes();
+        let role = job.tries.get(attempt.0 as usize).and_then(|t| self.servers.get(&t.worker));
+        let peers = role.map_or(1.0, |s| self.peers(s.info.role));
         let bench = self.bench();
         let Some(t) = job.tries.get_mut(attempt.0 as usize).filter(|t| t.open) else { return };
         t.open = false;
@@ -918,7 +921,7 @@
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
                     if s.info.started.is_none_or(|t| now - t >= self.set.cold_for) {
-                        self.seen.finished.entry(s.info.role).or_default().add(now, self.set.cold_for);
+                        self.seen.finished.entry(s.info.role).or_default().add(now, self.set.cold_for, 1.0 / peers);
                     }
                 }
                 // Where nobody listens, or nothing good was heard lately, one failure says enough: a
@@ -1114,6 +1117,10 @@
             })
     }
 
+    fn peers(&self, role: Role) -> f64 {
+        self.servers.values().filter(|p| p.info.role == role).count().max(1) as f64
+    }
+
     /// Rule 4: our sends to a cold worker within the window stay under our part of its budget. What
     /// the role's warm workers finish for us is work that full capacities bear; what they are sent is
     /// not: in a jam that is many times more. Among many routers the part is under one request: then a
@@ -1126,9 +1133,8 @@
         }
         let window = self.set.fall_after;
         let sent = s.sends.iter().filter(|t| **t + window > self.now).count();
-        let peers = self.servers.values().filter(|p| p.info.role == s.info.role).count().max(1);
         let rate = self.seen.finished.get(&s.info.role).map_or(0.0, |r| r.per_s(self.now, self.set.cold_for));
-        let mean = rate * window.as_secs_f64() / peers as f64;
+        let mean = rate * window.as_secs_f64();
         let warmth = age.as_secs_f64() / self.set.cold_for.as_secs_f64().max(1e-6);
         let present = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
         // Where nothing is known yet, all routers together try one request a window.
