--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -62,11 +62,8 @@
 const HOT_WIDTH: f64 = 1.5;
 const HOT_SPAN: Micros = Micros(20_000_000);
 const HOT_LEAST: f64 = 5.0;
-const BEGINNINGS_MOST: usize = 4_096;
-/// The share of mixed servers is raised by at most this factor.
+/// The share of mixed servers is raised, or where counts tell nothing lowered, by at most this factor.
 const TILT: f64 = 3.0;
-/// First tokens within this share of the tightest aim are early enough.
-const WELL: f64 = 0.3;
 /// Without reports, a stream of ours that still waits at a writer counts as so many more.
 const PENDING: f64 = 3.0;
 /// Streams sent this long before a report came are not in it yet.
@@ -96,9 +93,9 @@
 /// A tenant may save up this many seconds of its share.
 const BUCKET_S: f64 = 2.0;
 
-/// Bounds of a generation of the session table; in between the writers' memory sets its size.
-const HOMES_LEAST: usize = 256;
-const HOMES_MOST: usize = 65_536;
+/// Sessions in a generation of the session table, and beginnings whose rate is kept.
+const HOMES_MOST: usize = 16_384;
+const BEGINNINGS_MOST: usize = 4_096;
 
 // ---- What is known.
 
@@ -222,8 +219,8 @@
         self.young.get(s).or_else(|| self.old.get(s))
     }
 
-    fn note(&mut self, s: SessionId, home: Home, most: usize) {
-        if self.young.len() >= most {
+    fn note(&mut self, s: SessionId, home: Home) {
+        if self.young.len() >= HOMES_MOST {
             self.old = std::mem::take(&mut self.young);
         }
         self.young.insert(s, home);
@@ -238,6 +235,9 @@
     Write,
 }
 
+/// The next step of a request: which worker, as what, and what it is thought to keep.
+type Step = (WorkerId, Stage, Option<u64>);
+
 /// One attempt.
 #[derive(Debug)]
 struct Try {
@@ -286,17 +286,12 @@
 /// What requests of all kinds took lately.
 #[derive(Debug, Default)]
 struct Seen {
-    /// Time of reads, of first tokens from a state that was pulled and of those of requests that were
-    /// sent whole, each over the request's aim; what was called back counts with the time it had.
-    read_time: Ewma,
-    pull_time: Ewma,
-    whole_time: Ewma,
     /// Time from arrival to the first token over the tightest aim.
     wait: Ewma,
     /// Prompt tokens of a request.
     prompt: Ewma,
-    /// Time of reads, of first tokens from a state that was pulled, and of those of requests that
-    /// were sent whole, in seconds.
+    /// Seconds of reads, of first tokens from a state that was pulled, and of those of requests that
+    /// were sent whole; what was called back counts with the time it had.
     read_s: Ewma,
     pull_s: Ewma,
     mixed_s: Ewma,
@@ -376,13 +371,8 @@
                 }
                 None => {}
             },
-            Event::Probed { worker, report, .. } => {
-                if let (Some(s), Some(r)) = (self.servers.get_mut(&worker), report) {
-                    s.report = Some(r);
-                    s.since.clear();
-                }
-            }
-            Event::Booked { .. } | Event::Peer { .. } => {}
+            // Never asked for.
+            Event::Probed { .. } | Event::Booked { .. } | Event::Peer { .. } => {}
         }
     }
 
@@ -431,8 +421,7 @@
         if let Some(p) = &req.prefix {
             self.seen.beginnings.entry(p.clone()).or_default().add(self.now, HOT_SPAN, 1.0);
             if self.seen.beginnings.len() > BEGINNINGS_MOST {
-                let now = self.now;
-                self.seen.beginnings.retain(|_, r| r.fade(now, HOT_SPAN) >= 1.0);
+                self.seen.beginnings.clear();
             }
         }
         let job = Job {
@@ -477,10 +466,7 @@
         let long = |j: &Job| j.req.prompt_tokens as f64 > self.seen.prompt.0.unwrap_or(0.0) * LONG;
         let waits = |j: &&Job| !j.streaming && !j.done && !stuck(j) && !long(j);
         let waiting = self.jobs.values().filter(waits).count();
-        // A router that is asked seldom has its few at once: twice what an aim's time brings.
-        let usual = 2.0 * self.seen.asked.per_s(self.now, HOT_SPAN) * self.tightest().as_secs_f64();
-        let few = (usual as usize).min(FEW);
-        if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(few) {
+        if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
             return Micros(0);
         }
         let rate = self.seen.firsts.per_s(self.now, RATE_SPAN).max(RATE_LEAST / RATE_SPAN.as_secs_f64());
@@ -541,7 +527,7 @@
                 return self.finish(job, out);
             }
             match self.choose(&job) {
-                Some((worker, stage, predicted)) => self.send(&mut job, worker, stage, predicted, out),
+                Some(step) => self.send(&mut job, step, out),
                 None if self.hopeless(&job) => return self.finish(job, out),
                 None => {}
             }
@@ -572,8 +558,7 @@
         }
     }
 
-    /// The next step of a request: which worker, as what, and what it is thought to keep.
-    fn choose(&self, job: &Job) -> Option<(WorkerId, Stage, Option<u64>)> {
+    fn choose(&self, job: &Job) -> Option<Step> {
         if let Some(reader) = &job.held {
             let w = self.roomiest(job, Some(reader))?;
             return Some((w, Stage::Write, None));
@@ -652,15 +637,13 @@
         let here: u32 = mixed.iter().map(|s| s.reads + s.streams).sum();
         let split = self.seen.read_s.0.zip(self.seen.pull_s.0).map(|(r, p)| r + p);
         let ratio = split.zip(self.seen.mixed_s.0).map_or(1.0, |(s, m)| s / m.max(1e-6));
-        let part = mixed.len() as f64 * ratio.clamp(1.0, TILT);
         if here + out >= n + mixed.len() as u32 {
-            return f64::from(here * n) <= f64::from(out) * part;
+            return f64::from(here * n) <= f64::from(out) * mixed.len() as f64 * ratio.clamp(1.0, TILT);
         }
-        // Slower ones that still begin well within the aim keep their share.
-        let early = self.seen.mixed_s.0.is_some_and(|m| m < self.tightest().as_secs_f64() * WELL);
-        let part = if early { part } else { mixed.len() as f64 * ratio.clamp(1.0 / TILT, TILT) };
+        let part = mixed.len() as f64 * ratio.clamp(1.0 / TILT, TILT);
         let due = f64::from(here + out + 1) * part / (part + f64::from(n)).max(1e-6);
-        f64::from(here) < due.floor() + f64::from(u8::from(self.coin(job, &WorkerId::default()) < due.fract()))
+        f64::from(here)
+            < due.floor() + f64::from(u8::from(self.coin(job, &WorkerId::default()) < due.fract()))
     }
 
     /// Rendezvous hashing of the shared beginning, else the session, over the pool: of the first
@@ -735,17 +718,14 @@
     /// writers can take only their part: a coin sends the rest to cells with writers to spare, those
     /// of the reader's zone first, so that far moves are few and no writer gets more than its part.
     fn cell_for(&self, job: &Job, at: &Worker, pool: &[&Server]) -> Option<CellId> {
+        // Of each cell its part of the writers and of the readers, and whether it is in the reader's zone.
         let mut cells: BTreeMap<CellId, (f64, f64, bool)> = BTreeMap::new();
-        for s in pool {
-            cells.entry(s.info.cell).or_default().0 += 1.0 / pool.len() as f64;
-        }
-        let reads = |s: &&Server| s.info.role == Role::Reader && s.info.lifecycle == Lifecycle::In;
-        let readers = self.servers.values().filter(reads).count().max(1) as f64;
-        for s in self.servers.values().filter(reads) {
-            cells.entry(s.info.cell).or_default().1 += 1.0 / readers;
+        for s in self.servers.values().filter(|s| s.info.role == Role::Reader) {
+            cells.entry(s.info.cell).or_default().1 += 1.0 / self.peers(Role::Reader);
         }
         for s in pool {
-            cells.entry(s.info.cell).or_default().2 = s.info.zone == at.zone;
+            let cell = cells.entry(s.info.cell).or_default();
+            *cell = (cell.0 + 1.0 / pool.len() as f64, cell.1, s.info.zone == at.zone);
         }
         let coin = self.coin(job, &at.id);
         let (write, read, _) = cells.get(&at.cell).copied().unwrap_or_default();
@@ -773,14 +753,7 @@
     }
 
     /// The one place that sends.
-    fn send(
-        &mut self,
-        job: &mut Job,
-        worker: WorkerId,
-        stage: Stage,
-        predicted: Option<u64>,
-        out: &mut Vec<Action>,
-    ) {
+    fn send(&mut self, job: &mut Job, (worker, stage, predicted): Step, out: &mut Vec<Action>) {
         let now = self.now;
         let (effect, pace) = (self.effect(job), self.pace());
         let Some(s) = self.servers.get_mut(&worker) else { return };
@@ -790,7 +763,7 @@
             Stage::Read => {
                 s.reads += 1;
                 s.read_tokens += job.req.prompt_tokens;
-                self.seen.read_time
+                self.seen.read_s
             }
             Stage::Write => {
                 s.streams += 1;
@@ -798,13 +771,17 @@
                 if self.set.reports != Reports::Off {
                     s.since.push_back((now, job.req.prompt_tokens as f64));
                 }
-                if job.held.is_some() { self.seen.pull_time } else { self.seen.whole_time }
+                if job.held.is_some() {
+                    self.seen.pull_s
+                } else {
+                    self.seen.mixed_s
+                }
             }
         };
         // Reading takes its time: what we know to lie before this one, and itself, is allowed for.
         let reading = (s.read_tokens + job.req.prompt_tokens) as f64 / pace;
-        let patience = job.aim.mul_f64((usual.0.unwrap_or(0.0) * OVERDUE_FACTOR).max(OVERDUE_FLOOR))
-            + Micros::from_secs_f64(reading);
+        let usual = Micros::from_secs_f64(usual.0.unwrap_or(0.0) * OVERDUE_FACTOR);
+        let patience = job.aim.mul_f64(OVERDUE_FLOOR).max(usual) + Micros::from_secs_f64(reading);
         // Where nothing can be cancelled, a time-out has to be set beforehand.
         let again = stage == Stage::Read || effect == Effect::Free;
         let give_up = Some(patience + patience).filter(|g| !self.set.may_cancel && again && g.0 > 0);
@@ -831,12 +808,9 @@
         let tightest = self.tightest().as_secs_f64();
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.streaming = true;
-        let over_aim = elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
         if job.held.is_some() {
             self.seen.pull_s.add(elapsed.as_secs_f64());
-            self.seen.pull_time.add(over_aim);
         } else {
-            self.seen.whole_time.add(over_aim);
             match job.tries.get(attempt.0 as usize).and_then(|t| t.predicted) {
                 Some(kept) => {
                     let read = job.req.prompt_tokens.saturating_sub(kept) as f64;
@@ -870,7 +844,6 @@
         kept: u64,
         report: Option<Report>,
     ) {
-        let most = self.most_homes();
         let role = job.tries.get(attempt.0 as usize).and_then(|t| self.servers.get(&t.worker));
         let peers = role.map_or(1.0, |s| self.peers(s.info.role));
         let bench = self.bench();
@@ -894,11 +867,11 @@
             let slow = std::mem::take(&mut t.overdue);
             if slow && outcome == Outcome::Cancelled {
                 let time = match t.stage {
-                    Stage::Read => &mut self.seen.read_time,
-                    Stage::Write if job.held.is_some() => &mut self.seen.pull_time,
-                    Stage::Write => &mut self.seen.whole_time,
+                    Stage::Read => &mut self.seen.read_s,
+                    Stage::Write if job.held.is_some() => &mut self.seen.pull_s,
+                    Stage::Write => &mut self.seen.mixed_s,
                 };
-                time.add(elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6));
+                time.add(elapsed.as_secs_f64());
             }
             s.overdue -= u32::from(slow).min(s.overdue);
             if let Some(r) = report {
@@ -921,7 +894,11 @@
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
                     if s.info.started.is_none_or(|t| now - t >= self.set.cold_for) {
-                        self.seen.finished.entry(s.info.role).or_default().add(now, self.set.cold_for, 1.0 / peers);
+                        self.seen.finished.entry(s.info.role).or_default().add(
+                            now,
+                            self.set.cold_for,
+                            1.0 / peers,
+                        );
                     }
                 }
                 // Where nobody listens, or nothing good was heard lately, one failure says enough: a
@@ -951,13 +928,12 @@
                     noted: now,
                     poured: s.poured,
                 };
-                self.homes.note(session.clone(), home, most);
+                self.homes.note(session.clone(), home);
             }
         }
         match outcome {
             Outcome::Parsed => {
                 self.seen.read_s.add(elapsed.as_secs_f64());
-                self.seen.read_time.add(elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6));
                 job.held = Some(t.worker.clone());
             }
             Outcome::Refused { no_state: true } => job.held = None,
@@ -971,13 +947,6 @@
         Micros::from_secs_f64(TRIAL / rate).clamp(BENCH, Micros(BENCH.0 << BENCH_DOUBLINGS))
     }
 
-    /// As many sessions as the writers could keep, if each kept a usual prompt.
-    fn most_homes(&self) -> usize {
-        let writers = self.servers.values().filter(|s| s.info.role != Role::Reader);
-        let memory: u64 = writers.filter_map(|s| s.info.kv_tokens).sum();
-        ((memory as f64 / self.seen.prompt.0.unwrap_or(1.0).max(1.0)) as usize).clamp(HOMES_LEAST, HOMES_MOST)
-    }
-
     /// Counts attempts whose silence has lasted too long against their worker. One that has said
     /// nothing to anybody since is taken to hang: what can be repeated is called back from it.
     fn mark_overdue(&mut self, job: &mut Job, out: &mut Vec<Action>) {
