--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -79,11 +79,9 @@
 /// A router with fewer requests than this in the tightest aim's time goes by their waits alone.
 const SELDOM: f64 = 4.0;
 const SELDOM_FELT: f64 = 0.8;
-/// One request's wait counts in that up to this multiple of that aim, and a prompt of more than so
-/// many usual ones is no part of the queue: reading it takes long without any jam.
+/// One request's wait counts in that up to this multiple of that aim, and as at least the other when
+/// it ends with no first token.
 const WAIT_CLIP: f64 = 2.0;
-const LONG: f64 = 4.0;
-/// One that ends with no first token counts as a wait of at least this multiple.
 const MISSED: f64 = 1.5;
 /// The rate of first tokens is taken over about this span, and not judged before so many.
 const RATE_SPAN: Micros = Micros(3_000_000);
@@ -93,8 +91,9 @@
 /// A tenant may save up this many seconds of its share.
 const BUCKET_S: f64 = 2.0;
 
-/// Sessions in a generation of the session table, and beginnings whose rate is kept.
-const HOMES_MOST: usize = 16_384;
+/// Bounds of the session table, where older notes go when it is full, and of beginnings with a rate.
+const HOMES_MOST: usize = 32_768;
+const HOME_AGE: Micros = Micros(30_000_000);
 const BEGINNINGS_MOST: usize = 4_096;
 
 // ---- What is known.
@@ -207,26 +206,6 @@
     poured: u64,
 }
 
-/// The session table: two generations, the older of which is dropped when the younger is full.
-#[derive(Debug, Default)]
-struct Homes {
-    young: BTreeMap<SessionId, Home>,
-    old: BTreeMap<SessionId, Home>,
-}
-
-impl Homes {
-    fn get(&self, s: &SessionId) -> Option<&Home> {
-        self.young.get(s).or_else(|| self.old.get(s))
-    }
-
-    fn note(&mut self, s: SessionId, home: Home) {
-        if self.young.len() >= HOMES_MOST {
-            self.old = std::mem::take(&mut self.young);
-        }
-        self.young.insert(s, home);
-    }
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     /// At a reader: no effect, ends with state that waits there.
@@ -238,20 +217,18 @@
 /// The next step of a request: which worker, as what, and what it is thought to keep.
 type Step = (WorkerId, Stage, Option<u64>);
 
+/// How an attempt ended, after how long, with how much kept, and its worker's load.
+type End = (Outcome, Micros, u64, Option<Report>);
+
 /// One attempt.
 #[derive(Debug)]
 struct Try {
     worker: WorkerId,
-    zone: Option<ZoneId>,
-    cell: CellId,
     stage: Stage,
     sent: Micros,
     /// When its silence becomes suspicious; none once it has answered or was counted.
     due: Option<Micros>,
-    patience: Micros,
     overdue: bool,
-    /// It has its first token.
-    begun: bool,
     open: bool,
     maybe_ran: bool,
     /// Tokens that the table said the worker keeps (local reads only).
@@ -314,7 +291,7 @@
     now: Micros,
     servers: BTreeMap<WorkerId, Server>,
     jobs: BTreeMap<RequestId, Job>,
-    homes: Homes,
+    homes: BTreeMap<SessionId, Home>,
     /// What each timer wakes: a request, or asking for the list again.
     timers: BTreeMap<TimerId, Option<RequestId>>,
     next_timer: u64,
@@ -333,7 +310,7 @@
             now: Micros(0),
             servers: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            homes: Homes::default(),
+            homes: BTreeMap::new(),
             timers: BTreeMap::new(),
             next_timer: 0,
             seen: Seen::default(),
@@ -350,7 +327,7 @@
             Event::Streaming { id, attempt, elapsed } => self.streaming(&id, attempt, elapsed),
             Event::Verdict { id, attempt, outcome, elapsed, over, kept, report } => {
                 if let Some(mut job) = self.jobs.remove(&id) {
-                    self.verdict(&mut job, attempt, outcome, elapsed, kept, report);
+                    self.verdict(&mut job, attempt, (outcome, elapsed, kept, report));
                     job.done |= over;
                     self.settle(job, out);
                 }
@@ -445,7 +422,9 @@
         // A router that is asked seldom has no queue to count: the longer its first tokens take, of those
         // that still wait too, the more it refuses, and all routers together settle where that is enough.
         let seldom = self.seldom();
-        let turned = seldom && self.coin(&job, &WorkerId::default()) < self.pressure() / most - SELDOM_FELT;
+        let turned = seldom
+            && self.coin(job.req.id.0.as_bytes(), &WorkerId::default())
+                < self.pressure() / most - SELDOM_FELT;
         if turned || (!seldom && felt && self.forecast() > limit) || (doomed && self.local(&job).is_none()) {
             self.finish(job, out);
         } else {
@@ -458,13 +437,7 @@
     /// sits; too early a refusal would follow from a rate that lags behind a sudden rise, so a few
     /// that wait (one a worker) are never too many: they also keep a jam that has passed in sight.
     fn forecast(&self) -> Micros {
-        // Those stuck at a worker that its peers outdo tell nothing of the others.
-        let stuck = |j: &Job| {
-            let at = j.tries.iter().find(|t| t.open).and_then(|t| self.servers.get(&t.worker));
-            at.is_some_and(|s| !self.fit(s) && self.mostly_fit(s.info.role))
-        };
-        let long = |j: &Job| j.req.prompt_tokens as f64 > self.seen.prompt.0.unwrap_or(0.0) * LONG;
-        let waits = |j: &&Job| !j.streaming && !j.done && !stuck(j) && !long(j);
+        let waits = |j: &&Job| !j.streaming && !j.done;
         let waiting = self.jobs.values().filter(waits).count();
         if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
             return Micros(0);
@@ -643,7 +616,8 @@
         let part = mixed.len() as f64 * ratio.clamp(1.0 / TILT, TILT);
         let due = f64::from(here + out + 1) * part / (part + f64::from(n)).max(1e-6);
         f64::from(here)
-            < due.floor() + f64::from(u8::from(self.coin(job, &WorkerId::default()) < due.fract()))
+            < due.floor()
+                + f64::from(u8::from(self.coin(job.req.id.0.as_bytes(), &WorkerId::default()) < due.fract()))
     }
 
     /// Rendezvous hashing of the shared beginning, else the session, over the pool: of the first
@@ -707,9 +681,9 @@
                     Some(r) if r.zone == s.info.zone => NEAR / 2.0,
                     _ => 0.0,
                 };
-                (room + near * unit, self.toss(job.req.id.0.as_bytes(), &s.info.id), *s)
+                (room + near * unit, self.coin(job.req.id.0.as_bytes(), &s.info.id), *s)
             })
-            .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+            .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)))
             .map(|(_, _, s)| s.info.id.clone())
     }
 
@@ -720,14 +694,15 @@
     fn cell_for(&self, job: &Job, at: &Worker, pool: &[&Server]) -> Option<CellId> {
         // Of each cell its part of the writers and of the readers, and whether it is in the reader's zone.
         let mut cells: BTreeMap<CellId, (f64, f64, bool)> = BTreeMap::new();
+        let readers = self.peers(Role::Reader);
         for s in self.servers.values().filter(|s| s.info.role == Role::Reader) {
-            cells.entry(s.info.cell).or_default().1 += 1.0 / self.peers(Role::Reader);
+            cells.entry(s.info.cell).or_default().1 += 1.0 / readers;
         }
         for s in pool {
             let cell = cells.entry(s.info.cell).or_default();
             *cell = (cell.0 + 1.0 / pool.len() as f64, cell.1, s.info.zone == at.zone);
         }
-        let coin = self.coin(job, &at.id);
+        let coin = self.coin(job.req.id.0.as_bytes(), &at.id);
         let (write, read, _) = cells.get(&at.cell).copied().unwrap_or_default();
         let stay = write / read.max(1e-9);
         if coin < stay {
@@ -742,14 +717,10 @@
         })
     }
 
-    /// A coin from the instance's seed.
-    fn toss(&self, what: &[u8], w: &WorkerId) -> u64 {
-        xxh3_64_with_seed(w.0.as_bytes(), self.seed ^ xxh3_64_with_seed(what, self.seed))
-    }
-
-    /// A coin between 0 and 1 for this request and worker.
-    fn coin(&self, job: &Job, w: &WorkerId) -> f64 {
-        unit(self.toss(job.req.id.0.as_bytes(), w))
+    /// A coin between 0 and 1, from the instance's seed.
+    fn coin(&self, what: &[u8], w: &WorkerId) -> f64 {
+        let hash = xxh3_64_with_seed(w.0.as_bytes(), self.seed ^ xxh3_64_with_seed(what, self.seed));
+        (hash >> 11) as f64 / (1_u64 << 53) as f64
     }
 
     /// The one place that sends.
@@ -787,14 +758,10 @@
         let give_up = Some(patience + patience).filter(|g| !self.set.may_cancel && again && g.0 > 0);
         job.tries.push(Try {
             worker: worker.clone(),
-            zone: s.info.zone,
-            cell: s.info.cell,
             stage,
             sent: now,
             due: Some(now + patience),
-            patience,
             overdue: false,
-            begun: false,
             open: true,
             maybe_ran: true,
             predicted,
@@ -825,7 +792,6 @@
         self.seen.wait.add_at(self.now, (wait / tightest.max(1e-6)).min(WAIT_CLIP));
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
         t.due = None;
-        t.begun = true;
         if let Some(s) = self.servers.get_mut(&t.worker) {
             s.pending = s.pending.saturating_sub(1);
             s.refusals = 0;
@@ -835,15 +801,7 @@
     }
 
     /// Books the end of an attempt.
-    fn verdict(
-        &mut self,
-        job: &mut Job,
-        attempt: AttemptNo,
-        outcome: Outcome,
-        elapsed: Micros,
-        kept: u64,
-        report: Option<Report>,
-    ) {
+    fn verdict(&mut self, job: &mut Job, attempt: AttemptNo, (outcome, elapsed, kept, report): End) {
         let role = job.tries.get(attempt.0 as usize).and_then(|t| self.servers.get(&t.worker));
         let peers = role.map_or(1.0, |s| self.peers(s.info.role));
         let bench = self.bench();
@@ -861,7 +819,7 @@
                 }
                 Stage::Write => {
                     s.streams = s.streams.saturating_sub(1);
-                    s.pending -= u32::from(!t.begun).min(s.pending);
+                    s.pending -= u32::from(!job.streaming).min(s.pending);
                 }
             }
             let slow = std::mem::take(&mut t.overdue);
@@ -928,7 +886,12 @@
                     noted: now,
                     poured: s.poured,
                 };
-                self.homes.note(session.clone(), home);
+                if self.homes.len() >= HOMES_MOST {
+                    self.homes.retain(|_, h| h.noted + HOME_AGE > now);
+                }
+                if self.homes.len() < HOMES_MOST {
+                    self.homes.insert(session.clone(), home);
+                }
             }
         }
         match outcome {
@@ -956,7 +919,7 @@
             if t.due.is_none_or(|d| d > now) {
                 continue;
             }
-            t.due = Some(now + t.patience.max(self.set.tick));
+            t.due = Some(now + (now - t.sent).max(self.set.tick));
             let Some(s) = self.servers.get_mut(&t.worker) else { continue };
             s.overdue += u32::from(!std::mem::replace(&mut t.overdue, true));
             let again = t.stage == Stage::Read || free;
@@ -1027,11 +990,6 @@
         }
     }
 
-    fn mostly_fit(&self, role: Role) -> bool {
-        let of_role = || self.servers.values().filter(|s| s.info.role == role);
-        of_role().filter(|s| self.fit(s)).count() * 2 > of_role().count()
-    }
-
     fn fit(&self, s: &Server) -> bool {
         let trial = s.failing < FAILING || s.reads + s.streams == 0;
         self.now >= s.benched_until && trial && s.overdue == 0
@@ -1056,11 +1014,12 @@
                 Effect::Free => true,
                 Effect::SingleShot => ran.is_empty(),
                 Effect::Guarded(group) => ran.iter().all(|t| {
+                    let at = self.servers.get(&t.worker).map(|a| &a.info);
                     self.now < t.sent + self.window(job)
                         && match group {
                             Group::All => true,
-                            Group::Zone => t.zone == s.info.zone,
-                            Group::Cell => t.cell == s.info.cell,
+                            Group::Zone => at.is_some_and(|a| a.zone == s.info.zone),
+                            Group::Cell => at.is_some_and(|a| a.cell == s.info.cell),
                         }
                 }),
             };
@@ -1112,18 +1071,12 @@
         // A long prompt weighs as many usual ones.
         let usual = self.seen.prompt.0.unwrap_or(1.0).max(1.0);
         let budget = budget / (job.req.prompt_tokens as f64 / usual).max(1.0);
-        let phase = self.toss(b"phase", &s.info.id) % window.0.max(1);
-        let turn = (self.now.0.saturating_add(phase)) / window.0.max(1);
-        let coin = unit(self.toss(&turn.to_le_bytes(), &s.info.id));
+        let turn = (self.now + window.mul_f64(self.coin(b"phase", &s.info.id))).0 / window.0.max(1);
+        let coin = self.coin(&turn.to_le_bytes(), &s.info.id);
         (sent as f64) < budget.floor() + f64::from(u8::from(coin < budget.fract()))
     }
 }
 
-/// A hash as a number between 0 and 1.
-fn unit(hash: u64) -> f64 {
-    (hash >> 11) as f64 / (1_u64 << 53) as f64
-}
-
 /// A failure; enough of them bench the worker, each time for longer.
 fn strike(s: &mut Server, now: Micros, weight: f64, bench: Micros) {
     s.failing += (1.0 - s.failing) * weight;
