--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -12,13 +12,12 @@
 
 // ---- Tuned values. Each is a plain ratio or count that should make sense on any site.
 
-/// A remainder is short when the writer reads it in no more time than reads take us now, within
-/// these shares of the tightest class's first-token aim: every stream of the writer waits for as
-/// long, so the threshold does not grow with a class that has time.
+/// A remainder is short when the writer reads it in no more time than reads take us now, within these
+/// shares of the tightest first-token aim: every stream of the writer waits for as long.
 const LOCAL_LEAST: f64 = 0.13;
 const LOCAL_MOST: f64 = 0.2;
-/// ... and up to this one while reads take longer than the first share of that aim, and pulls no more
-/// than the second share of the time of reads.
+/// ... and up to the first while reads take over the second share of that aim, and pulls less than the
+/// third share of reads.
 const LOCAL_JAM: f64 = 1.0;
 const READS_JAM: f64 = 0.5;
 const WRITERS_IDLE: f64 = 0.2;
@@ -26,15 +25,14 @@
 const THRESHOLD_LEAST: u64 = 64;
 /// Pace of a writer's own reading before any was seen, in tokens a second.
 const FIRST_GUESS_PACE: f64 = 5_000.0;
-/// A silent attempt is overdue after this multiple of what its peers take ...
+/// A silent attempt is overdue after this multiple of what others take, and this share of its aim.
 const OVERDUE_FACTOR: f64 = 4.0;
-/// ... but not before this share of the request's aim.
 const OVERDUE_FLOOR: f64 = 0.4;
 /// Weight of a new observation in every EWMA.
 const GAIN: f64 = 0.1;
 /// A failure closes this share of the gap between a worker's failing and 1, a success takes off that
-/// share of it; from FAILING on it is benched, each time for longer. Two failures in a row do, and so
-/// does one in three for a while: partial failures count, not runs alone.
+/// share of it; from FAILING on it is benched, each time for longer, the first time for so many of our
+/// requests: two failures in a row do, and one in three for a while.
 const FAIL_GAIN: f64 = 0.3;
 const WELL_GAIN: f64 = 0.15;
 const FAILING: f64 = 0.45;
@@ -50,15 +48,15 @@
 const COLD_SHARE: f64 = 0.5;
 /// A request that finds no worker looks again after this span.
 const RETRY_WAIT: Micros = Micros(40_000);
-/// A writer in the state's cell is preferred until another has this much more room (share of memory;
-/// without reports, share of the mean number of our streams); one in its zone by half as much.
+/// A writer of the preferred cell is taken until another has this much more room (share of memory;
+/// without reports, in the unit of `roomiest`), one of the zone by half as much; of the cells with
+/// writers to spare, one of another zone weighs so much.
 const NEAR: f64 = 0.3;
-/// Of the cells with writers to spare, one of another zone weighs so much.
 const FAR: f64 = 0.25;
 /// So many more of our requests at both of a hashed pair than at the least busy widen the pair.
 const WIDEN: u32 = 2;
-/// ... and so does a beginning with more than its part of what we are asked: to this multiple of that
-/// part of the readers, judged over about this span, with so many imagined others for a start.
+/// ... and so does a beginning by its part of what we are asked: to this multiple of that part of the
+/// readers, judged over about this span, with so many imagined others for a start.
 const HOT_WIDTH: f64 = 1.5;
 const HOT_SPAN: Micros = Micros(20_000_000);
 const HOT_LEAST: f64 = 5.0;
@@ -69,18 +67,17 @@
 /// Streams sent this long before a report came are not in it yet.
 const REPORT_LAG: Micros = Micros(300_000);
 /// A new request is refused when its forecast first token takes more than this multiple of the
-/// tightest aim, one beyond its tenant's share much earlier.
+/// tightest aim (beyond its tenant's share, the second), more than so many wait, or one a worker and
+/// router, and first tokens do take at least that share of it: a rise alone is no jam.
 const ADMIT: f64 = 1.0;
 const ADMIT_OVER_SHARE: f64 = 0.4;
-/// ... and only with more than so many (or one a worker and router, if that is more) waiting ...
 const FEW: usize = 4;
-/// ... and only while first tokens do take at least this share of that: a rise alone is no jam.
 const FELT: f64 = 0.5;
-/// A router with fewer requests than this in the tightest aim's time goes by their waits alone.
+/// A router with fewer requests than this in the tightest aim's time goes by their waits alone, and
+/// refuses the more the further they exceed this multiple.
 const SELDOM: f64 = 4.0;
 const SELDOM_FELT: f64 = 0.8;
-/// One request's wait counts in that up to this multiple of that aim, and as at least the other when
-/// it ends with no first token.
+/// A wait counts up to the first multiple of that aim, and from the second on without a first token.
 const WAIT_CLIP: f64 = 2.0;
 const MISSED: f64 = 1.5;
 /// The rate of first tokens is taken over about this span, and not judged before so many.
@@ -90,7 +87,6 @@
 const ASK_AGAIN: f64 = 0.1;
 /// A tenant may save up this many seconds of its share.
 const BUCKET_S: f64 = 2.0;
-
 /// Bounds of the session table, where older notes go when it is full, and of beginnings with a rate.
 const HOMES_MOST: usize = 32_768;
 const HOME_AGE: Micros = Micros(30_000_000);
@@ -115,12 +111,11 @@
     }
 }
 
-/// Events a second, older ones fading.
+/// Events a second, older ones fading, and when the first came.
 #[derive(Debug, Clone, Copy, Default)]
 struct Rate {
     count: f64,
     at: Micros,
-    /// Its first event.
     since: Option<Micros>,
 }
 
@@ -145,11 +140,10 @@
 #[derive(Debug, Default)]
 struct Server {
     info: Worker,
-    /// Our reads and our writing attempts that are out.
+    /// Our reads and writing attempts that are out, and those of the latter without a first token.
     reads: u32,
     read_tokens: u64,
     streams: u32,
-    /// Those of the streams that have no first token yet.
     pending: u32,
     /// Last report, and our streams sent since as (time, tokens).
     report: Option<Report>,
@@ -160,9 +154,9 @@
     poured: u64,
     /// Notes made up to this time are void: what a worker kept is lost with a restart.
     void_before: Micros,
-    /// Health: share of failures, benches in a row, end of the bench, silent attempts past their time.
+    /// Health: share of failures, whether the last proved that nobody listens there, benches in a row,
+    /// end of the bench, silent attempts past their time.
     failing: f64,
-    /// Its last failure proved that nobody listens there.
     down: bool,
     benches: u32,
     benched_until: Micros,
@@ -179,9 +173,8 @@
         self.info.kv_tokens.map_or(f64::INFINITY, |t| t.max(1) as f64)
     }
 
-    /// Room by the last report less our streams sent since, as a share of its memory. The other
-    /// routers are taken to send as we do: reports come seldom, and all herd to the same writer.
-    /// One that was not heard from counts as having the average room.
+    /// Room by the last report less our streams sent since, as a share of its memory; the other routers
+    /// are taken to send as we do, or all would herd. One not heard from has the average room.
     fn room(&self, routers: u32, average: f64) -> f64 {
         let sent: f64 = self.since.iter().map(|(_, t)| t).sum();
         let r = self.report.unwrap_or_default();
@@ -246,7 +239,7 @@
     held: Option<WorkerId>,
     held_since: Micros,
     streaming: bool,
-    /// A final answer was given or the client is gone.
+    /// A final answer was given, or the client is gone.
     done: bool,
 }
 
@@ -263,23 +256,22 @@
 /// What requests of all kinds took lately.
 #[derive(Debug, Default)]
 struct Seen {
-    /// Time from arrival to the first token over the tightest aim.
+    /// Time from arrival to the first token over the tightest aim; prompt tokens of a request.
     wait: Ewma,
-    /// Prompt tokens of a request.
     prompt: Ewma,
     /// Seconds of reads, of first tokens from a state that was pulled, and of those of requests that
-    /// were sent whole; what was called back counts with the time it had.
+    /// were sent whole.
     read_s: Ewma,
     pull_s: Ewma,
     mixed_s: Ewma,
     /// Tokens a second of local reads.
     local_pace: Ewma,
-    /// First tokens of our requests, and what a warm worker of a role finishes for us: over the workers
-    /// there were at the time, since the first to come back finds none beside it.
+    /// First tokens, what we are asked, and of that what has a shared beginning, by beginning.
     firsts: Rate,
-    /// What we are asked, and of that what has a shared beginning, by beginning.
     asked: Rate,
     beginnings: BTreeMap<PrefixId, Rate>,
+    /// What a warm worker of a role finishes for us, over those there were at the time: the first to
+    /// come back finds none beside it.
     finished: BTreeMap<Role, Rate>,
 }
 
@@ -370,8 +362,7 @@
                 }
             }
         }
-        // Where the list has to be asked for: subscribe at the start, and again some time after a
-        // call has failed, since all routers ask the same service.
+        // Where the list has to be asked for: at the start, and again some time after a call has failed.
         match kind {
             ListKind::Stale if self.set.discovery == Discovery::Ask => out.push(Action::Subscribe),
             ListKind::Failed => self.set_timer(self.now + self.set.must_ask_in.mul_f64(ASK_AGAIN), None, out),
@@ -419,8 +410,8 @@
         // What its client will not wait for is not begun while first tokens are slow.
         let usual = self.seen.read_s.0.zip(self.seen.pull_s.0).map_or(0.0, |(r, p)| r + p);
         let doomed = slow && self.now + Micros::from_secs_f64(usual) > job.req.deadline;
-        // A router that is asked seldom has no queue to count: the longer its first tokens take, of those
-        // that still wait too, the more it refuses, and all routers together settle where that is enough.
+        // A router that is asked seldom has no queue to count: the longer its first tokens take the more
+        // it refuses, and all routers together settle where that is enough.
         let seldom = self.seldom();
         let turned = seldom
             && self.coin(job.req.id.0.as_bytes(), &WorkerId::default())
@@ -432,10 +423,9 @@
         }
     }
 
-    /// How long the next request is likely to wait for its first token, by Little's law: those of
-    /// ours that wait, over the rate at which they get one. Guards against every jam, wherever it
-    /// sits; too early a refusal would follow from a rate that lags behind a sudden rise, so a few
-    /// that wait (one a worker) are never too many: they also keep a jam that has passed in sight.
+    /// How long the next request is likely to wait for its first token, by Little's law. Guards against
+    /// every jam, wherever it sits; a rate that lags behind a sudden rise would refuse too early, so a
+    /// few that wait are never too many: they also keep a jam that has passed in sight.
     fn forecast(&self) -> Micros {
         let waits = |j: &&Job| !j.streaming && !j.done;
         let waiting = self.jobs.values().filter(waits).count();
@@ -564,8 +554,8 @@
     fn local(&self, job: &Job) -> Option<(WorkerId, u64)> {
         let tightest = self.tightest();
         let (read, pull) = (self.seen.read_s.0.unwrap_or(0.0), self.seen.pull_s.0.unwrap_or(0.0));
-        // While readers jam and writers tell that they idle, as with half of the readers gone, these read
-        // more. Where writers tell nothing their streams would fall behind unseen.
+        // While readers jam and writers do not, as with half of the readers gone, these read more; where
+        // they report nothing their streams would fall behind unseen.
         let idle = read > tightest.as_secs_f64() * READS_JAM && pull < read * WRITERS_IDLE;
         let idle = idle && self.set.reports != Reports::Off && self.seldom();
         let most = if idle { LOCAL_JAM } else { LOCAL_MOST };
@@ -579,34 +569,25 @@
             let poured = (s.poured - h.poured.min(s.poured)) as f64 * f64::from(self.set.routers);
             (h.noted > s.void_before && poured < s.kv()).then_some((s, h))
         });
-        if let Some((s, h)) = home {
-            let remainder = job.req.prompt_tokens.saturating_sub(h.kept);
-            let can = s.info.role == Role::Mixed || self.set.self_prefill;
-            if remainder < threshold && can {
-                let pool = self.pool(job, |r| r != Role::Reader);
-                if pool.iter().any(|p| p.info.id == s.info.id) && !job.tried(&s.info.id) {
-                    return Some((s.info.id.clone(), h.kept.min(job.req.prompt_tokens)));
-                }
-            }
-        } else if job.req.prompt_tokens < threshold && self.set.self_prefill {
-            return self.roomiest(job, None).map(|w| (w, 0));
-        }
-        None
+        let Some((s, h)) = home else {
+            let short = job.req.prompt_tokens < threshold && self.set.self_prefill;
+            return short.then(|| self.roomiest(job, None)).flatten().map(|w| (w, 0));
+        };
+        let short = job.req.prompt_tokens.saturating_sub(h.kept) < threshold && !job.tried(&s.info.id);
+        let can = short && (s.info.role == Role::Mixed || self.set.self_prefill);
+        let can = can && self.pool(job, |r| r != Role::Reader).iter().any(|p| p.info.id == s.info.id);
+        can.then(|| (s.info.id.clone(), h.kept.min(job.req.prompt_tokens)))
     }
 
-    /// Mixed servers take their share: as many of our requests out on each as on the others, more
-    /// where the way over a reader takes longer to the first token, fewer where they do. Guards
-    /// against few or slow readers, a jam of writers, and mixed servers that are overrun; it would
-    /// harm where mixed servers answer early and then write slowly, so it is bounded. A router with
-    /// next to nothing out has no counts to go by: a coin makes up what is less than one request.
+    /// Mixed servers take their share: as many of our requests out on each as on the others, more where
+    /// the way over a reader takes longer to the first token. Guards against few or slow readers and a
+    /// jam of writers; harms where mixed servers answer early and then write slowly, so it is bounded.
+    /// A router with less than one out a server has no counts to go by: there a coin makes up what is
+    /// under one request, and slower mixed servers get fewer.
     fn mixed_turn(&self, job: &Job, mixed: &[&Server]) -> bool {
-        let (mut out, mut n) = (0, 0_u32);
-        for s in self.servers.values() {
-            if s.info.lifecycle == Lifecycle::In && s.info.role != Role::Mixed {
-                out += s.reads + s.streams;
-                n += 1;
-            }
-        }
+        let split = |s: &&Server| s.info.lifecycle == Lifecycle::In && s.info.role != Role::Mixed;
+        let out: u32 = self.servers.values().filter(split).map(|s| s.reads + s.streams).sum();
+        let n = self.servers.values().filter(split).count() as u32;
         let here: u32 = mixed.iter().map(|s| s.reads + s.streams).sum();
         let split = self.seen.read_s.0.zip(self.seen.pull_s.0).map(|(r, p)| r + p);
         let ratio = split.zip(self.seen.mixed_s.0).map_or(1.0, |(s, m)| s / m.max(1e-6));
@@ -620,9 +601,8 @@
                 + f64::from(u8::from(self.coin(job.req.id.0.as_bytes(), &WorkerId::default()) < due.fract()))
     }
 
-    /// Rendezvous hashing of the shared beginning, else the session, over the pool: of the first
-    /// two, the one with fewer of our requests out; of like ones, the same for a session on every
-    /// router, since it keeps the session's earlier prompts too.
+    /// Rendezvous hashing of the shared beginning, else the session, over the pool: of the first two, the
+    /// one with fewer of our requests out; of like ones, one by session, whose earlier prompts it keeps.
     fn hashed(&self, job: &Job, pool: &[&Server]) -> Option<WorkerId> {
         let session = job.req.session.as_ref().map_or(&job.req.id.0, |s| &s.0);
         let key = job.req.prefix.as_ref().map_or(session, |p| &p.0);
@@ -640,9 +620,9 @@
             _ => s.reads.max((s.read_tokens as f64 / usual) as u32),
         };
         let least = pool.iter().map(|s| load(s)).min().unwrap_or(0);
-        // A shared beginning can be too hot for two, or one of them slow: the pair widens in the
-        // order of the hash, to its part of what we are asked, or past those with too many of our
-        // reads out. What it costs is reading the beginning once more there.
+        // A shared beginning can be too hot for two, or one of them slow: the pair widens in the order of
+        // the hash, to its part of what we are asked or past those with too many of our reads out, at the
+        // cost of reading the beginning once more.
         let hot = job.req.prefix.as_ref().and_then(|p| self.seen.beginnings.get(p));
         let hot = hot.map_or(0.0, |r| r.fade(self.now, HOT_SPAN));
         let part = hot / (self.seen.asked.fade(self.now, HOT_SPAN) + HOT_LEAST);
@@ -660,8 +640,8 @@
         }
         let heard: Vec<f64> = pool.iter().filter_map(|s| s.told()).collect();
         let mean = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        // Without reports the unit is our streams. Those of the others vary by the root of their number:
-        // a difference of ours under that tells nothing of a writer.
+        // Without reports the unit is our streams, and a difference under the root of the others' number,
+        // by which theirs vary, tells nothing.
         let ours = pool.iter().map(|s| f64::from(s.streams)).sum::<f64>() / pool.len().max(1) as f64;
         let others = ours * f64::from(self.set.routers.saturating_sub(1));
         let unit = if heard.is_empty() { 1.0 + NEAR * ours + others.sqrt() } else { 1.0 };
@@ -687,12 +667,11 @@
             .map(|(_, _, s)| s.info.id.clone())
     }
 
-    /// The cell whose writers are preferred. The nearer of like room saves the link that its whole cell
-    /// shares, which jams first. But where a cell has more of the readers than of the writers, its
-    /// writers can take only their part: a coin sends the rest to cells with writers to spare, those
-    /// of the reader's zone first, so that far moves are few and no writer gets more than its part.
+    /// The cell whose writers are preferred: the reader's, which spares the link that the whole cell shares.
+    /// Where it has more of the readers than of the writers, these can take only their part: a coin sends
+    /// the rest to cells with writers to spare, those of the reader's zone first.
     fn cell_for(&self, job: &Job, at: &Worker, pool: &[&Server]) -> Option<CellId> {
-        // Of each cell its part of the writers and of the readers, and whether it is in the reader's zone.
+        // Each cell's part of the writers, of the readers, and whether it is in this reader's zone.
         let mut cells: BTreeMap<CellId, (f64, f64, bool)> = BTreeMap::new();
         let readers = self.peers(Role::Reader);
         for s in self.servers.values().filter(|s| s.info.role == Role::Reader) {
@@ -726,7 +705,7 @@
     /// The one place that sends.
     fn send(&mut self, job: &mut Job, (worker, stage, predicted): Step, out: &mut Vec<Action>) {
         let now = self.now;
-        let (effect, pace) = (self.effect(job), self.pace());
+        let (effect, pace) = (self.effect(job).0, self.pace());
         let Some(s) = self.servers.get_mut(&worker) else { return };
         note_time(&mut s.sends, now, self.set.fall_after);
         s.poured += job.req.prompt_tokens;
@@ -823,14 +802,6 @@
                 }
             }
             let slow = std::mem::take(&mut t.overdue);
-            if slow && outcome == Outcome::Cancelled {
-                let time = match t.stage {
-                    Stage::Read => &mut self.seen.read_s,
-                    Stage::Write if job.held.is_some() => &mut self.seen.pull_s,
-                    Stage::Write => &mut self.seen.mixed_s,
-                };
-                time.add(elapsed.as_secs_f64());
-            }
             s.overdue -= u32::from(slow).min(s.overdue);
             if let Some(r) = report {
                 s.report = Some(r);
@@ -840,8 +811,6 @@
             }
             s.down = outcome == Outcome::NoConnection;
             match outcome {
-                // A read that took far longer than its peers' is no sign of health.
-                Outcome::Parsed if slow => strike(s, now, FAIL_GAIN, bench),
                 Outcome::Refused { no_state: false } => {
                     s.full_until = now + Micros(FULL_WAIT.0 << s.refusals.min(FULL_DOUBLINGS));
                     s.refusals += 1;
@@ -859,14 +828,14 @@
                         );
                     }
                 }
-                // Where nobody listens, or nothing good was heard lately, one failure says enough: a
-                // router that seldom sends to a worker would need minutes to see two in a row.
+                // Where nothing good was heard lately one failure says enough: a router that seldom sends
+                // there would need minutes to see two in a row.
                 Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => {
                     let lately = s.heard + BENCH > now && !s.down;
                     strike(s, now, if lately { FAIL_GAIN } else { FAILING }, bench)
                 }
-                // Long silence weighs more than one error: an idle hanging worker would look best. A
-                // client that gives up early says nothing of the worker.
+                // Long silence weighs more: an idle hanging worker looks best. A client that gives up early
+                // says nothing of the worker.
                 Outcome::TimedOut | Outcome::Cancelled
                     if (slow || elapsed >= job.aim) && !job.streaming && !job.done =>
                 {
@@ -913,7 +882,7 @@
     /// Counts attempts whose silence has lasted too long against their worker. One that has said
     /// nothing to anybody since is taken to hang: what can be repeated is called back from it.
     fn mark_overdue(&mut self, job: &mut Job, out: &mut Vec<Action>) {
-        let free = self.effect(job) == Effect::Free;
+        let free = self.effect(job).0 == Effect::Free;
         let (now, id, done, seldom) = (self.now, &job.req.id, job.done, self.seldom());
         for (i, t) in job.tries.iter_mut().enumerate().filter(|(_, t)| t.open) {
             if t.due.is_none_or(|d| d > now) {
@@ -930,8 +899,8 @@
         }
     }
 
-    /// A request that was tried and ends with no first token waited for longer than it could: left out,
-    /// those that clients leave early would make every jam look short.
+    /// A request that ends with no first token counts as a long wait: else a jam that clients leave
+    /// early would look short.
     fn missed(&mut self, job: &Job) {
         if !job.streaming && !job.done && !job.tries.is_empty() {
             let wait = (self.now - job.arrived).as_secs_f64() / self.tightest().as_secs_f64().max(1e-6);
@@ -948,12 +917,11 @@
         }
         job.done = true;
         if self.now + self.set.tick < job.req.deadline && self.may_refuse(&job) {
-            // As long as the queue that we see takes to fall to what is admitted.
-            // One that is asked seldom sees no queue: the time by which first tokens are too late now.
-            let drained = match self.seldom() {
-                true => self.tightest().mul_f64(self.pressure() - SELDOM_FELT),
-                false => self.forecast() - self.tightest().mul_f64(ADMIT / 2.0),
-            };
+            // As long as the queue that we see takes to fall to what is admitted; a router that is asked
+            // seldom sees none, but by how much first tokens are too late.
+            let late = f64::from(u8::from(self.seldom())) * (self.pressure() - SELDOM_FELT);
+            let drained = self.forecast() - self.tightest().mul_f64(ADMIT / 2.0);
+            let drained = drained.max(self.tightest().mul_f64(late));
             let retry_after = Some(drained.min(self.set.max_retry_after)).filter(|t| t.0 > 0);
             out.push(Action::Refuse { id, retry_after });
         } else {
@@ -966,9 +934,9 @@
 
     // ---- Health and the guards of the rules.
 
-    /// The workers that may get this request's next attempt. Benched and silent ones are left out
-    /// unless they are half of the pool or more: then the trouble is elsewhere. One where nobody
-    /// listens stays out in any case: it fails so fast that it would eat every attempt.
+    /// The workers that may get this request's next attempt. Benched and silent ones are left out unless
+    /// they are half of the pool or more: then the trouble is elsewhere. One where nobody listens stays
+    /// out in any case: it would eat every attempt.
     fn pool(&self, job: &Job, role: impl Fn(Role) -> bool) -> Vec<&Server> {
         let all: Vec<&Server> = self
             .servers
@@ -978,16 +946,11 @@
             .collect();
         let fit: Vec<&Server> = all.iter().copied().filter(|s| self.fit(s)).collect();
         let judged = if fit.len() * 2 > all.len() { fit } else { all };
-        // One that turns away looks empty. It is no sick one, but is left alone for a moment, longer
-        // each time: a full one has room again, one that drains before the list says so never has.
+        // One that turns away looks empty and is not sick: it is left alone for a moment, longer each time.
         let ready = |s: &&Server| self.now >= s.full_until && self.may_send(job, s);
         let allowed: Vec<&Server> = judged.into_iter().filter(ready).collect();
         let fresh: Vec<&Server> = allowed.iter().copied().filter(|s| !job.tried(&s.info.id)).collect();
-        if fresh.is_empty() {
-            allowed
-        } else {
-            fresh
-        }
+        Some(fresh).filter(|f| !f.is_empty()).unwrap_or(allowed)
     }
 
     fn fit(&self, s: &Server) -> bool {
@@ -995,12 +958,9 @@
         self.now >= s.benched_until && trial && s.overdue == 0
     }
 
-    fn effect(&self, job: &Job) -> Effect {
-        self.set.classes.get(job.req.class.0).map_or(Effect::SingleShot, |c| c.effect)
-    }
-
-    fn window(&self, job: &Job) -> Micros {
-        self.set.classes.get(job.req.class.0).map_or(Micros(0), |c| c.dedup_window)
+    fn effect(&self, job: &Job) -> (Effect, Micros) {
+        let class = self.set.classes.get(job.req.class.0);
+        class.map_or((Effect::SingleShot, Micros(0)), |c| (c.effect, c.dedup_window))
     }
 
     /// Rules 2 and 4: whether this request may go to this worker now.
@@ -1009,13 +969,14 @@
             return false;
         }
         let ran: Vec<&Try> = job.tries.iter().filter(|t| t.maybe_ran).collect();
+        let (effect, window) = self.effect(job);
         let effect_ok = s.info.role == Role::Reader && ran.is_empty()
-            || match self.effect(job) {
+            || match effect {
                 Effect::Free => true,
                 Effect::SingleShot => ran.is_empty(),
                 Effect::Guarded(group) => ran.iter().all(|t| {
                     let at = self.servers.get(&t.worker).map(|a| &a.info);
-                    self.now < t.sent + self.window(job)
+                    self.now < t.sent + window
                         && match group {
                             Group::All => true,
                             Group::Zone => at.is_some_and(|a| a.zone == s.info.zone),
@@ -1029,7 +990,7 @@
     /// Whether a refusal, which says that trying again is harmless, would be true.
     fn may_refuse(&self, job: &Job) -> bool {
         let safe = !job.tries.iter().any(|t| t.maybe_ran || t.open);
-        match self.effect(job) {
+        match self.effect(job).0 {
             Effect::Free | Effect::Guarded(Group::All) => true,
             Effect::Guarded(_) | Effect::SingleShot => safe,
         }
@@ -1037,11 +998,12 @@
 
     /// No worker can ever take it: its attempts are used up, or one that may have run bars more.
     fn hopeless(&self, job: &Job) -> bool {
+        let (effect, window) = self.effect(job);
         job.tries.len() as u32 >= self.set.max_attempts
-            || job.tries.iter().filter(|t| t.maybe_ran).any(|t| match self.effect(job) {
+            || job.tries.iter().filter(|t| t.maybe_ran).any(|t| match effect {
                 Effect::Free => false,
                 Effect::SingleShot => true,
-                Effect::Guarded(_) => self.now >= t.sent + self.window(job),
+                Effect::Guarded(_) => self.now >= t.sent + window,
             })
     }
 
@@ -1049,10 +1011,9 @@
         self.servers.values().filter(|p| p.info.role == role).count().max(1) as f64
     }
 
-    /// Rule 4: our sends to a cold worker within the window stay under our part of its budget. What
-    /// the role's warm workers finish for us is work that full capacities bear; what they are sent is
-    /// not: in a jam that is many times more. Among many routers the part is under one request: then a
-    /// coin, tossed anew for each window, gives it to as many of them as the budget bears.
+    /// Rule 4: our sends to a cold worker within the window stay under our part of its budget, by what the
+    /// role's warm workers finish for us; what they are sent is in a jam many times more. Among many
+    /// routers the part is under one request: a coin for each window gives it to as many as it bears.
     fn cold_room(&self, job: &Job, s: &Server) -> bool {
         let Some(started) = s.info.started else { return true };
         let age = self.now - started;
