--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -41,7 +41,6 @@
 const TRIAL: f64 = 8.0;
 /// One that turned away is left alone for this span, doubled for each time in a row.
 const FULL_WAIT: Micros = Micros(50_000);
-const FULL_DOUBLINGS: u32 = 6;
 /// Held state is let go after this share of the told release time.
 const RELEASE_SHARE: f64 = 0.8;
 /// Share of the cold budget that is used; the rest is for chance and unequal routers.
@@ -64,8 +63,6 @@
 const TILT: f64 = 3.0;
 /// Without reports, a stream of ours that still waits at a writer counts as so many more.
 const PENDING: f64 = 3.0;
-/// Streams sent this long before a report came are not in it yet.
-const REPORT_LAG: Micros = Micros(300_000);
 /// A new request is refused when its forecast first token takes more than this multiple of the
 /// tightest aim (beyond its tenant's share, the second), more than so many wait, or one a worker and
 /// router, and first tokens do take at least that share of it: a rise alone is no jam.
@@ -73,8 +70,8 @@
 const ADMIT_OVER_SHARE: f64 = 0.4;
 const FEW: usize = 4;
 const FELT: f64 = 0.5;
-/// A router with fewer requests than this in the tightest aim's time goes by their waits alone, and
-/// refuses the more the further they exceed this multiple.
+/// One of more routers than this, with fewer requests than this in the tightest aim's time, goes by
+/// their waits alone, and refuses the more the further they exceed this multiple.
 const SELDOM: f64 = 4.0;
 const SELDOM_FELT: f64 = 0.8;
 /// A wait counts up to the first multiple of that aim, and from the second on without a first token.
@@ -145,9 +142,9 @@
     read_tokens: u64,
     streams: u32,
     pending: u32,
-    /// Last report, and our streams sent since as (time, tokens).
+    /// Last report, and tokens of our streams sent since.
     report: Option<Report>,
-    since: VecDeque<(Micros, f64)>,
+    since: f64,
     /// Our sends within the cold window.
     sends: VecDeque<Micros>,
     /// Prompt tokens that we sent there so far: the clock by which notes age.
@@ -176,11 +173,9 @@
     /// Room by the last report less our streams sent since, as a share of its memory; the other routers
     /// are taken to send as we do, or all would herd. One not heard from has the average room.
     fn room(&self, routers: u32, average: f64) -> f64 {
-        let sent: f64 = self.since.iter().map(|(_, t)| t).sum();
         let r = self.report.unwrap_or_default();
-        let waiting = r.waiting_tokens.unwrap_or(0.0) + sent * f64::from(routers);
-        let queued = r.queued.unwrap_or(0.0) * 0.02;
-        self.told().unwrap_or(average) - waiting / self.kv() - queued
+        let waiting = r.waiting_tokens.unwrap_or(0.0) + self.since * f64::from(routers);
+        self.told().unwrap_or(average) - waiting / self.kv() - r.queued.unwrap_or(0.0) * 0.02
     }
 
     /// Room as last reported.
@@ -223,7 +218,7 @@
     due: Option<Micros>,
     overdue: bool,
     open: bool,
-    maybe_ran: bool,
+    ran: bool,
     /// Tokens that the table said the worker keeps (local reads only).
     predicted: Option<u64>,
 }
@@ -296,18 +291,9 @@
     /// A router that knows nothing yet. All its randomness comes from `seed`.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let buckets = settings.tenants.iter().map(|_| (f64::MAX, Micros(0))).collect();
-        Self {
-            set: settings,
-            seed,
-            now: Micros(0),
-            servers: BTreeMap::new(),
-            jobs: BTreeMap::new(),
-            homes: BTreeMap::new(),
-            timers: BTreeMap::new(),
-            next_timer: 0,
-            seen: Seen::default(),
-            buckets,
-        }
+        let (servers, jobs, homes, timers) = Default::default();
+        let (now, next_timer, seen) = (Micros(0), 0, Seen::default());
+        Self { set: settings, seed, now, servers, jobs, homes, timers, next_timer, seen, buckets }
     }
 
     /// Takes one event and appends what is to be done, in order.
@@ -333,14 +319,12 @@
             }
             Event::Timer(timer) => match self.timers.remove(&timer) {
                 Some(None) => out.push(Action::Subscribe),
-                Some(Some(id)) => {
-                    if let Some(job) = self.jobs.remove(&id) {
+                woken => {
+                    if let Some(job) = woken.flatten().and_then(|id| self.jobs.remove(&id)) {
                         self.settle(job, out);
                     }
                 }
-                None => {}
             },
-            // Never asked for.
             Event::Probed { .. } | Event::Booked { .. } | Event::Peer { .. } => {}
         }
     }
@@ -392,31 +376,17 @@
                 self.seen.beginnings.clear();
             }
         }
-        let job = Job {
-            req,
-            arrived: self.now,
-            aim,
-            tries: Vec::new(),
-            held: None,
-            held_since: self.now,
-            streaming: false,
-            done: false,
-        };
+        let (tries, held, now) = (Vec::new(), None, self.now);
+        let job = Job { req, arrived: now, aim, tries, held, held_since: now, streaming: false, done: false };
         let most = if over_share { ADMIT_OVER_SHARE } else { ADMIT };
         // By the tightest class's aim: a jam that settles at a longer one starves the others.
         let limit = self.tightest().mul_f64(most);
         let felt = self.seen.wait.0.is_some_and(|w| w > most * FELT);
-        let slow = self.seen.wait.0.is_some_and(|w| w > ADMIT_OVER_SHARE);
-        // What its client will not wait for is not begun while first tokens are slow.
-        let usual = self.seen.read_s.0.zip(self.seen.pull_s.0).map_or(0.0, |(r, p)| r + p);
-        let doomed = slow && self.now + Micros::from_secs_f64(usual) > job.req.deadline;
         // A router that is asked seldom has no queue to count: the longer its first tokens take the more
         // it refuses, and all routers together settle where that is enough.
         let seldom = self.seldom();
-        let turned = seldom
-            && self.coin(job.req.id.0.as_bytes(), &WorkerId::default())
-                < self.pressure() / most - SELDOM_FELT;
-        if turned || (!seldom && felt && self.forecast() > limit) || (doomed && self.local(&job).is_none()) {
+        let turned = seldom && self.coin(&*job.req.id.0, "") < self.pressure() / most - SELDOM_FELT;
+        if turned || (!seldom && felt && self.forecast() > limit) {
             self.finish(job, out);
         } else {
             self.settle(job, out);
@@ -436,9 +406,10 @@
         Micros::from_secs_f64(waiting as f64 / rate)
     }
 
-    /// Whether this router is asked too seldom to count queues or to know a silent worker from a busy one.
+    /// Whether this is one of many routers, asked too seldom to count queues or to judge silence.
     fn seldom(&self) -> bool {
-        self.seen.asked.per_s(self.now, HOT_SPAN) * self.tightest().as_secs_f64() < SELDOM
+        let asked = self.seen.asked.per_s(self.now, HOT_SPAN) * self.tightest().as_secs_f64();
+        asked < SELDOM && f64::from(self.set.routers) > SELDOM
     }
 
     /// How long first tokens take, over the tightest aim: what was seen, and those that wait longer.
@@ -509,14 +480,10 @@
     /// Sets the timer for whatever comes first for this request.
     fn wake(&mut self, job: &Job, out: &mut Vec<Action>) {
         let due = job.tries.iter().filter(|t| t.open).filter_map(|t| t.due).min();
-        let at = if job.open() {
-            due
-        } else {
-            let last_call = job.req.deadline - self.set.tick - self.set.tick;
-            let held = job.held.as_ref().map(|_| self.release_at(job));
-            Some((self.now + RETRY_WAIT).min(last_call).min(held.unwrap_or(last_call)))
-        };
-        if let Some(at) = at {
+        let last_call = job.req.deadline - self.set.tick - self.set.tick;
+        let held = job.held.as_ref().map_or(last_call, |_| self.release_at(job));
+        let next = (self.now + RETRY_WAIT).min(last_call).min(held);
+        if let Some(at) = if job.open() { due } else { Some(next) } {
             self.set_timer(at, Some(job.req.id.clone()), out);
         }
     }
@@ -560,8 +527,7 @@
         let idle = idle && self.set.reports != Reports::Off && self.seldom();
         let most = if idle { LOCAL_JAM } else { LOCAL_MOST };
         let (least, most) = (tightest.mul_f64(LOCAL_LEAST), tightest.mul_f64(most));
-        let ahead = read - 2.0 * pull;
-        let even = Micros::from_secs_f64(ahead).clamp(least, most);
+        let even = Micros::from_secs_f64(read - 2.0 * pull).clamp(least, most);
         let threshold = ((even.as_secs_f64() * self.pace()) as u64).max(THRESHOLD_LEAST);
         let home = job.req.session.as_ref().and_then(|s| self.homes.get(s)).and_then(|h| {
             let s = self.servers.get(&h.worker)?;
@@ -581,9 +547,8 @@
 
     /// Mixed servers take their share: as many of our requests out on each as on the others, more where
     /// the way over a reader takes longer to the first token. Guards against few or slow readers and a
-    /// jam of writers; harms where mixed servers answer early and then write slowly, so it is bounded.
-    /// A router with less than one out a server has no counts to go by: there a coin makes up what is
-    /// under one request, and slower mixed servers get fewer.
+    /// jam of writers; harms where mixed servers answer early and write slowly, so it is bounded. With
+    /// less than one out a server there are no counts to go by: a coin, and slow mixed servers get fewer.
     fn mixed_turn(&self, job: &Job, mixed: &[&Server]) -> bool {
         let split = |s: &&Server| s.info.lifecycle == Lifecycle::In && s.info.role != Role::Mixed;
         let out: u32 = self.servers.values().filter(split).map(|s| s.reads + s.streams).sum();
@@ -596,9 +561,7 @@
         }
         let part = mixed.len() as f64 * ratio.clamp(1.0 / TILT, TILT);
         let due = f64::from(here + out + 1) * part / (part + f64::from(n)).max(1e-6);
-        f64::from(here)
-            < due.floor()
-                + f64::from(u8::from(self.coin(job.req.id.0.as_bytes(), &WorkerId::default()) < due.fract()))
+        f64::from(here) < due.floor() + f64::from(u8::from(self.coin(&*job.req.id.0, "") < due.fract()))
     }
 
     /// Rendezvous hashing of the shared beginning, else the session, over the pool: of the first two, the
@@ -661,7 +624,7 @@
                     Some(r) if r.zone == s.info.zone => NEAR / 2.0,
                     _ => 0.0,
                 };
-                (room + near * unit, self.coin(job.req.id.0.as_bytes(), &s.info.id), *s)
+                (room + near * unit, self.coin(&*job.req.id.0, &s.info.id.0), *s)
             })
             .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)))
             .map(|(_, _, s)| s.info.id.clone())
@@ -681,7 +644,7 @@
             let cell = cells.entry(s.info.cell).or_default();
             *cell = (cell.0 + 1.0 / pool.len() as f64, cell.1, s.info.zone == at.zone);
         }
-        let coin = self.coin(job.req.id.0.as_bytes(), &at.id);
+        let coin = self.coin(&*job.req.id.0, &at.id.0);
         let (write, read, _) = cells.get(&at.cell).copied().unwrap_or_default();
         let stay = write / read.max(1e-9);
         if coin < stay {
@@ -697,8 +660,8 @@
     }
 
     /// A coin between 0 and 1, from the instance's seed.
-    fn coin(&self, what: &[u8], w: &WorkerId) -> f64 {
-        let hash = xxh3_64_with_seed(w.0.as_bytes(), self.seed ^ xxh3_64_with_seed(what, self.seed));
+    fn coin(&self, what: impl AsRef<[u8]>, w: &str) -> f64 {
+        let hash = xxh3_64_with_seed(w.as_bytes(), self.seed ^ xxh3_64_with_seed(what.as_ref(), self.seed));
         (hash >> 11) as f64 / (1_u64 << 53) as f64
     }
 
@@ -708,19 +671,17 @@
         let (effect, pace) = (self.effect(job).0, self.pace());
         let Some(s) = self.servers.get_mut(&worker) else { return };
         note_time(&mut s.sends, now, self.set.fall_after);
-        s.poured += job.req.prompt_tokens;
+        s.poured = s.poured.saturating_add(job.req.prompt_tokens);
         let usual = match stage {
             Stage::Read => {
                 s.reads += 1;
-                s.read_tokens += job.req.prompt_tokens;
+                s.read_tokens = s.read_tokens.saturating_add(job.req.prompt_tokens);
                 self.seen.read_s
             }
             Stage::Write => {
                 s.streams += 1;
                 s.pending += 1;
-                if self.set.reports != Reports::Off {
-                    s.since.push_back((now, job.req.prompt_tokens as f64));
-                }
+                s.since += job.req.prompt_tokens as f64;
                 if job.held.is_some() {
                     self.seen.pull_s
                 } else {
@@ -729,20 +690,21 @@
             }
         };
         // Reading takes its time: what we know to lie before this one, and itself, is allowed for.
-        let reading = (s.read_tokens + job.req.prompt_tokens) as f64 / pace;
+        let reading = (s.read_tokens as f64 + job.req.prompt_tokens as f64) / pace;
         let usual = Micros::from_secs_f64(usual.0.unwrap_or(0.0) * OVERDUE_FACTOR);
         let patience = job.aim.mul_f64(OVERDUE_FLOOR).max(usual) + Micros::from_secs_f64(reading);
         // Where nothing can be cancelled, a time-out has to be set beforehand.
         let again = stage == Stage::Read || effect == Effect::Free;
         let give_up = Some(patience + patience).filter(|g| !self.set.may_cancel && again && g.0 > 0);
+        let (to, sent, due) = (worker.clone(), now, Some(now + patience));
         job.tries.push(Try {
-            worker: worker.clone(),
+            worker: to,
             stage,
-            sent: now,
-            due: Some(now + patience),
+            sent,
+            due,
             overdue: false,
             open: true,
-            maybe_ran: true,
+            ran: true,
             predicted,
         });
         out.push(Action::Send { id: job.req.id.clone(), worker, give_up });
@@ -787,32 +749,27 @@
         let Some(t) = job.tries.get_mut(attempt.0 as usize).filter(|t| t.open) else { return };
         t.open = false;
         t.due = None;
-        t.maybe_ran = t.stage == Stage::Write && !outcome.proves_not_run();
+        t.ran = t.stage == Stage::Write && !outcome.proves_not_run();
         job.held_since = self.now;
         let now = self.now;
         if let Some(s) = self.servers.get_mut(&t.worker) {
-            match t.stage {
-                Stage::Read => {
-                    s.reads = s.reads.saturating_sub(1);
-                    s.read_tokens = s.read_tokens.saturating_sub(job.req.prompt_tokens);
-                }
-                Stage::Write => {
-                    s.streams = s.streams.saturating_sub(1);
-                    s.pending -= u32::from(!job.streaming).min(s.pending);
-                }
-            }
+            let (read, write) = (u32::from(t.stage == Stage::Read), u32::from(t.stage == Stage::Write));
+            s.reads = s.reads.saturating_sub(read);
+            s.read_tokens = s.read_tokens.saturating_sub(job.req.prompt_tokens * u64::from(read));
+            s.streams = s.streams.saturating_sub(write);
+            s.pending = s.pending.saturating_sub(if job.streaming { 0 } else { write });
             let slow = std::mem::take(&mut t.overdue);
             s.overdue -= u32::from(slow).min(s.overdue);
             if let Some(r) = report {
                 s.report = Some(r);
-                s.since.retain(|(at, _)| *at + REPORT_LAG > now);
+                s.since = 0.0;
             } else if t.stage == Stage::Write {
-                s.since.pop_front();
+                s.since = (s.since - job.req.prompt_tokens as f64).max(0.0);
             }
             s.down = outcome == Outcome::NoConnection;
             match outcome {
                 Outcome::Refused { no_state: false } => {
-                    s.full_until = now + Micros(FULL_WAIT.0 << s.refusals.min(FULL_DOUBLINGS));
+                    s.full_until = now + Micros(FULL_WAIT.0 << s.refusals.min(BENCH_DOUBLINGS + 2));
                     s.refusals += 1;
                 }
                 Outcome::Served | Outcome::Parsed => {
@@ -849,12 +806,8 @@
                 s.void_before = s.void_before.max(t.sent);
             }
             if let (Outcome::Served, Some(session)) = (outcome, &job.req.session) {
-                let home = Home {
-                    worker: t.worker.clone(),
-                    kept: job.req.prompt_tokens,
-                    noted: now,
-                    poured: s.poured,
-                };
+                let (worker, kept) = (t.worker.clone(), job.req.prompt_tokens);
+                let home = Home { worker, kept, noted: now, poured: s.poured };
                 if self.homes.len() >= HOMES_MOST {
                     self.homes.retain(|_, h| h.noted + HOME_AGE > now);
                 }
@@ -938,12 +891,9 @@
     /// they are half of the pool or more: then the trouble is elsewhere. One where nobody listens stays
     /// out in any case: it would eat every attempt.
     fn pool(&self, job: &Job, role: impl Fn(Role) -> bool) -> Vec<&Server> {
-        let all: Vec<&Server> = self
-            .servers
-            .values()
-            .filter(|s| s.info.lifecycle == Lifecycle::In && role(s.info.role))
-            .filter(|s| !s.down || self.fit(s) || s.failing < FAILING)
-            .collect();
+        let serves = |s: &&Server| s.info.lifecycle == Lifecycle::In && role(s.info.role);
+        let answers = |s: &&Server| !s.down || self.fit(s) || s.failing < FAILING;
+        let all: Vec<&Server> = self.servers.values().filter(serves).filter(answers).collect();
         let fit: Vec<&Server> = all.iter().copied().filter(|s| self.fit(s)).collect();
         let judged = if fit.len() * 2 > all.len() { fit } else { all };
         // One that turns away looks empty and is not sick: it is left alone for a moment, longer each time.
@@ -968,7 +918,7 @@
         if job.tries.len() as u32 >= self.set.max_attempts || job.open() {
             return false;
         }
-        let ran: Vec<&Try> = job.tries.iter().filter(|t| t.maybe_ran).collect();
+        let ran: Vec<&Try> = job.tries.iter().filter(|t| t.ran).collect();
         let (effect, window) = self.effect(job);
         let effect_ok = s.info.role == Role::Reader && ran.is_empty()
             || match effect {
@@ -989,7 +939,7 @@
 
     /// Whether a refusal, which says that trying again is harmless, would be true.
     fn may_refuse(&self, job: &Job) -> bool {
-        let safe = !job.tries.iter().any(|t| t.maybe_ran || t.open);
+        let safe = !job.tries.iter().any(|t| t.ran || t.open);
         match self.effect(job).0 {
             Effect::Free | Effect::Guarded(Group::All) => true,
             Effect::Guarded(_) | Effect::SingleShot => safe,
@@ -1000,7 +950,7 @@
     fn hopeless(&self, job: &Job) -> bool {
         let (effect, window) = self.effect(job);
         job.tries.len() as u32 >= self.set.max_attempts
-            || job.tries.iter().filter(|t| t.maybe_ran).any(|t| match effect {
+            || job.tries.iter().filter(|t| t.ran).any(|t| match effect {
                 Effect::Free => false,
                 Effect::SingleShot => true,
                 Effect::Guarded(_) => self.now >= t.sent + window,
@@ -1032,8 +982,8 @@
         // A long prompt weighs as many usual ones.
         let usual = self.seen.prompt.0.unwrap_or(1.0).max(1.0);
         let budget = budget / (job.req.prompt_tokens as f64 / usual).max(1.0);
-        let turn = (self.now + window.mul_f64(self.coin(b"phase", &s.info.id))).0 / window.0.max(1);
-        let coin = self.coin(&turn.to_le_bytes(), &s.info.id);
+        let turn = (self.now + window.mul_f64(self.coin("phase", &s.info.id.0))).0 / window.0.max(1);
+        let coin = self.coin(turn.to_le_bytes(), &s.info.id.0);
         (sent as f64) < budget.floor() + f64::from(u8::from(coin < budget.fract()))
     }
 }
--- /dev/null
+++ b/crates/policy/tests/many_routers.rs
@@ -0,0 +1,260 @@
+//! One of many routers: it is asked seldom, sees little, and shares each budget with all others.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing, missing_docs)]
+
+mod common;
+use chalkyard_policy::*;
+use common::*;
+
+const LONG: u64 = 6_000;
+const ROUTERS: u32 = 150;
+
+fn many() -> Settings {
+    Settings { routers: ROUTERS, ..settings() }
+}
+
+/// A router of many, with its own seed.
+fn one(seed: u64, set: Settings, workers: Vec<Worker>) -> Rig {
+    let mut rig = Rig::new(set.clone(), vec![]);
+    rig.router = Router::new(set, seed);
+    rig.feed(Event::Workers { kind: ListKind::Full, workers });
+    rig
+}
+
+/// Two cells: the first with most readers and one writer, the second with most writers.
+fn skewed() -> Vec<Worker> {
+    let mut all = vec![worker("w0", Role::Writer, 0), worker("r3", Role::Reader, 1)];
+    all.extend((0..3).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
+    all.extend((1..4).map(|i| worker(&format!("w{i}"), Role::Writer, 1)));
+    all
+}
+
+/// A request a second through reader and writer to its end.
+fn quiet_run(rig: &mut Rig, name: &str, requests: usize) {
+    for i in 0..requests {
+        rig.whole(&format!("{name}{i}"), &format!("{name}{i}"), LONG);
+    }
+}
+
+/// Sends that all routers together give a just started reader within one window.
+fn sent_to_cold(workers: &[Worker], gone: &[&str], others_stay: bool) -> u32 {
+    let mut total = 0;
+    for seed in 0..u64::from(ROUTERS) {
+        let mut rig = one(seed, many(), workers.to_vec());
+        quiet_run(&mut rig, "a", 20);
+        if !others_stay {
+            let news =
+                gone.iter().map(|id| Worker { lifecycle: Lifecycle::Out, ..worker(id, Role::Reader, 0) });
+            rig.feed(Event::Workers { kind: ListKind::Changes, workers: news.collect() });
+        }
+        let mut cold = worker("r0", Role::Reader, 0);
+        cold.started = Some(rig.now);
+        rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![cold] });
+        for i in 0..4 {
+            let id = format!("c{i}");
+            total += u32::from(sent(&rig.ask(&id, &id, FREE, LONG)).is_some_and(|s| s.0 == "r0"));
+            rig.end(&id, 0, Outcome::NotSent, 0);
+            rig.wait(0.4);
+        }
+    }
+    total
+}
+
+// ---- Rule 4 among many.
+
+#[test]
+fn all_routers_together_stay_within_a_cold_workers_budget() {
+    let mut workers = vec![worker("w0", Role::Writer, 0)];
+    workers.extend((0..3).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
+    let total = sent_to_cold(&workers, &[], true);
+    // Each router has 1 read in 1.2 s: a warm reader does 150 / 1.2 / 3 of them a second.
+    let full = f64::from(ROUTERS) / 1.2 / 3.0;
+    assert!(total > 0, "a returned worker gets some work");
+    assert!(f64::from(total) < full * 2.0 * 3.0 * 0.4, "{total} against {full} a second");
+}
+
+#[test]
+fn the_first_of_a_lost_role_to_come_back_does_not_get_the_work_of_all() {
+    let mut workers = vec![worker("w0", Role::Writer, 0)];
+    workers.extend((0..3).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
+    let total = sent_to_cold(&workers, &["r0", "r1", "r2"], false);
+    let full = f64::from(ROUTERS) / 1.2 / 3.0;
+    assert!(f64::from(total) < full * 2.0 * 3.0 * 0.4, "{total} against {full} a second");
+}
+
+// ---- Choice.
+
+#[test]
+fn with_nothing_out_mixed_servers_get_their_share_not_all() {
+    let mut workers = fleet();
+    workers.push(worker("m0", Role::Mixed, 0));
+    workers.push(worker("m1", Role::Mixed, 1));
+    let whole = (0..400)
+        .filter(|seed| {
+            let mut rig = one(*seed, many(), workers.clone());
+            sent(&rig.ask("a", "s", FREE, LONG)).unwrap().0.starts_with('m')
+        })
+        .count();
+    assert!((60..140).contains(&whole), "two of eight servers: {whole} of 400");
+}
+
+#[test]
+fn mixed_servers_that_begin_late_get_less() {
+    let mut workers = fleet();
+    workers.push(worker("m0", Role::Mixed, 0));
+    workers.push(worker("m1", Role::Mixed, 1));
+    let whole = (0..400)
+        .filter(|seed| {
+            let mut rig = one(*seed, many(), workers.clone());
+            for i in 0..12 {
+                let id = format!("{i}");
+                let to = sent(&rig.ask(&id, &id, FREE, LONG)).unwrap().0;
+                rig.wait(0.05);
+                let whole = to.starts_with('m');
+                if !whole {
+                    rig.parsed_after(&id, 0.05);
+                }
+                let attempt = AttemptNo(u32::from(!whole));
+                let elapsed = secs(if whole { 1.0 } else { 0.05 });
+                rig.feed(Event::Streaming { id: id.as_str().into(), attempt, elapsed });
+                rig.end(&id, attempt.0, Outcome::Served, 0);
+            }
+            sent(&rig.ask("z", "z", FREE, LONG)).unwrap().0.starts_with('m')
+        })
+        .count();
+    assert!(whole < 60, "a quarter of the servers, far slower: {whole} of 400");
+}
+
+#[test]
+fn a_hot_beginning_is_as_wide_as_its_part_of_what_is_asked() {
+    let mut workers = vec![worker("w0", Role::Writer, 0)];
+    workers.extend((0..12).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
+    let readers = |part: usize| {
+        let mut rig = one(1, many(), workers.clone());
+        let mut seen = std::collections::BTreeSet::new();
+        for i in 0..200 {
+            rig.wait(0.2);
+            let id = format!("{i}");
+            let hot = i % 10 < part;
+            let mut request = rig.request(&id, &id, FREE, LONG);
+            request.prefix = Some(if hot { "hot".into() } else { id.as_str().into() });
+            let to = sent(&rig.feed(Event::Request(request))).unwrap().0;
+            if hot {
+                seen.insert(to);
+            }
+            rig.end(&id, 0, Outcome::Parsed, 0);
+            rig.end(&id, 1, Outcome::Served, 0);
+        }
+        seen.len()
+    };
+    assert!((2..=3).contains(&readers(1)), "a tenth of the traffic keeps to its pair, or nearly");
+    assert!(readers(5) >= 6, "half of the traffic takes half of the readers");
+}
+
+#[test]
+fn a_session_comes_back_to_its_reader_on_another_router() {
+    let mut workers = vec![worker("w0", Role::Writer, 0)];
+    workers.extend((0..12).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
+    for session in 0..40 {
+        let to = |seed: u64| {
+            let mut rig = one(seed, many(), workers.clone());
+            let mut request = rig.request("a", &format!("s{session}"), FREE, LONG);
+            request.prefix = Some("shared".into());
+            sent(&rig.feed(Event::Request(request))).unwrap().0
+        };
+        assert_eq!(to(1), to(2));
+    }
+}
+
+#[test]
+fn writers_of_a_cell_with_many_readers_get_only_their_part() {
+    for reports in [Reports::Off, Reports::InAnswers] {
+        let mut near = 0;
+        let mut reads = 0;
+        for seed in 0..400 {
+            let mut rig = one(seed, Settings { reports, ..many() }, skewed());
+            let id = format!("s{seed}");
+            let reader = sent(&rig.ask("a", &id, FREE, LONG)).unwrap().0;
+            let writer = sent(&rig.end("a", 0, Outcome::Parsed, 0)).unwrap().0;
+            if reader != "r3" {
+                reads += 1;
+                near += u32::from(writer == "w0");
+            }
+        }
+        // A quarter of the writers, three quarters of the readers: a third of their states stay.
+        assert!(reads / 5 < near && near < reads / 2, "{near} of {reads}");
+    }
+}
+
+// ---- Health and overload.
+
+#[test]
+fn one_failure_is_enough_where_nothing_good_was_heard_lately() {
+    let mut rig = one(1, many(), fleet());
+    let bad = sent(&rig.ask("a", "s", FREE, LONG)).unwrap().0;
+    rig.end("a", 0, Outcome::NoConnection, 0);
+    rig.end("a", 1, Outcome::Parsed, 0);
+    rig.stream("a", 2);
+    rig.end("a", 2, Outcome::Served, 0);
+    for i in 0..8 {
+        rig.wait(0.9);
+        let id = format!("{i}");
+        assert_ne!(
+            sent(&rig.ask(&id, "s", FREE, LONG)).unwrap().0,
+            bad,
+            "{} s later",
+            0.9 * f64::from(i + 1)
+        );
+        rig.end(&id, 0, Outcome::Parsed, 0);
+        rig.stream(&id, 1);
+        rig.end(&id, 1, Outcome::Served, 0);
+    }
+}
+
+#[test]
+fn silence_says_nothing_to_a_router_that_is_asked_seldom() {
+    let mut rig = one(1, many(), fleet());
+    let asked = rig.ask("a", "s", FREE, LONG);
+    let late = rig.fire(&asked);
+    assert!(!late.iter().any(|a| matches!(a, Action::Cancel { .. })), "{late:?}");
+}
+
+/// How many of 300 routers refuse a request after ten others took `wait` seconds.
+fn refusals(wait: f64, end: impl Fn(&mut Rig, &str)) -> usize {
+    (0..300)
+        .filter(|seed| {
+            let mut rig = one(*seed, many(), fleet());
+            for i in 0..10 {
+                let id = format!("{i}");
+                rig.ask(&id, &id, FREE, LONG);
+                rig.wait(wait);
+                end(&mut rig, &id);
+            }
+            let actions = rig.ask("z", "z", FREE, LONG);
+            for a in &actions {
+                if let Action::Refuse { retry_after, .. } = a {
+                    assert!(retry_after.is_some_and(|t| t.0 > 0), "a time to come back is named");
+                }
+            }
+            refused(&actions)
+        })
+        .count()
+}
+
+#[test]
+fn many_routers_refuse_the_more_the_longer_first_tokens_take() {
+    let served = |rig: &mut Rig, id: &str| {
+        rig.end(id, 0, Outcome::Parsed, 0);
+        rig.stream(id, 1);
+    };
+    assert_eq!(refusals(0.5, served), 0);
+    let (some, most) = (refusals(1.1, served), refusals(1.6, served));
+    assert!(0 < some && some < most && most < 300, "{some} {most}");
+}
+
+#[test]
+fn clients_that_leave_with_no_first_token_tell_of_a_jam() {
+    let left = |rig: &mut Rig, id: &str| {
+        rig.feed(Event::ClientGone(id.into()));
+    };
+    assert!(refusals(0.4, left) > 100, "they waited only 0.4 s, and in vain");
+}
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -90,6 +90,14 @@
         rig.feed(Event::Workers { kind: ListKind::Full, workers: workers.clone() });
         for i in 0..6 {
             let id = format!("{i}");
+            for k in 0..10 {
+                let other = format!("{i}/{k}");
+                let mut request = rig.request(&other, &other, FREE, LONG);
+                request.prefix = Some(other.as_str().into());
+                rig.feed(Event::Request(request));
+                rig.end(&other, 0, Outcome::Parsed, 0);
+                rig.end(&other, 1, Outcome::Served, 0);
+            }
             let mut request = rig.request(&id, &format!("s{i}"), FREE, LONG);
             request.prefix = Some("shared".into());
             seen.insert(sent(&rig.feed(Event::Request(request))).unwrap().0);
