--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -59,6 +59,8 @@
 const HOT_WIDTH: f64 = 1.5;
 const HOT_SPAN: Micros = Micros(20_000_000);
 const HOT_LEAST: f64 = 5.0;
+/// Each such share of a request's aim that our last read took counts as one of our reads out.
+const SLOW: f64 = 0.25;
 /// The share of mixed servers is raised, or where counts tell nothing lowered, by at most this factor.
 const TILT: f64 = 3.0;
 /// Without reports, a stream of ours that still waits at a writer counts as so many more.
@@ -142,6 +144,8 @@
     read_tokens: u64,
     streams: u32,
     pending: u32,
+    /// Our last read there, over its request's aim, and when it ended.
+    took: (f64, Micros),
     /// Last report, and tokens of our streams sent since.
     report: Option<Report>,
     since: f64,
@@ -578,9 +582,13 @@
         ranked.sort_by_cached_key(|s| std::cmp::Reverse(by_key(s)));
         // A very long prompt counts as as many reads as there are usual ones in it.
         let usual = self.seen.prompt.0.unwrap_or(1.0).max(1.0);
+        // One of many routers has no reads out to tell a busy reader by, but how long its last one took.
+        let seldom = f64::from(u8::from(self.seldom()));
+        let fade = |at: Micros| (-((self.now - at).as_secs_f64() / HOT_SPAN.as_secs_f64())).exp();
+        let slow = |s: &Server| (s.took.0 * fade(s.took.1) * seldom / SLOW) as u32;
         let load = |s: &Server| match s.info.role {
             Role::Mixed => s.streams,
-            _ => s.reads.max((s.read_tokens as f64 / usual) as u32),
+            _ => s.reads.max((s.read_tokens as f64 / usual) as u32) + slow(s),
         };
         let least = pool.iter().map(|s| load(s)).min().unwrap_or(0);
         // A shared beginning can be too hot for two, or one of them slow: the pair widens in the order of
@@ -767,6 +775,9 @@
                 s.since = (s.since - job.req.prompt_tokens as f64).max(0.0);
             }
             s.down = outcome == Outcome::NoConnection;
+            if t.stage == Stage::Read {
+                s.took = (elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6), now);
+            }
             match outcome {
                 Outcome::Refused { no_state: false } => {
                     s.full_until = now + Micros(FULL_WAIT.0 << s.refusals.min(BENCH_DOUBLINGS + 2));
