--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -4,7 +4,7 @@
 //! `Router::new(settings, seed)` makes a router, `Router::handle(now, event, &mut actions)` feeds it.
 //! Order of reading: constants, what is known, the ordinary path, verdicts, health, rule guards.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -145,13 +145,12 @@
     streams: u32,
     pending: u32,
     /// Our last read there, over its request's aim, and when it ended.
-    took: (f64, Micros),
+    took: Rate,
     /// Last report, and tokens of our streams sent since.
     report: Option<Report>,
     since: f64,
-    /// Our sends within the cold window.
-    sends: VecDeque<Micros>,
-    /// Prompt tokens that we sent there so far: the clock by which notes age.
+    /// Our sends within the cold window, and the prompt tokens so far: the clock by which notes age.
+    sends: Vec<Micros>,
     poured: u64,
     /// Notes made up to this time are void: what a worker kept is lost with a restart.
     void_before: Micros,
@@ -255,16 +254,16 @@
 /// What requests of all kinds took lately.
 #[derive(Debug, Default)]
 struct Seen {
-    /// Time from arrival to the first token over the tightest aim; prompt tokens of a request.
+    /// Time from arrival to the first token over the tightest aim; prompt tokens of a request; tokens a
+    /// second of local reads.
     wait: Ewma,
     prompt: Ewma,
+    local_pace: Ewma,
     /// Seconds of reads, of first tokens from a state that was pulled, and of those of requests that
     /// were sent whole.
     read_s: Ewma,
     pull_s: Ewma,
     mixed_s: Ewma,
-    /// Tokens a second of local reads.
-    local_pace: Ewma,
     /// First tokens, what we are asked, and of that what has a shared beginning, by beginning.
     firsts: Rate,
     asked: Rate,
@@ -383,7 +382,7 @@
         let (tries, held, now) = (Vec::new(), None, self.now);
         let job = Job { req, arrived: now, aim, tries, held, held_since: now, streaming: false, done: false };
         let most = if over_share { ADMIT_OVER_SHARE } else { ADMIT };
-        // By the tightest class's aim: a jam that settles at a longer one starves the others.
+        // By the tightest aim: a jam that settles at a longer one starves the others.
         let limit = self.tightest().mul_f64(most);
         let felt = self.seen.wait.0.is_some_and(|w| w > most * FELT);
         // A router that is asked seldom has no queue to count: the longer its first tokens take the more
@@ -420,8 +419,8 @@
     fn pressure(&self) -> f64 {
         let aim = self.tightest().as_secs_f64().max(1e-6);
         // Old news fades: with all refused there would be no other.
-        let fade = (-((self.now - self.seen.wait.1).as_secs_f64() / RATE_SPAN.as_secs_f64())).exp();
-        let seen = self.seen.wait.0.unwrap_or(0.0) * fade;
+        let seen = Rate { count: self.seen.wait.0.unwrap_or(0.0), at: self.seen.wait.1, since: None };
+        let seen = seen.fade(self.now, RATE_SPAN);
         let ages = self.jobs.values().filter(|j| !j.streaming && !j.done);
         let ages = ages.map(|j| (self.now - j.arrived).as_secs_f64() / aim).filter(|a| *a > seen);
         let (n, sum) = ages.fold((1.0, seen), |(n, sum), a| (n + 1.0, sum + a.min(WAIT_CLIP)));
@@ -584,8 +583,7 @@
         let usual = self.seen.prompt.0.unwrap_or(1.0).max(1.0);
         // One of many routers has no reads out to tell a busy reader by, but how long its last one took.
         let seldom = f64::from(u8::from(self.seldom()));
-        let fade = |at: Micros| (-((self.now - at).as_secs_f64() / HOT_SPAN.as_secs_f64())).exp();
-        let slow = |s: &Server| (s.took.0 * fade(s.took.1) * seldom / SLOW) as u32;
+        let slow = |s: &Server| (s.took.fade(self.now, HOT_SPAN) * seldom / SLOW) as u32;
         let load = |s: &Server| match s.info.role {
             Role::Mixed => s.streams,
             _ => s.reads.max((s.read_tokens as f64 / usual) as u32) + slow(s),
@@ -678,7 +676,8 @@
         let now = self.now;
         let (effect, pace) = (self.effect(job).0, self.pace());
         let Some(s) = self.servers.get_mut(&worker) else { return };
-        note_time(&mut s.sends, now, self.set.fall_after);
+        s.sends.retain(|t| *t + self.set.fall_after > now);
+        s.sends.push(now);
         s.poured = s.poured.saturating_add(job.req.prompt_tokens);
         let usual = match stage {
             Stage::Read => {
@@ -776,7 +775,8 @@
             }
             s.down = outcome == Outcome::NoConnection;
             if t.stage == Stage::Read {
-                s.took = (elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6), now);
+                let count = elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
+                s.took = Rate { count, at: now, since: None };
             }
             match outcome {
                 Outcome::Refused { no_state: false } => {
@@ -789,11 +789,8 @@
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
                     if s.info.started.is_none_or(|t| now - t >= self.set.cold_for) {
-                        self.seen.finished.entry(s.info.role).or_default().add(
-                            now,
-                            self.set.cold_for,
-                            1.0 / peers,
-                        );
+                        let finished = self.seen.finished.entry(s.info.role).or_default();
+                        finished.add(now, self.set.cold_for, 1.0 / peers);
                     }
                 }
                 // Where nothing good was heard lately one failure says enough: a router that seldom sends
@@ -1008,11 +1005,3 @@
         s.benches += 1;
     }
 }
-
-/// Appends to a list of times that reaches back over `span` only.
-fn note_time(list: &mut VecDeque<Micros>, now: Micros, span: Micros) {
-    while list.front().is_some_and(|t| *t + span <= now) {
-        list.pop_front();
-    }
-    list.push_back(now);
-}
