--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,8 +1,8 @@
 //! All decisions of chalkyard, its tables and its tuned values.
 //!
 //! Interface: `interface.rs` beside this file (ids, settings, events, outcomes, actions).
-//! `Router::new(settings, seed)` makes a router, `Router::handle(now, event, &mut actions)` feeds it.
-//! Order of reading: constants, what is known, the ordinary path, verdicts, health, rule guards.
+//! `Router::handle(now, event, &mut actions)` feeds a router. Order of reading: constants, what is
+//! known, the ordinary path, verdicts, health, rule guards.
 
 use std::collections::BTreeMap;
 
@@ -43,8 +43,10 @@
 const FULL_WAIT: Micros = Micros(50_000);
 /// Held state is let go after this share of the told release time.
 const RELEASE_SHARE: f64 = 0.8;
-/// Share of the cold budget that is used; the rest is for chance and unequal routers.
-const COLD_SHARE: f64 = 0.5;
+/// Share of the cold budget that is used; less by this over the root of the number of routers, since
+/// the counts of few leave more to chance.
+const COLD_SHARE: f64 = 0.8;
+const COLD_CHANCE: f64 = 0.7;
 /// A request that finds no worker looks again after this span.
 const RETRY_WAIT: Micros = Micros(40_000);
 /// A writer of the preferred cell is taken until another has this much more room (share of memory;
@@ -61,7 +63,7 @@
 const HOT_LEAST: f64 = 5.0;
 /// Each such share of a request's aim that our last read took counts as one of our reads out.
 const SLOW: f64 = 0.25;
-/// The share of mixed servers is raised, or where counts tell nothing lowered, by at most this factor.
+/// The share of mixed servers is raised, or by one of many routers lowered, by at most this factor.
 const TILT: f64 = 3.0;
 /// Without reports, a stream of ours that still waits at a writer counts as so many more.
 const PENDING: f64 = 3.0;
@@ -79,7 +81,7 @@
 /// A wait counts up to the first multiple of that aim, and from the second on without a first token.
 const WAIT_CLIP: f64 = 2.0;
 const MISSED: f64 = 1.5;
-/// The rate of first tokens is taken over about this span, and not judged before so many.
+/// The rate of first tokens is taken over this span, and not judged before so many.
 const RATE_SPAN: Micros = Micros(3_000_000);
 const RATE_LEAST: f64 = 5.0;
 /// After a failed call the list is asked for again after this share of the longest span allowed.
@@ -415,10 +417,9 @@
         asked < SELDOM && f64::from(self.set.routers) > SELDOM
     }
 
-    /// How long first tokens take, over the tightest aim: what was seen, and those that wait longer.
+    /// How long first tokens take over the tightest aim, of those that wait too; fading, lacking news.
     fn pressure(&self) -> f64 {
         let aim = self.tightest().as_secs_f64().max(1e-6);
-        // Old news fades: with all refused there would be no other.
         let seen = Rate { count: self.seen.wait.0.unwrap_or(0.0), at: self.seen.wait.1, since: None };
         let seen = seen.fade(self.now, RATE_SPAN);
         let ages = self.jobs.values().filter(|j| !j.streaming && !j.done);
@@ -432,7 +433,6 @@
         self.seen.local_pace.0.unwrap_or(FIRST_GUESS_PACE).max(1.0)
     }
 
-    /// The shortest first-token aim of any class.
     fn tightest(&self) -> Micros {
         self.set.classes.iter().map(|c| c.aim).min().unwrap_or_default()
     }
@@ -480,7 +480,6 @@
         job.held_since + self.set.release.mul_f64(RELEASE_SHARE)
     }
 
-    /// Sets the timer for whatever comes first for this request.
     fn wake(&mut self, job: &Job, out: &mut Vec<Action>) {
         let due = job.tries.iter().filter(|t| t.open).filter_map(|t| t.due).min();
         let last_call = job.req.deadline - self.set.tick - self.set.tick;
@@ -551,18 +550,20 @@
     /// Mixed servers take their share: as many of our requests out on each as on the others, more where
     /// the way over a reader takes longer to the first token. Guards against few or slow readers and a
     /// jam of writers; harms where mixed servers answer early and write slowly, so it is bounded. With
-    /// less than one out a server there are no counts to go by: a coin, and slow mixed servers get fewer.
+    /// less than one out a server there are no counts to go by: a coin; one of many routers starts with
+    /// fewer, and gives slow ones fewer.
     fn mixed_turn(&self, job: &Job, mixed: &[&Server]) -> bool {
         let split = |s: &&Server| s.info.lifecycle == Lifecycle::In && s.info.role != Role::Mixed;
         let out: u32 = self.servers.values().filter(split).map(|s| s.reads + s.streams).sum();
         let n = self.servers.values().filter(split).count() as u32;
         let here: u32 = mixed.iter().map(|s| s.reads + s.streams).sum();
         let split = self.seen.read_s.0.zip(self.seen.pull_s.0).map(|(r, p)| r + p);
-        let ratio = split.zip(self.seen.mixed_s.0).map_or(1.0, |(s, m)| s / m.max(1e-6));
+        let least = if self.seldom() { 1.0 / TILT } else { 1.0 };
+        let ratio = split.zip(self.seen.mixed_s.0).map_or(least, |(s, m)| s / m.max(1e-6));
+        let part = mixed.len() as f64 * ratio.clamp(least, TILT);
         if here + out >= n + mixed.len() as u32 {
-            return f64::from(here * n) <= f64::from(out) * mixed.len() as f64 * ratio.clamp(1.0, TILT);
+            return f64::from(here * n) <= f64::from(out) * part;
         }
-        let part = mixed.len() as f64 * ratio.clamp(1.0 / TILT, TILT);
         let due = f64::from(here + out + 1) * part / (part + f64::from(n)).max(1e-6);
         f64::from(here) < due.floor() + f64::from(u8::from(self.coin(&*job.req.id.0, "") < due.fract()))
     }
@@ -601,7 +602,7 @@
         pair.filter(open).or(ranked.iter().find(open)).map(|s| s.info.id.clone())
     }
 
-    /// The writer with most room; `from` is the reader that holds the state.
+    /// The writer with most room; `from` holds the state.
     fn roomiest(&self, job: &Job, from: Option<&WorkerId>) -> Option<WorkerId> {
         let mut pool = self.pool(job, |r| r == Role::Writer);
         if pool.is_empty() {
@@ -981,13 +982,12 @@
         let window = self.set.fall_after;
         let sent = s.sends.iter().filter(|t| **t + window > self.now).count();
         let rate = self.seen.finished.get(&s.info.role).map_or(0.0, |r| r.per_s(self.now, self.set.cold_for));
-        let mean = rate * window.as_secs_f64();
+        let share = (1.0 - COLD_CHANCE / f64::from(self.set.routers.max(1)).sqrt()).min(COLD_SHARE);
         let warmth = age.as_secs_f64() / self.set.cold_for.as_secs_f64().max(1e-6);
         let present = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
-        // Where nothing is known yet, all routers together try one request a window.
+        // Where nothing is known yet, all together try one a window. A long prompt weighs as many.
         let least = 1.0 / f64::from(self.set.routers.max(1));
-        let budget = (mean * self.set.fall_multiple * present * COLD_SHARE).max(least);
-        // A long prompt weighs as many usual ones.
+        let budget = (rate * window.as_secs_f64() * self.set.fall_multiple * present * share).max(least);
         let usual = self.seen.prompt.0.unwrap_or(1.0).max(1.0);
         let budget = budget / (job.req.prompt_tokens as f64 / usual).max(1.0);
         let turn = (self.now + window.mul_f64(self.coin("phase", &s.info.id.0))).0 / window.0.max(1);
