--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -387,8 +387,7 @@
         // By the tightest aim: a jam that settles at a longer one starves the others.
         let limit = self.tightest().mul_f64(most);
         let felt = self.seen.wait.0.is_some_and(|w| w > most * FELT);
-        // A router that is asked seldom has no queue to count: the longer its first tokens take the more
-        // it refuses, and all routers together settle where that is enough.
+        // One of many has no queue to count: all refuse the more the longer their first tokens take.
         let seldom = self.seldom();
         let turned = seldom && self.coin(&*job.req.id.0, "") < self.pressure() / most - SELDOM_FELT;
         if turned || (!seldom && felt && self.forecast() > limit) {
@@ -463,9 +462,11 @@
             if self.now + last_call >= job.req.deadline {
                 return self.finish(job, out);
             }
-            match self.choose(&job) {
+            // In a jam that many routers share, repeating what may have run makes the jam.
+            let spent = self.seldom() && job.tries.iter().any(|t| t.ran) && self.pressure() > FELT;
+            match Some(&job).filter(|_| !spent).and_then(|j| self.choose(j)) {
                 Some(step) => self.send(&mut job, step, out),
-                None if self.hopeless(&job) => return self.finish(job, out),
+                None if spent || self.hopeless(&job) => return self.finish(job, out),
                 None => {}
             }
         }
@@ -800,8 +801,7 @@
                     let lately = s.heard + BENCH > now && !s.down;
                     strike(s, now, if lately { FAIL_GAIN } else { FAILING }, bench)
                 }
-                // Long silence weighs more: an idle hanging worker looks best. A client that gives up early
-                // says nothing of the worker.
+                // Long silence weighs more; a client that gives up early says nothing of the worker.
                 Outcome::TimedOut | Outcome::Cancelled
                     if (slow || elapsed >= job.aim) && !job.streaming && !job.done =>
                 {
