--- a/crates/policy/tests/many_routers.rs
+++ b/crates/policy/tests/many_routers.rs
@@ -259,3 +259,26 @@
     };
     assert!(refusals(0.4, left) > 100, "they waited only 0.4 s, and in vain");
 }
+
+#[test]
+fn what_may_have_run_is_not_repeated_while_first_tokens_are_late() {
+    let repeated = |wait: f64| {
+        let mut rig = one(1, many(), fleet());
+        for i in 0..10 {
+            let id = format!("{i}");
+            rig.ask(&id, &id, FREE, LONG);
+            rig.wait(wait);
+            rig.end(&id, 0, Outcome::Parsed, 0);
+            rig.stream(&id, 1);
+            rig.end(&id, 1, Outcome::Served, 0);
+            rig.wait(0.4);
+        }
+        rig.ask("z", "z", FREE, LONG);
+        rig.end("z", 0, Outcome::Parsed, 0);
+        let actions = rig.end("z", 1, Outcome::ConnectionLost, 0);
+        assert!(sent(&actions).is_some() || refused(&actions), "one or the other, at once");
+        sent(&actions).is_some()
+    };
+    assert!(repeated(0.1), "a lost connection alone is no jam");
+    assert!(!repeated(0.75), "first tokens take three quarters of the aim");
+}
