--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -384,13 +384,17 @@
         let (tries, held, now) = (Vec::new(), None, self.now);
         let job = Job { req, arrived: now, aim, tries, held, held_since: now, streaming: false, done: false };
         let most = if over_share { ADMIT_OVER_SHARE } else { ADMIT };
-        // By the tightest aim: a jam that settles at a longer one starves the others.
         let limit = self.tightest().mul_f64(most);
         let felt = self.seen.wait.0.is_some_and(|w| w > most * FELT);
+        // What its client will not wait for is not begun while first tokens are slow.
+        let usual = self.seen.read_s.0.zip(self.seen.pull_s.0).map_or(0.0, |(r, p)| r + p);
+        let slow = self.seen.wait.0.is_some_and(|w| w > ADMIT_OVER_SHARE);
+        let doomed = slow && self.now + Micros::from_secs_f64(usual) > job.req.deadline;
         // One of many has no queue to count: all refuse the more the longer their first tokens take.
         let seldom = self.seldom();
         let turned = seldom && self.coin(&*job.req.id.0, "") < self.pressure() / most - SELDOM_FELT;
-        if turned || (!seldom && felt && self.forecast() > limit) {
+        let jam = turned || (!seldom && felt && self.forecast() > limit);
+        if jam || (doomed && self.local(&job).is_none()) {
             self.finish(job, out);
         } else {
             self.settle(job, out);
@@ -603,7 +607,6 @@
         pair.filter(open).or(ranked.iter().find(open)).map(|s| s.info.id.clone())
     }
 
-    /// The writer with most room; `from` holds the state.
     fn roomiest(&self, job: &Job, from: Option<&WorkerId>) -> Option<WorkerId> {
         let mut pool = self.pool(job, |r| r == Role::Writer);
         if pool.is_empty() {
@@ -642,7 +645,6 @@
     /// Where it has more of the readers than of the writers, these can take only their part: a coin sends
     /// the rest to cells with writers to spare, those of the reader's zone first.
     fn cell_for(&self, job: &Job, at: &Worker, pool: &[&Server]) -> Option<CellId> {
-        // Each cell's part of the writers, of the readers, and whether it is in this reader's zone.
         let mut cells: BTreeMap<CellId, (f64, f64, bool)> = BTreeMap::new();
         let readers = self.peers(Role::Reader);
         for s in self.servers.values().filter(|s| s.info.role == Role::Reader) {
@@ -667,7 +669,6 @@
         })
     }
 
-    /// A coin between 0 and 1, from the instance's seed.
     fn coin(&self, what: impl AsRef<[u8]>, w: &str) -> f64 {
         let hash = xxh3_64_with_seed(w.as_bytes(), self.seed ^ xxh3_64_with_seed(what.as_ref(), self.seed));
         (hash >> 11) as f64 / (1_u64 << 53) as f64
@@ -835,7 +836,6 @@
         }
     }
 
-    /// The first bench: long enough that a trial is but one of some requests of ours.
     fn bench(&self) -> Micros {
         let rate = self.seen.asked.per_s(self.now, HOT_SPAN).max(1e-3);
         Micros::from_secs_f64(TRIAL / rate).clamp(BENCH, Micros(BENCH.0 << BENCH_DOUBLINGS))
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -391,6 +391,27 @@
     assert!(over.len() >= within.len(), "{} {}", over.len(), within.len());
 }
 
+#[test]
+fn what_a_client_will_not_wait_for_is_not_begun_while_first_tokens_are_slow() {
+    let ask_briefly = |wait: f64| {
+        let mut rig = Rig::new(settings(), fleet());
+        for i in 0..30 {
+            let id = format!("l{i}");
+            rig.ask(&id, &id, FREE, LONG);
+            rig.wait(wait);
+            rig.parsed_after(&id, wait);
+            rig.stream(&id, 1);
+            rig.wait(1.0);
+            rig.end(&id, 1, Outcome::Served, 0);
+        }
+        let mut request = rig.request("z", "z", FREE, LONG);
+        request.deadline = rig.now + secs(0.3);
+        refused(&rig.feed(Event::Request(request)))
+    };
+    assert!(ask_briefly(0.6), "0.6 s a read, 0.3 s of patience");
+    assert!(!ask_briefly(0.1), "0.1 s a read");
+}
+
 // ---- The list of workers.
 
 #[test]
