Read-through: one fading, one measure of a wait, no work at each verdict that only served ones need

Folded: the exponential fading that stood in three places, the wait over the tightest aim and who waits (three places each), the cold check of verdict and cold_room, the early end of spent requests. The number of a role's workers is counted only when a warm one finishes. Refusals in a row have their own constant again.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -41,6 +41,7 @@
 const TRIAL: f64 = 8.0;
 /// One that turned away is left alone for this span, doubled for each time in a row.
 const FULL_WAIT: Micros = Micros(50_000);
+const FULL_DOUBLINGS: u32 = 6;
 /// Held state is let go after this share of the told release time.
 const RELEASE_SHARE: f64 = 0.8;
 /// Share of the cold budget that is used; less by this over the root of the number of routers, since
@@ -106,7 +107,7 @@
 
     /// The same, but old news fades with time where there is little of it.
     fn add_at(&mut self, now: Micros, x: f64) {
-        let gain = 1.0 - (-((now - self.1).as_secs_f64() / RATE_SPAN.as_secs_f64())).exp();
+        let gain = 1.0 - fading(now - self.1, RATE_SPAN);
         self.0 = Some(self.0.map_or(x, |m| m + gain.max(GAIN) * (x - m)));
         self.1 = now;
     }
@@ -122,7 +123,7 @@
 
 impl Rate {
     fn fade(&self, now: Micros, span: Micros) -> f64 {
-        self.count * (-((now - self.at).as_secs_f64() / span.as_secs_f64().max(1e-6))).exp()
+        self.count * fading(now - self.at, span)
     }
 
     fn add(&mut self, now: Micros, span: Micros, events: f64) {
@@ -147,7 +148,7 @@
     streams: u32,
     pending: u32,
     /// Our last read there, over its request's aim, and when it ended.
-    took: Rate,
+    took: (f64, Micros),
     /// Last report, and tokens of our streams sent since.
     report: Option<Report>,
     since: f64,
@@ -183,6 +184,10 @@
         self.told().unwrap_or(average) - waiting / self.kv() - r.queued.unwrap_or(0.0) * 0.02
     }
 
+    fn cold(&self, now: Micros, cold_for: Micros) -> Option<Micros> {
+        self.info.started.map(|t| now - t).filter(|age| *age < cold_for)
+    }
+
     /// Room as last reported.
     fn told(&self) -> Option<f64> {
         let r = self.report.filter(|r| r.kv_used.is_some() || r.slots_used.is_some())?;
@@ -248,6 +253,10 @@
         self.tries.iter().any(|t| t.open)
     }
 
+    fn waits(&self) -> bool {
+        !self.streaming && !self.done
+    }
+
     fn tried(&self, w: &WorkerId) -> bool {
         self.tries.iter().any(|t| t.worker == *w && !t.open)
     }
@@ -384,7 +393,6 @@
         let (tries, held, now) = (Vec::new(), None, self.now);
         let job = Job { req, arrived: now, aim, tries, held, held_since: now, streaming: false, done: false };
         let most = if over_share { ADMIT_OVER_SHARE } else { ADMIT };
-        let limit = self.tightest().mul_f64(most);
         let felt = self.seen.wait.0.is_some_and(|w| w > most * FELT);
         // What its client will not wait for is not begun while first tokens are slow.
         let usual = self.seen.read_s.0.zip(self.seen.pull_s.0).map_or(0.0, |(r, p)| r + p);
@@ -393,7 +401,7 @@
         // One of many has no queue to count: all refuse the more the longer their first tokens take.
         let seldom = self.seldom();
         let turned = seldom && self.coin(&*job.req.id.0, "") < self.pressure() / most - SELDOM_FELT;
-        let jam = turned || (!seldom && felt && self.forecast() > limit);
+        let jam = turned || (!seldom && felt && self.forecast() > self.tightest().mul_f64(most));
         if jam || (doomed && self.local(&job).is_none()) {
             self.finish(job, out);
         } else {
@@ -405,8 +413,7 @@
     /// every jam, wherever it sits; a rate that lags behind a sudden rise would refuse too early, so a
     /// few that wait are never too many: they also keep a jam that has passed in sight.
     fn forecast(&self) -> Micros {
-        let waits = |j: &&Job| !j.streaming && !j.done;
-        let waiting = self.jobs.values().filter(waits).count();
+        let waiting = self.jobs.values().filter(|j| j.waits()).count();
         if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
             return Micros(0);
         }
@@ -422,15 +429,16 @@
 
     /// How long first tokens take over the tightest aim, of those that wait too; fading, lacking news.
     fn pressure(&self) -> f64 {
-        let aim = self.tightest().as_secs_f64().max(1e-6);
-        let seen = Rate { count: self.seen.wait.0.unwrap_or(0.0), at: self.seen.wait.1, since: None };
-        let seen = seen.fade(self.now, RATE_SPAN);
-        let ages = self.jobs.values().filter(|j| !j.streaming && !j.done);
-        let ages = ages.map(|j| (self.now - j.arrived).as_secs_f64() / aim).filter(|a| *a > seen);
+        let seen = self.seen.wait.0.unwrap_or(0.0) * fading(self.now - self.seen.wait.1, RATE_SPAN);
+        let ages = self.jobs.values().filter(|j| j.waits()).map(|j| self.waited(j)).filter(|a| *a > seen);
         let (n, sum) = ages.fold((1.0, seen), |(n, sum), a| (n + 1.0, sum + a.min(WAIT_CLIP)));
         sum / n
     }
 
+    fn waited(&self, job: &Job) -> f64 {
+        (self.now - job.arrived).as_secs_f64() / self.tightest().as_secs_f64().max(1e-6)
+    }
+
     /// What a writer reads by itself, in tokens a second, as local reads show it.
     fn pace(&self) -> f64 {
         self.seen.local_pace.0.unwrap_or(FIRST_GUESS_PACE).max(1.0)
@@ -462,15 +470,14 @@
             job.held = None;
         }
         if !open && !job.done {
-            let last_call = self.set.tick + self.set.tick;
-            if self.now + last_call >= job.req.deadline {
-                return self.finish(job, out);
-            }
             // In a jam that many routers share, repeating what may have run makes the jam.
             let spent = self.seldom() && job.tries.iter().any(|t| t.ran) && self.pressure() > FELT;
-            match Some(&job).filter(|_| !spent).and_then(|j| self.choose(j)) {
+            if spent || self.now + self.set.tick + self.set.tick >= job.req.deadline {
+                return self.finish(job, out);
+            }
+            match self.choose(&job) {
                 Some(step) => self.send(&mut job, step, out),
-                None if spent || self.hopeless(&job) => return self.finish(job, out),
+                None if self.hopeless(&job) => return self.finish(job, out),
                 None => {}
             }
         }
@@ -588,8 +595,9 @@
         // A very long prompt counts as as many reads as there are usual ones in it.
         let usual = self.seen.prompt.0.unwrap_or(1.0).max(1.0);
         // One of many routers has no reads out to tell a busy reader by, but how long its last one took.
-        let seldom = f64::from(u8::from(self.seldom()));
-        let slow = |s: &Server| (s.took.fade(self.now, HOT_SPAN) * seldom / SLOW) as u32;
+        let seldom = self.seldom();
+        let lately = |s: &Server| s.took.0 * fading(self.now - s.took.1, HOT_SPAN);
+        let slow = |s: &Server| if seldom { (lately(s) / SLOW) as u32 } else { 0 };
         let load = |s: &Server| match s.info.role {
             Role::Mixed => s.streams,
             _ => s.reads.max((s.read_tokens as f64 / usual) as u32) + slow(s),
@@ -706,12 +714,11 @@
         // Where nothing can be cancelled, a time-out has to be set beforehand.
         let again = stage == Stage::Read || effect == Effect::Free;
         let give_up = Some(patience + patience).filter(|g| !self.set.may_cancel && again && g.0 > 0);
-        let (to, sent, due) = (worker.clone(), now, Some(now + patience));
         job.tries.push(Try {
-            worker: to,
+            worker: worker.clone(),
             stage,
-            sent,
-            due,
+            sent: now,
+            due: Some(now + patience),
             overdue: false,
             open: true,
             ran: true,
@@ -723,7 +730,7 @@
     // ---- What comes back.
 
     fn streaming(&mut self, id: &RequestId, attempt: AttemptNo, elapsed: Micros) {
-        let tightest = self.tightest().as_secs_f64();
+        let Some(wait) = self.jobs.get(id).map(|j| self.waited(j)) else { return };
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.streaming = true;
         if job.held.is_some() {
@@ -739,8 +746,7 @@
         }
         job.held = None;
         self.seen.firsts.add(self.now, RATE_SPAN, 1.0);
-        let wait = (self.now - job.arrived).as_secs_f64();
-        self.seen.wait.add_at(self.now, (wait / tightest.max(1e-6)).min(WAIT_CLIP));
+        self.seen.wait.add_at(self.now, wait.min(WAIT_CLIP));
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
         t.due = None;
         if let Some(s) = self.servers.get_mut(&t.worker) {
@@ -753,9 +759,7 @@
 
     /// Books the end of an attempt.
     fn verdict(&mut self, job: &mut Job, attempt: AttemptNo, (outcome, elapsed, kept, report): End) {
-        let role = job.tries.get(attempt.0 as usize).and_then(|t| self.servers.get(&t.worker));
-        let peers = role.map_or(1.0, |s| self.peers(s.info.role));
-        let bench = self.bench();
+        let (bench, mut warm) = (self.bench(), None);
         let Some(t) = job.tries.get_mut(attempt.0 as usize).filter(|t| t.open) else { return };
         t.open = false;
         t.due = None;
@@ -778,12 +782,11 @@
             }
             s.down = outcome == Outcome::NoConnection;
             if t.stage == Stage::Read {
-                let count = elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6);
-                s.took = Rate { count, at: now, since: None };
+                s.took = (elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6), now);
             }
             match outcome {
                 Outcome::Refused { no_state: false } => {
-                    s.full_until = now + Micros(FULL_WAIT.0 << s.refusals.min(BENCH_DOUBLINGS + 2));
+                    s.full_until = now + Micros(FULL_WAIT.0 << s.refusals.min(FULL_DOUBLINGS));
                     s.refusals += 1;
                 }
                 Outcome::Served | Outcome::Parsed => {
@@ -791,10 +794,7 @@
                     s.failing *= 1.0 - WELL_GAIN;
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
-                    if s.info.started.is_none_or(|t| now - t >= self.set.cold_for) {
-                        let finished = self.seen.finished.entry(s.info.role).or_default();
-                        finished.add(now, self.set.cold_for, 1.0 / peers);
-                    }
+                    warm = s.cold(now, self.set.cold_for).is_none().then_some(s.info.role);
                 }
                 // Where nothing good was heard lately one failure says enough: a router that seldom sends
                 // there would need minutes to see two in a row.
@@ -826,6 +826,10 @@
                 }
             }
         }
+        if let Some(role) = warm {
+            let part = 1.0 / self.peers(role);
+            self.seen.finished.entry(role).or_default().add(now, self.set.cold_for, part);
+        }
         match outcome {
             Outcome::Parsed => {
                 self.seen.read_s.add(elapsed.as_secs_f64());
@@ -864,9 +868,8 @@
     /// A request that ends with no first token counts as a long wait: else a jam that clients leave
     /// early would look short.
     fn missed(&mut self, job: &Job) {
-        if !job.streaming && !job.done && !job.tries.is_empty() {
-            let wait = (self.now - job.arrived).as_secs_f64() / self.tightest().as_secs_f64().max(1e-6);
-            self.seen.wait.add_at(self.now, wait.clamp(MISSED, WAIT_CLIP));
+        if job.waits() && !job.tries.is_empty() {
+            self.seen.wait.add_at(self.now, self.waited(job).clamp(MISSED, WAIT_CLIP));
         }
     }
 
@@ -881,7 +884,7 @@
         if self.now + self.set.tick < job.req.deadline && self.may_refuse(&job) {
             // As long as the queue that we see takes to fall to what is admitted; a router that is asked
             // seldom sees none, but by how much first tokens are too late.
-            let late = f64::from(u8::from(self.seldom())) * (self.pressure() - SELDOM_FELT);
+            let late = if self.seldom() { self.pressure() - SELDOM_FELT } else { 0.0 };
             let drained = self.forecast() - self.tightest().mul_f64(ADMIT / 2.0);
             let drained = drained.max(self.tightest().mul_f64(late));
             let retry_after = Some(drained.min(self.set.max_retry_after)).filter(|t| t.0 > 0);
@@ -974,11 +977,7 @@
     /// role's warm workers finish for us; what they are sent is in a jam many times more. Among many
     /// routers the part is under one request: a coin for each window gives it to as many as it bears.
     fn cold_room(&self, job: &Job, s: &Server) -> bool {
-        let Some(started) = s.info.started else { return true };
-        let age = self.now - started;
-        if age >= self.set.cold_for {
-            return true;
-        }
+        let Some(age) = s.cold(self.now, self.set.cold_for) else { return true };
         let window = self.set.fall_after;
         let sent = s.sends.iter().filter(|t| **t + window > self.now).count();
         let rate = self.seen.finished.get(&s.info.role).map_or(0.0, |r| r.per_s(self.now, self.set.cold_for));
@@ -996,6 +995,10 @@
     }
 }
 
+fn fading(age: Micros, span: Micros) -> f64 {
+    (-(age.as_secs_f64() / span.as_secs_f64().max(1e-6))).exp()
+}
+
 /// A failure; enough of them bench the worker, each time for longer.
 fn strike(s: &mut Server, now: Micros, weight: f64, bench: Micros) {
     s.failing += (1.0 - s.failing) * weight;
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -77,6 +77,13 @@
     all
 }
 
+/// One writer w0 and `n` readers r0.. beside it.
+pub fn readers(n: usize) -> Vec<Worker> {
+    let mut all = vec![worker("w0", Role::Writer, 0)];
+    all.extend((0..n).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
+    all
+}
+
 pub struct Rig {
     pub router: Router,
     pub now: Micros,
--- a/crates/policy/tests/many_routers.rs
+++ b/crates/policy/tests/many_routers.rs
@@ -20,6 +20,13 @@
     rig
 }
 
+/// The usual fleet and a mixed server in each of its cells.
+fn with_mixed() -> Vec<Worker> {
+    let mut all = fleet();
+    all.extend((0..2).map(|i| worker(&format!("m{i}"), Role::Mixed, i)));
+    all
+}
+
 /// Two cells: the first with most readers and one writer, the second with most writers.
 fn skewed() -> Vec<Worker> {
     let mut all = vec![worker("w0", Role::Writer, 0), worker("r3", Role::Reader, 1)];
@@ -36,16 +43,13 @@
 }
 
 /// Sends that all routers together give a just started reader within one window.
-fn sent_to_cold(workers: &[Worker], gone: &[&str], others_stay: bool) -> u32 {
+fn sent_to_cold(workers: &[Worker], gone: &[&str]) -> u32 {
     let mut total = 0;
     for seed in 0..u64::from(ROUTERS) {
         let mut rig = one(seed, many(), workers.to_vec());
         quiet_run(&mut rig, "a", 20);
-        if !others_stay {
-            let news =
-                gone.iter().map(|id| Worker { lifecycle: Lifecycle::Out, ..worker(id, Role::Reader, 0) });
-            rig.feed(Event::Workers { kind: ListKind::Changes, workers: news.collect() });
-        }
+        let news = gone.iter().map(|id| Worker { lifecycle: Lifecycle::Out, ..worker(id, Role::Reader, 0) });
+        rig.feed(Event::Workers { kind: ListKind::Changes, workers: news.collect() });
         let mut cold = worker("r0", Role::Reader, 0);
         cold.started = Some(rig.now);
         rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![cold] });
@@ -63,9 +67,7 @@
 
 #[test]
 fn all_routers_together_stay_within_a_cold_workers_budget() {
-    let mut workers = vec![worker("w0", Role::Writer, 0)];
-    workers.extend((0..3).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
-    let total = sent_to_cold(&workers, &[], true);
+    let total = sent_to_cold(&readers(3), &[]);
     // Each router has 1 read in 1.2 s: a warm reader does 150 / 1.2 / 3 of them a second.
     let full = f64::from(ROUTERS) / 1.2 / 3.0;
     assert!(total > 0, "a returned worker gets some work");
@@ -74,9 +76,7 @@
 
 #[test]
 fn the_first_of_a_lost_role_to_come_back_does_not_get_the_work_of_all() {
-    let mut workers = vec![worker("w0", Role::Writer, 0)];
-    workers.extend((0..3).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
-    let total = sent_to_cold(&workers, &["r0", "r1", "r2"], false);
+    let total = sent_to_cold(&readers(3), &["r0", "r1", "r2"]);
     let full = f64::from(ROUTERS) / 1.2 / 3.0;
     assert!(f64::from(total) < full * 2.0 * 3.0 * 0.4, "{total} against {full} a second");
 }
@@ -85,9 +85,7 @@
 
 #[test]
 fn with_nothing_out_mixed_servers_get_their_share_not_all() {
-    let mut workers = fleet();
-    workers.push(worker("m0", Role::Mixed, 0));
-    workers.push(worker("m1", Role::Mixed, 1));
+    let workers = with_mixed();
     let whole = (0..400)
         .filter(|seed| {
             let mut rig = one(*seed, many(), workers.clone());
@@ -99,9 +97,7 @@
 
 #[test]
 fn mixed_servers_that_begin_late_get_less() {
-    let mut workers = fleet();
-    workers.push(worker("m0", Role::Mixed, 0));
-    workers.push(worker("m1", Role::Mixed, 1));
+    let workers = with_mixed();
     let whole = (0..400)
         .filter(|seed| {
             let mut rig = one(*seed, many(), workers.clone());
@@ -127,9 +123,8 @@
 
 #[test]
 fn a_hot_beginning_is_as_wide_as_its_part_of_what_is_asked() {
-    let mut workers = vec![worker("w0", Role::Writer, 0)];
-    workers.extend((0..12).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
-    let readers = |part: usize| {
+    let workers = readers(12);
+    let used = |part: usize| {
         let mut rig = one(1, many(), workers.clone());
         let mut seen = std::collections::BTreeSet::new();
         for i in 0..200 {
@@ -147,14 +142,13 @@
         }
         seen.len()
     };
-    assert!((2..=3).contains(&readers(1)), "a tenth of the traffic keeps to its pair, or nearly");
-    assert!(readers(5) >= 6, "half of the traffic takes half of the readers");
+    assert!((2..=3).contains(&used(1)), "a tenth of the traffic keeps to its pair, or nearly");
+    assert!(used(5) >= 6, "half of the traffic takes half of the readers");
 }
 
 #[test]
 fn a_session_comes_back_to_its_reader_on_another_router() {
-    let mut workers = vec![worker("w0", Role::Writer, 0)];
-    workers.extend((0..12).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
+    let workers = readers(12);
     for session in 0..40 {
         let to = |seed: u64| {
             let mut rig = one(seed, many(), workers.clone());
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -160,6 +160,15 @@
 
 // ---- Rule 4: cold workers.
 
+/// A warm reader r0, and r1, which has just started.
+fn beside_a_cold_reader() -> Rig {
+    let mut rig = Rig::new(settings(), readers(2));
+    let mut cold = worker("r1", Role::Reader, 0);
+    cold.started = Some(rig.now);
+    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![cold] });
+    rig
+}
+
 fn sends_to(rig: &mut Rig, target: &str, requests: usize) -> usize {
     (0..requests)
         .filter(|i| {
@@ -170,24 +179,14 @@
 
 #[test]
 fn a_cold_worker_gets_a_trickle_even_when_its_peers_jam() {
-    let mut workers = vec![worker("w0", Role::Writer, 0)];
-    workers.extend((0..2).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
-    let mut rig = Rig::new(settings(), workers);
     // The warm reader is sent much and finishes nothing.
-    let mut cold = worker("r1", Role::Reader, 0);
-    cold.started = Some(rig.now);
-    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![cold] });
+    let mut rig = beside_a_cold_reader();
     assert!(sends_to(&mut rig, "r1", 60) <= 1);
 }
 
 #[test]
 fn a_cold_workers_budget_follows_what_warm_peers_finish() {
-    let mut workers = vec![worker("w0", Role::Writer, 0)];
-    workers.extend((0..2).map(|i| worker(&format!("r{i}"), Role::Reader, 0)));
-    let mut rig = Rig::new(settings(), workers);
-    let mut cold = worker("r1", Role::Reader, 0);
-    cold.started = Some(rig.now);
-    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![cold] });
+    let mut rig = beside_a_cold_reader();
     let (mut warm_done, mut to_cold) = (0, 0);
     for i in 0..20 {
         let id = format!("{i}");
