--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -79,10 +79,7 @@
 
 #[test]
 fn requests_of_one_beginning_share_two_readers_on_every_router() {
-    let workers: Vec<Worker> = (0..8)
-        .map(|i| worker(&format!("r{i}"), Role::Reader, 0))
-        .chain([worker("w0", Role::Writer, 0)])
-        .collect();
+    let workers = readers(8);
     let mut seen = std::collections::BTreeSet::new();
     for seed in 0..4 {
         let mut rig = Rig::new(settings(), workers.clone());
@@ -168,10 +165,7 @@
 
 #[test]
 fn a_beginning_too_hot_for_two_readers_widens_to_more() {
-    let workers: Vec<Worker> = (0..8)
-        .map(|i| worker(&format!("r{i}"), Role::Reader, 0))
-        .chain([worker("w0", Role::Writer, 0)])
-        .collect();
+    let workers = readers(8);
     let mut rig = Rig::new(settings(), workers);
     let mut seen = std::collections::BTreeMap::new();
     for i in 0..12 {
