--- /dev/null
+++ b/crates/daemon/src/logs.rs
@@ -0,0 +1,60 @@
+//! The log: JSON lines on standard error. Level by `CHALKYARD_LOG` (default `info`).
+
+use std::path::PathBuf;
+
+use chalkyard_router::shell::Sink;
+use chalkyard_router::Finished;
+use tracing::{info, warn};
+use tracing_subscriber::EnvFilter;
+
+/// Starts logging for this process.
+pub fn start() {
+    let filter = EnvFilter::try_from_env("CHALKYARD_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    let lines = tracing_subscriber::fmt().json().flatten_event(true).with_env_filter(filter);
+    let _ = lines.with_writer(std::io::stderr).with_current_span(false).try_init();
+}
+
+/// Tells the log, and keeps the list of workers.
+pub struct Log {
+    /// Where the list is kept.
+    pub list_file: Option<PathBuf>,
+}
+
+impl Sink for Log {
+    fn finished(&mut self, r: &Finished) {
+        let attempts = serde_json::to_string(&r.attempts).unwrap_or_default();
+        let ended = serde_json::to_string(&r.ended).unwrap_or_default();
+        info!(
+            target: "request",
+            id = r.id,
+            class = r.class,
+            tenant = r.tenant,
+            identity = r.identity,
+            ended = ended.trim_matches('"'),
+            phase = r.phase,
+            reason = r.reason,
+            attempts,
+            arrived_us = r.arrived_us,
+            first_token_us = r.first_token_us,
+            total_us = r.total_us,
+            estimated_tokens = r.estimated_tokens,
+            prompt_tokens = r.prompt_tokens,
+            kept_tokens = r.kept_tokens,
+            output_tokens = r.output_tokens,
+            "finished"
+        );
+    }
+
+    fn note(&mut self, what: &str, text: &str) {
+        warn!(target: "router", what, "{text}");
+    }
+
+    /// Written beside and renamed, so that a crash leaves the old list or the new one, never half.
+    fn keep_list(&mut self, text: &str) {
+        let Some(file) = &self.list_file else { return };
+        let fresh = file.with_extension("new");
+        if let Err(e) = std::fs::write(&fresh, text).and_then(|()| std::fs::rename(&fresh, file)) {
+            warn!(target: "router", what = "list", "the list can't be kept in {}: {e}", file.display());
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,176 @@
+//! `chalkyard`: the router as a program, and its rehearsal kit.
+//!
+//! Exit codes: 0 done (of a rehearsal or audit: all rules held), 1 could not run, 2 usage or bad input,
+//! 3 a rule was broken.
+
+mod logs;
+mod replay;
+mod run;
+mod settings;
+mod xml;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+
+/// A router for language-model serving whose prompts are read and answers written on different engines.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Format {
+    Text,
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a router.
+    Run {
+        /// Settings, as XML.
+        file: PathBuf,
+        /// Seed of the router's randomness; drawn from the time if not given, and logged.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Write each event that the decision module hears, and what it does, as JSON lines.
+        #[arg(long, value_name = "FILE")]
+        decisions: Option<PathBuf>,
+    },
+    /// Check a settings file; errors name line and column.
+    Check {
+        /// Settings, as XML.
+        file: PathBuf,
+    },
+    /// Read an API key from standard input and print its hash for the settings.
+    HashKey {
+        /// Settings with the salt under which keys are hashed.
+        file: PathBuf,
+    },
+    /// Give the events of a decisions file to the module again and compare what it does.
+    Replay {
+        /// What `run --decisions` wrote.
+        file: PathBuf,
+    },
+    /// Play a day on loopback against stand-ins and judge the five rules from the traffic.
+    Rehearse {
+        /// The day: `bad-day`, `calm-day`, or a day file that the bench printed.
+        day: String,
+        /// Seed of the day.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Write the recorded traffic there.
+        #[arg(long, value_name = "FILE")]
+        record: Option<PathBuf>,
+        /// Length of the day in seconds, 8 to 600.
+        #[arg(long, value_name = "S", value_parser = clap::value_parser!(u64).range(8..=600))]
+        seconds: Option<u64>,
+        /// How to print the report.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Judge the five rules from recorded traffic alone.
+    Audit {
+        /// Recorded traffic, as JSON lines.
+        file: PathBuf,
+        /// How to print the report.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+}
+
+/// What went wrong, by its exit code.
+pub enum Trouble {
+    /// It could not run.
+    CouldNotRun(String),
+    /// The input is bad.
+    BadInput(String),
+}
+
+fn read(file: &PathBuf) -> Result<String, Trouble> {
+    std::fs::read_to_string(file).map_err(|e| Trouble::BadInput(format!("{}: {e}", file.display())))
+}
+
+fn load(file: &PathBuf) -> Result<settings::Settings, Trouble> {
+    settings::read(&read(file)?).map_err(|errors| {
+        let lines: Vec<String> = errors.iter().map(|e| format!("{}:{e}", file.display())).collect();
+        Trouble::BadInput(lines.join("\n"))
+    })
+}
+
+fn judge(report: chalkyard_rehearsal::Report, format: Format) -> ExitCode {
+    match format {
+        Format::Text => print!("{}", report.text()),
+        Format::Json => println!("{}", report.json()),
+    }
+    if report.rules.held() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(3)
+    }
+}
+
+fn command(command: Command) -> Result<ExitCode, Trouble> {
+    match command {
+        Command::Run { file, seed, decisions } => run::run(load(&file)?, seed, decisions),
+        Command::Check { file } => {
+            let s = load(&file)?;
+            let c = &s.config;
+            println!(
+                "{}: ok: router {} at {}, {} classes, {} tenants, {} kinds",
+                file.display(),
+                c.name,
+                s.listen,
+                c.classes.len(),
+                c.tenants.len(),
+                c.kinds.len()
+            );
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::HashKey { file } => {
+            let settings = load(&file)?;
+            let mut key = String::new();
+            std::io::stdin().read_line(&mut key).map_err(|e| Trouble::CouldNotRun(e.to_string()))?;
+            if key.trim().is_empty() {
+                return Err(Trouble::BadInput("no key on standard input".into()));
+            }
+            println!("{}", settings.config.keys.hash(key.trim()));
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Replay { file } => replay::replay(&file),
+        Command::Rehearse { day, seed, record, seconds, format } => {
+            let exe = std::env::current_exe().map_err(|e| Trouble::CouldNotRun(e.to_string()))?;
+            let plan = chalkyard_rehearsal::Plan { exe, seed, record, seconds };
+            let report = match chalkyard_rehearsal::rehearse(&day, &plan) {
+                Ok(report) => report,
+                Err(chalkyard_rehearsal::Error::BadInput(why)) => return Err(Trouble::BadInput(why)),
+                Err(chalkyard_rehearsal::Error::CouldNotRun(why)) => return Err(Trouble::CouldNotRun(why)),
+            };
+            Ok(judge(report, format))
+        }
+        Command::Audit { file, format } => {
+            let text = read(&file)?;
+            let report = chalkyard_rehearsal::audit(&text)
+                .map_err(|why| Trouble::BadInput(format!("{}:{why}", file.display())))?;
+            Ok(judge(report, format))
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match command(Arguments::parse().command) {
+        Ok(code) => code,
+        Err(Trouble::BadInput(why)) => {
+            eprintln!("{why}");
+            ExitCode::from(2)
+        }
+        Err(Trouble::CouldNotRun(why)) => {
+            eprintln!("chalkyard: {why}");
+            ExitCode::from(1)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,88 @@
+//! `chalkyard run`: one router until it is told to stop.
+
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use chalkyard_router::shell::{granularity, listen, Clock, Shell};
+use chalkyard_router::Core;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use tracing::info;
+
+use crate::settings::Settings;
+use crate::{logs, Trouble};
+
+/// The first line of a decisions file: what the module was started with.
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Started {
+    /// Its settings.
+    pub settings: chalkyard_policy::Settings,
+    /// Its seed.
+    pub seed: u64,
+}
+
+/// Each further line: an event, and what the module did.
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Decided<E, A> {
+    /// When.
+    pub now: chalkyard_policy::Micros,
+    /// What it heard.
+    pub event: E,
+    /// What it did.
+    pub actions: A,
+}
+
+/// Runs a router. SIGTERM or SIGINT drains it, a second one stops it at once.
+pub fn run(settings: Settings, seed: Option<u64>, decisions: Option<PathBuf>) -> Result<ExitCode, Trouble> {
+    logs::start();
+    let could_not = |what: &str, e: std::io::Error| Trouble::CouldNotRun(format!("{what}: {e}"));
+    let clock = Clock::new();
+    let seed = seed.unwrap_or(clock.now().0);
+    let mut config = settings.config;
+    config.policy.tick = granularity();
+    let listener = listen(settings.listen, settings.shared_port)
+        .map_err(|e| could_not(&format!("listening at {}", settings.listen), e))?;
+    let at = listener.local_addr().map_err(|e| could_not("listening", e))?;
+    let started = Started { settings: config.policy.clone(), seed };
+    let name = config.name.clone();
+    let mut core = Core::new(config, seed, clock.now());
+    if let Some(file) = decisions {
+        let out = File::create(&file).map_err(|e| could_not(&file.display().to_string(), e))?;
+        let mut out = BufWriter::new(out);
+        let _ = writeln!(out, "{}", line(&started));
+        core.observe(Box::new(move |now, event, actions| {
+            let decided = Decided { now, event, actions };
+            let _ = writeln!(out, "{}", line(&decided));
+        }));
+    }
+    let last_list = match (&settings.list_file, settings.engines) {
+        (_, Some(engines)) => Some(engines),
+        (Some(file), None) => std::fs::read_to_string(file).ok(),
+        (None, None) => None,
+    };
+    let log = logs::Log { list_file: settings.list_file };
+    let mut shell =
+        Shell::new(core, log, clock, listener, settings.drain_for).map_err(|e| could_not("starting", e))?;
+    let handle = shell.handle();
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| could_not("signals", e))?;
+    std::thread::spawn(move || {
+        for (n, signal) in signals.forever().enumerate() {
+            info!(target: "router", signal, "told to {}", if n == 0 { "drain" } else { "stop" });
+            if n == 0 {
+                handle.drain();
+            } else {
+                handle.stop();
+            }
+        }
+    });
+    info!(target: "router", name, seed, %at, "ready");
+    let left = shell.run(last_list.as_deref()).map_err(|e| could_not("running", e))?;
+    info!(target: "router", left, "stopped");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn line(value: &impl serde::Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -10,6 +10,7 @@
 
 /// A point of the clock, or a span of time, in microseconds. Arithmetic saturates.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Micros(pub u64);
 
 impl Micros {
@@ -47,6 +48,7 @@
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
         pub struct $name(pub Arc<str>);
 
         impl From<&str> for $name {
@@ -76,30 +78,37 @@
 
 /// Position in [`Settings::classes`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct ClassId(pub usize);
 
 /// Position in [`Settings::tenants`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct TenantId(pub usize);
 
 /// A zone; equal numbers mean the same zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct ZoneId(pub usize);
 
 /// A cell (rack): a small group of workers with a link of their own.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct CellId(pub u64);
 
 /// What a timer gives back when it fires; chosen by the module.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct TimerId(pub u64);
 
 /// Number of an attempt of one request, from 0.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct AttemptNo(pub u32);
 
 /// What a worker does.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Role {
     /// Reads prompts; its read state is then pulled by a writer.
     Reader,
@@ -112,6 +121,7 @@
 
 /// Where a class of requests may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Effect {
     /// Repeating does no harm.
     Free,
@@ -123,6 +133,7 @@
 
 /// The workers that discard repeats of a guarded request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Group {
     /// All workers.
     All,
@@ -134,6 +145,7 @@
 
 /// A class of requests.
 #[derive(Debug, Clone, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Class {
     /// Time to the first token that earns full worth.
     pub aim: Micros,
@@ -155,6 +167,7 @@
 
 /// A tenant's share.
 #[derive(Debug, Clone, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Tenant {
     /// Requests a second within its share, summed over all routers; none told means no limit.
     pub allowance_per_s: Option<f64>,
@@ -162,6 +175,7 @@
 
 /// How the list of workers is learnt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Discovery {
     /// Changes come unasked.
     Push,
@@ -171,6 +185,7 @@
 
 /// How workers report their load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Reports {
     /// Not at all.
     Off,
@@ -182,6 +197,7 @@
 
 /// What the site tells a router when it starts.
 #[derive(Debug, Clone, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Settings {
     /// Number of routers, this one included.
     pub routers: u32,
@@ -243,6 +259,7 @@
 
 /// Whether a worker takes new work.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Lifecycle {
     /// Takes work.
     In,
@@ -255,6 +272,7 @@
 
 /// An entry of the list of workers.
 #[derive(Debug, Clone, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Worker {
     /// Its id.
     pub id: WorkerId,
@@ -276,6 +294,7 @@
 
 /// How a list of workers is to be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum ListKind {
     /// Complete, and current as far as discovery knows.
     Full,
@@ -289,6 +308,7 @@
 
 /// A worker's load, as far as it tells it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Report {
     /// Requests being handled, waiting state included.
     pub in_flight: Option<f64>,
@@ -310,6 +330,7 @@
 
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Outcome {
     /// Answered.
     Served,
@@ -343,6 +364,7 @@
 
 /// A request as a client brings it.
 #[derive(Debug, Clone, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Request {
     /// Its id.
     pub id: RequestId,
@@ -372,6 +394,7 @@
 
 /// What a router hears.
 #[derive(Debug, Clone, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Event {
     /// News of the list of workers.
     Workers {
@@ -443,6 +466,7 @@
 
 /// What a router does.
 #[derive(Debug, Clone, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Action {
     /// Send a request to a worker.
     Send {
--- /dev/null
+++ b/crates/proto/tests/messages.rs
@@ -0,0 +1,189 @@
+//! Splitting, bounds and refusals.
+#![allow(clippy::unwrap_used, clippy::panic, clippy::indexing_slicing)]
+
+use chalkyard_proto::*;
+use proptest::prelude::*;
+
+fn all(side: Side, pieces: &[&[u8]], close: bool) -> Result<Vec<Part>, Reason> {
+    let mut d = Decoder::new(side, Limits::default());
+    let mut parts: Vec<Part> = Vec::new();
+    let drain = |d: &mut Decoder, parts: &mut Vec<Part>| -> Result<(), Reason> {
+        while let Some(p) = d.next_part().map_err(|e| e.reason)? {
+            match (parts.last_mut(), p) {
+                (Some(Part::Data(a)), Part::Data(b)) => a.extend(b),
+                (_, p) => parts.push(p),
+            }
+        }
+        Ok(())
+    };
+    for p in pieces {
+        d.push(p);
+        drain(&mut d, &mut parts)?;
+    }
+    if close {
+        d.close();
+        drain(&mut d, &mut parts)?;
+    }
+    Ok(parts)
+}
+
+fn refused(text: &str) -> Reason {
+    match all(Side::Request, &[text.as_bytes()], true) {
+        Err(r) => r,
+        Ok(parts) => panic!("taken: {parts:?}"),
+    }
+}
+
+#[test]
+fn what_two_parsers_could_read_differently_is_refused() {
+    let with = |headers: &str| refused(&format!("POST /x HTTP/1.1\r\nHost: a\r\n{headers}\r\n\r\n"));
+    assert_eq!(with("Content-Length: 3\r\nTransfer-Encoding: chunked"), Reason::BothLengths);
+    assert_eq!(with("Content-Length: 3\r\nContent-Length: 4"), Reason::TwoLengths);
+    assert_eq!(with("Content-Length: 3\r\nContent-Length: 3"), Reason::TwoLengths);
+    assert_eq!(with("Content-Length: +3"), Reason::BadLength);
+    assert_eq!(with("Content-Length: 3, 3"), Reason::BadLength);
+    assert_eq!(with("Content-Length:"), Reason::BadLength);
+    assert_eq!(with("Content-Length: 99999999999999999999"), Reason::BadLength);
+    assert_eq!(with("Content-Length: 1048577"), Reason::BodyTooLong);
+    assert_eq!(with("Transfer-Encoding: gzip, chunked"), Reason::Encoding);
+    assert_eq!(with("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"), Reason::Encoding);
+    assert_eq!(with("A: b\r\n c"), Reason::Folding);
+    assert_eq!(with("A: b\nC: d"), Reason::BareLineEnd);
+    assert_eq!(with("A: b\rC: d"), Reason::BareLineEnd);
+    assert_eq!(with("A\0: b"), Reason::Nul);
+    assert_eq!(with("A : b"), Reason::Malformed);
+    assert_eq!(with("Host: b"), Reason::Host);
+    assert_eq!(with("Expect: bread"), Reason::Expectation);
+    assert_eq!(with("Content-Length: 3"), Reason::Truncated);
+    assert_eq!(refused("GET / HTTP/1.1\r\n\r\n"), Reason::Host);
+    assert_eq!(refused("\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n"), Reason::Malformed);
+    assert_eq!(refused("GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"), Reason::Encoding);
+    let chunked = |body: &str| {
+        refused(&format!("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n{body}"))
+    };
+    for body in [
+        "x\r\n",
+        "-1\r\n",
+        "0x1\r\na\r\n",
+        "1;e=1\r\na\r\n",
+        "\r\n",
+        "1\na\r\n",
+        "1\r\nab\r\n",
+        "11111111111111111\r\n",
+    ] {
+        assert_eq!(chunked(body), Reason::BadChunk, "{body:?}");
+    }
+    assert_eq!(chunked("0\r\nA: b\r\n\r\n"), Reason::Trailers);
+    assert_eq!(chunked("fffffff\r\n"), Reason::ChunkTooLong);
+}
+
+#[test]
+fn bounds_are_kept_before_the_message_is_whole() {
+    let long = |n: usize| "a".repeat(n);
+    assert_eq!(refused(&format!("GET /{}", long(2_048))), Reason::StartLineTooLong);
+    assert_eq!(refused(&format!("GET / HTTP/1.1\r\nHost: {}", long(17_000))), Reason::HeadTooLong);
+    let many = "A: b\r\n".repeat(MAX_HEADERS);
+    assert_eq!(refused(&format!("GET / HTTP/1.1\r\nHost: a\r\n{many}\r\n")), Reason::TooManyHeaders);
+    let mut d = Decoder::new(Side::Request, Limits::default());
+    d.push(&vec![b'a'; 70_000]);
+    assert_eq!(d.check_pipelined().map_err(|e| e.reason), Err(Reason::Pipelined));
+    d.push(&vec![b'a'; 70_000]);
+    assert_eq!(d.buffered(), 0, "a refused connection keeps nothing");
+}
+
+#[test]
+fn responses_end_by_length_chunks_or_close_and_interim_ones_are_passed_over() {
+    let text =
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nabHTTP/1.1 204 No\r\n\r\n";
+    let parts = all(Side::Response, &[text], true).unwrap();
+    assert_eq!(parts.iter().filter(|p| matches!(p, Part::End)).count(), 2);
+    assert!(parts.contains(&Part::Data(b"ab".to_vec())));
+    let open = all(Side::Response, &[b"HTTP/1.1 200 OK\r\n\r\nrest"], true).unwrap();
+    assert_eq!(open.last(), Some(&Part::End));
+    let cut = all(Side::Response, &[b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nab"], true);
+    assert_eq!(cut, Err(Reason::Truncated));
+}
+
+#[test]
+fn events_are_read_whatever_their_line_ends() {
+    let mut out = Vec::new();
+    let mut r = sse::Reader::new(100);
+    r.push(b"\xef\xbb\xbfevent: a\rdata: 1\r\ndata:2\n\n: comment\n\nid: 7\ndata\n\n", &mut out).unwrap();
+    let (one, two) = (&out[0], &out[1]);
+    assert_eq!((one.name.as_str(), one.data.as_str()), ("a", "1\n2"));
+    assert_eq!((two.id.as_str(), two.data.as_str()), ("7", ""));
+    assert!(sse::Reader::new(10).push(b"data: 0123456789", &mut out).is_err());
+    let mut many = sse::Reader::new(10);
+    assert!(many.push(b"data: abc\ndata: abc\ndata: abc\n", &mut out).is_err());
+}
+
+fn cut(bytes: &[u8], at: &[prop::sample::Index]) -> Vec<Vec<u8>> {
+    let mut cuts: Vec<usize> = at.iter().map(|i| i.index(bytes.len() + 1)).collect();
+    cuts.extend([0, bytes.len()]);
+    cuts.sort_unstable();
+    cuts.windows(2).map(|w| bytes[w[0]..w[1]].to_vec()).collect()
+}
+
+proptest! {
+    #[test]
+    fn any_splitting_gives_the_same_messages(
+        bodies in prop::collection::vec((prop::collection::vec(any::<u8>(), 0..200), any::<bool>()), 1..4),
+        at in prop::collection::vec(any::<prop::sample::Index>(), 0..20),
+    ) {
+        let mut bytes = Vec::new();
+        for (body, chunked) in &bodies {
+            if *chunked {
+                bytes.extend_from_slice(b"POST /v HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n");
+                for piece in body.chunks(7) {
+                    encode::chunk(&mut bytes, piece);
+                }
+                bytes.extend_from_slice(encode::LAST_CHUNK);
+            } else {
+                bytes.extend(encode::request("POST", "/v", "h", &[("a", "b")], body));
+            }
+        }
+        let whole = all(Side::Request, &[&bytes], true).unwrap();
+        let pieces = cut(&bytes, &at);
+        let split: Vec<&[u8]> = pieces.iter().map(Vec::as_slice).collect();
+        prop_assert_eq!(&whole, &all(Side::Request, &split, true).unwrap());
+        let sent: Vec<u8> = bodies.iter().flat_map(|(b, _)| b.clone()).collect();
+        let got: Vec<u8> = whole.iter().flat_map(|p| match p { Part::Data(d) => d.clone(), _ => vec![] }).collect();
+        prop_assert_eq!(sent, got);
+    }
+
+    #[test]
+    fn no_input_panics_and_splitting_never_changes_a_verdict(
+        seed in prop::collection::vec(prop_oneof![
+            Just(b"GET / HTTP/1.1\r\n".to_vec()), Just(b"Host: a\r\n".to_vec()), Just(b"\r\n".to_vec()),
+            Just(b"Content-Length: 5\r\n".to_vec()), Just(b"Transfer-Encoding: chunked\r\n".to_vec()),
+            Just(b"5\r\nabcde\r\n".to_vec()), Just(b"0\r\n\r\n".to_vec()), Just(b"HTTP/1.1 200 OK\r\n".to_vec()),
+            prop::collection::vec(any::<u8>(), 0..6),
+        ], 0..12),
+        at in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
+        response in any::<bool>(),
+    ) {
+        let bytes: Vec<u8> = seed.concat();
+        let side = if response { Side::Response } else { Side::Request };
+        let pieces = cut(&bytes, &at);
+        let split: Vec<&[u8]> = pieces.iter().map(Vec::as_slice).collect();
+        prop_assert_eq!(all(side, &[&bytes], true), all(side, &split, true));
+    }
+
+    #[test]
+    fn event_streams_split_anywhere(
+        events in prop::collection::vec(("[a-z]{0,6}", "[ -~\n]{0,40}"), 0..6),
+        at in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
+    ) {
+        let mut bytes = Vec::new();
+        for (i, (name, data)) in events.iter().enumerate() {
+            sse::write(&mut bytes, name, Some(i as u64), data);
+        }
+        let mut got = Vec::new();
+        let mut reader = sse::Reader::new(4_096);
+        for piece in cut(&bytes, &at) {
+            reader.push(&piece, &mut got).unwrap();
+        }
+        let got: Vec<(String, String)> = got.into_iter().map(|e| (e.name, e.data)).collect();
+        prop_assert_eq!(events, got);
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/day.rs
@@ -0,0 +1,348 @@
+//! Days: a fleet, traffic and faults, by name or from a day file that the bench printed.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+
+use crate::engine::{Make, Role};
+use crate::record::{Class, Effect, Figures};
+
+/// An engine of the fleet.
+#[derive(Debug, Clone)]
+pub struct EngineSpec {
+    pub id: String,
+    pub cell: u64,
+    pub make: Make,
+}
+
+/// What can go wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Crash,
+    MassRestart,
+    FastErrors,
+    Hang,
+    Pauses,
+    Slow,
+    Ageing,
+    AnswerLost,
+    Flush,
+    HotKey,
+    HeavyTail,
+    Burst,
+    GiveUp,
+    ReportLate,
+    OriginSlow,
+    Drain,
+    StaleList,
+    BalancerRoll,
+    SlowClients,
+}
+
+/// The kinds by the names that the bench's day files use, and by those that it has none for.
+pub const KINDS: [(&str, Kind); 19] = [
+    ("crash", Kind::Crash),
+    ("mass_restart", Kind::MassRestart),
+    ("fast_errors", Kind::FastErrors),
+    ("hang", Kind::Hang),
+    ("pauses", Kind::Pauses),
+    ("slow", Kind::Slow),
+    ("ageing", Kind::Ageing),
+    ("answer_lost", Kind::AnswerLost),
+    ("flush", Kind::Flush),
+    ("hot_key", Kind::HotKey),
+    ("heavy_tail", Kind::HeavyTail),
+    ("burst", Kind::Burst),
+    ("give_up", Kind::GiveUp),
+    ("report_late", Kind::ReportLate),
+    ("origin_slow", Kind::OriginSlow),
+    ("drain", Kind::Drain),
+    ("stale_list", Kind::StaleList),
+    ("balancer_roll", Kind::BalancerRoll),
+    ("slow_clients", Kind::SlowClients),
+];
+
+impl Kind {
+    pub fn name(self) -> &'static str {
+        KINDS.iter().find(|(_, k)| *k == self).map_or("", |(name, _)| name)
+    }
+
+    /// Whether it strikes engines.
+    pub fn on_engines(self) -> bool {
+        use Kind::*;
+        matches!(
+            self,
+            Crash
+                | MassRestart
+                | FastErrors
+                | Hang
+                | Pauses
+                | Slow
+                | Ageing
+                | AnswerLost
+                | Flush
+                | ReportLate
+                | Drain
+        )
+    }
+}
+
+/// A fault. Times in µs from the day's beginning.
+#[derive(Debug, Clone)]
+pub struct Fault {
+    pub kind: Kind,
+    pub at: u64,
+    pub len: u64,
+    /// Engines or routers that it strikes, by place in the day's lists.
+    pub on: Vec<usize>,
+    /// How hard: a factor, or a share, by kind.
+    pub size: f64,
+}
+
+/// A day.
+#[derive(Debug, Clone)]
+pub struct Day {
+    pub name: String,
+    pub seed: u64,
+    pub length: u64,
+    pub routers: usize,
+    pub engines: Vec<EngineSpec>,
+    pub classes: Vec<Class>,
+    /// Of the first tries, one a class.
+    pub shares: Vec<f64>,
+    /// First tries a second.
+    pub rate: f64,
+    /// The register tells of changes after this.
+    pub notice: u64,
+    pub figures: Figures,
+    pub faults: Vec<Fault>,
+}
+
+const S: u64 = 1_000_000;
+
+fn make(role: Role) -> Make {
+    let (slots, queue, memory, capacity_per_s) = match role {
+        Role::Reader => (6, 30, 200_000, 14.0),
+        Role::Writer => (40, 20, 120_000, 25.0),
+        Role::Mixed => (30, 20, 160_000, 10.0),
+    };
+    let (read_per_s, step_us, per_answer_us) = match role {
+        Role::Reader => (16_000.0, 8_000.0, 0.0),
+        Role::Writer => (7_000.0, 14_000.0, 150.0),
+        Role::Mixed => (9_000.0, 14_000.0, 150.0),
+    };
+    Make { role, slots, queue, memory, read_per_s, step_us, per_answer_us, capacity_per_s }
+}
+
+fn base(name: &str, seed: u64, length: u64) -> Day {
+    let roles = [
+        ("read-a1", Role::Reader, 1),
+        ("read-a2", Role::Reader, 1),
+        ("read-b1", Role::Reader, 2),
+        ("write-a1", Role::Writer, 1),
+        ("write-a2", Role::Writer, 1),
+        ("write-b1", Role::Writer, 2),
+        ("write-b2", Role::Writer, 2),
+        ("mixed-b1", Role::Mixed, 2),
+    ];
+    let engines =
+        roles.iter().map(|(id, role, cell)| EngineSpec { id: (*id).into(), cell: *cell, make: make(*role) });
+    let class = |name: &str, effect, window, aim, deadline, worth| Class {
+        name: name.into(),
+        effect,
+        window_us: window,
+        aim_us: aim,
+        aim_per_1000_us: 60_000,
+        token_aim_us: 60_000,
+        worth,
+        deadline_us: deadline,
+    };
+    Day {
+        name: name.into(),
+        seed,
+        length,
+        routers: 3,
+        engines: engines.collect(),
+        classes: vec![
+            class("help", Effect::Free, 0, S, 5 * S, 1.0),
+            class("report", Effect::SingleShot, 0, 2 * S, 8 * S, 2.0),
+            class("lookup", Effect::Guarded, 4 * S, S, 5 * S, 1.0),
+        ],
+        shares: vec![0.6, 0.25, 0.15],
+        rate: 18.0,
+        notice: 1_500_000,
+        figures: Figures {
+            slack_us: 100_000,
+            release_us: S,
+            grace_us: S,
+            fall_multiple: 3.0,
+            fall_us: 2 * S,
+            cold_from: 0.3,
+            cold_us: 8 * S,
+            noise_us: 150_000,
+        },
+        faults: Vec::new(),
+    }
+}
+
+/// Most of the faults, overlapping; times as shares of the day, so that it can be shortened.
+fn bad_day(seed: u64, seconds: u64) -> Day {
+    let mut day = base("bad-day", seed, seconds * S);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let length = day.length as f64;
+    let plan: [(Kind, f64, f64, f64); 21] = [
+        (Kind::Crash, 0.06, 0.08, 0.0),
+        (Kind::HotKey, 0.08, 0.15, 0.25),
+        (Kind::Slow, 0.12, 0.18, 4.0),
+        (Kind::BalancerRoll, 0.16, 0.02, 1.0),
+        (Kind::FastErrors, 0.22, 0.10, 0.8),
+        (Kind::GiveUp, 0.25, 0.15, 0.15),
+        (Kind::AnswerLost, 0.28, 0.15, 0.5),
+        (Kind::HeavyTail, 0.32, 0.20, 8.0),
+        (Kind::StaleList, 0.36, 0.15, 0.0),
+        (Kind::Crash, 0.38, 0.06, 0.0),
+        (Kind::Pauses, 0.42, 0.15, 0.3),
+        (Kind::Drain, 0.45, 0.12, 0.0),
+        (Kind::OriginSlow, 0.48, 0.15, 6.0),
+        (Kind::Hang, 0.52, 0.08, 0.0),
+        (Kind::ReportLate, 0.55, 0.15, 0.0),
+        (Kind::Burst, 0.58, 0.08, 2.0),
+        (Kind::MassRestart, 0.62, 0.04, 0.0),
+        (Kind::BalancerRoll, 0.66, 0.03, 2.0),
+        (Kind::Flush, 0.72, 0.01, 0.0),
+        (Kind::SlowClients, 0.74, 0.12, 0.1),
+        (Kind::Ageing, 0.76, 0.16, 5.0),
+    ];
+    for (kind, at, len, size) in plan {
+        let at = (at + rng.random_range(-0.02..0.02)).max(0.03);
+        let on = strike(kind, size, &day, &mut rng);
+        day.faults.push(Fault { kind, at: (at * length) as u64, len: (len * length) as u64, on, size });
+    }
+    day.faults.sort_by_key(|f| f.at);
+    day
+}
+
+/// Whom a fault strikes: one engine, all of a role in a restart of a whole kind, or some routers.
+fn strike(kind: Kind, size: f64, day: &Day, rng: &mut ChaCha8Rng) -> Vec<usize> {
+    match kind {
+        Kind::MassRestart => {
+            let role = if rng.random_bool(0.5) { Role::Reader } else { Role::Writer };
+            (0..day.engines.len())
+                .filter(|i| day.engines.get(*i).is_some_and(|e| e.make.role == role))
+                .collect()
+        }
+        Kind::Flush => (0..day.engines.len()).collect(),
+        Kind::BalancerRoll => {
+            let first = rng.random_range(0..day.routers);
+            (0..(size as usize).clamp(1, day.routers)).map(|i| (first + i) % day.routers).collect()
+        }
+        k if k.on_engines() => vec![rng.random_range(0..day.engines.len())],
+        _ => Vec::new(),
+    }
+}
+
+#[derive(Deserialize)]
+struct BenchTrouble {
+    kind: String,
+    at: f64,
+    len: f64,
+    #[serde(default)]
+    size: f64,
+    #[serde(default)]
+    on: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct BenchDay {
+    site: String,
+    length: f64,
+    #[serde(default)]
+    servers: Vec<serde_json::Value>,
+    troubles: Vec<BenchTrouble>,
+}
+
+/// The troubles of a bench day on our fleet: kinds, times and sizes as there, struck engines in
+/// proportion. The bench's fleet and traffic stay the bench's.
+fn bench_day(text: &str, seed: u64, seconds: Option<u64>) -> Result<Day, String> {
+    let bench: BenchDay = serde_json::from_str(text).map_err(|e| format!("not a day file: {e}"))?;
+    let own = (bench.length / S as f64).ceil();
+    if !(1.0..=3_600.0).contains(&own) {
+        return Err(format!("field `length`: {} µs is not between 1 s and 1 h", bench.length));
+    }
+    let seconds = seconds.unwrap_or((own as u64).clamp(8, 600));
+    let mut day = base(&bench.site, seed, seconds * S);
+    let scale = day.length as f64 / bench.length;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    for (i, t) in bench.troubles.iter().enumerate() {
+        let kind = KINDS.iter().find(|(name, _)| *name == t.kind).map(|(_, k)| *k);
+        let kind = kind.ok_or_else(|| format!("field `troubles[{i}].kind`: unknown trouble `{}`", t.kind))?;
+        let mut on = strike(kind, t.size, &day, &mut rng);
+        if kind.on_engines() && !matches!(kind, Kind::MassRestart | Kind::Flush) && !bench.servers.is_empty()
+        {
+            let part = t.on.len() as f64 / bench.servers.len() as f64;
+            let many = ((part * day.engines.len() as f64).round() as usize).clamp(1, day.engines.len());
+            let first = rng.random_range(0..day.engines.len());
+            on = (0..many).map(|n| (first + n) % day.engines.len()).collect();
+        }
+        let size = match kind {
+            Kind::Slow | Kind::OriginSlow | Kind::Ageing | Kind::Burst => t.size.clamp(1.1, 10.0),
+            Kind::HeavyTail => t.size.clamp(2.0, 30.0),
+            _ => t.size.clamp(0.0, 1.0),
+        };
+        let at = (t.at.max(0.0) * scale) as u64;
+        day.faults.push(Fault {
+            kind,
+            at: at.min(day.length),
+            len: (t.len.max(0.0) * scale) as u64,
+            on,
+            size,
+        });
+    }
+    day.faults.sort_by_key(|f| f.at);
+    Ok(day)
+}
+
+/// A day by name, or a bench's day file by its path.
+pub fn load(day: &str, seed: u64, seconds: Option<u64>) -> Result<Day, String> {
+    match day {
+        "bad-day" => Ok(bad_day(seed, seconds.unwrap_or(60))),
+        "calm-day" => Ok(base("calm-day", seed, seconds.unwrap_or(20) * S)),
+        path => {
+            let text = std::fs::read_to_string(path).map_err(|e| {
+                format!("{path}: no day of this name (bad-day, calm-day) and no day file: {e}")
+            })?;
+            bench_day(&text, seed, seconds).map_err(|e| format!("{path}: {e}"))
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    #![allow(clippy::unwrap_used)]
+    use super::*;
+
+    #[test]
+    fn a_bad_day_has_most_kinds_and_is_the_same_for_a_seed() {
+        let (one, two, other) = (bad_day(1, 60), bad_day(1, 60), bad_day(2, 60));
+        let kinds = KINDS.iter().filter(|(_, k)| one.faults.iter().any(|f| f.kind == *k)).count();
+        assert_eq!(kinds, KINDS.len());
+        assert_eq!(format!("{one:?}"), format!("{two:?}"));
+        assert_ne!(format!("{:?}", one.faults), format!("{:?}", other.faults));
+        let overlap =
+            |f: &Fault| one.faults.iter().filter(|g| g.at < f.at + f.len && f.at < g.at + g.len).count() > 1;
+        assert!(one.faults.iter().filter(|f| overlap(f)).count() > 15);
+    }
+
+    #[test]
+    fn a_bench_days_troubles_are_played_by_name() {
+        let text = r#"{"site":"x","length":40000000,"servers":[1,2,3,4],"troubles":[
+            {"kind":"slow","at":10000000,"len":5000000,"size":3.0,"on":[0,1]},
+            {"kind":"burst","at":20000000,"len":5000000,"size":1.5}]}"#;
+        let day = bench_day(text, 1, Some(20)).unwrap();
+        let slow = day.faults.first().unwrap();
+        assert_eq!((slow.kind, slow.at, slow.len, slow.on.len()), (Kind::Slow, 5_000_000, 2_500_000, 4));
+        let wrong = text.replace("burst", "bust");
+        assert!(bench_day(&wrong, 1, None).unwrap_err().contains("troubles[1].kind"));
+        assert!(bench_day("{}", 1, None).unwrap_err().contains("site"));
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,64 @@
+//! The rehearsal kit: stand-in engines, a register and clients on loopback, scripted faults, and the
+//! audit of the traffic that crossed their sockets.
+//!
+//! Routers under rehearsal are processes of their own; nothing here knows their insides. The stand-ins
+//! are models for rehearsing failures, not measurements of real engines.
+
+mod audit;
+mod clients;
+mod day;
+mod engine;
+mod fleet;
+mod net;
+mod record;
+mod report;
+mod routers;
+mod world;
+
+use std::path::PathBuf;
+
+pub use audit::audit;
+pub use report::{Report, Rule, Rules};
+
+/// What a rehearsal is to do.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The program that runs routers.
+    pub exe: PathBuf,
+    /// Seed of the day.
+    pub seed: u64,
+    /// Where the recorded traffic is written.
+    pub record: Option<PathBuf>,
+    /// Length in seconds; the day's own if not given.
+    pub seconds: Option<u64>,
+}
+
+/// Why there is no report.
+#[derive(Debug)]
+pub enum Error {
+    /// The day can't be read.
+    BadInput(String),
+    /// It could not be played.
+    CouldNotRun(String),
+}
+
+impl From<std::io::Error> for Error {
+    fn from(e: std::io::Error) -> Self {
+        Self::CouldNotRun(e.to_string())
+    }
+}
+
+/// Plays a day by its name, or by the path of a day file that the bench printed.
+pub fn rehearse(day: &str, plan: &Plan) -> Result<Report, Error> {
+    let day = day::load(day, plan.seed, plan.seconds).map_err(Error::BadInput)?;
+    let lines = world::play(&day, plan)?;
+    let text = record::text(&lines);
+    if let Some(file) = &plan.record {
+        std::fs::write(file, &text).map_err(|e| Error::CouldNotRun(format!("{}: {e}", file.display())))?;
+    }
+    let report = audit::judge(&lines);
+    if report.requests == 0 {
+        return Err(Error::CouldNotRun("the day had no requests".into()));
+    }
+    Ok(report)
+}
--- /dev/null
+++ b/crates/rehearsal/src/report.rs
@@ -0,0 +1,148 @@
+//! What a rehearsal or an audit says.
+
+use serde::Serialize;
+
+/// One rule's judgement.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Rule {
+    /// It held.
+    pub held: bool,
+    /// How many cases were checked.
+    pub checked: u64,
+    /// How many broke it.
+    pub broken: u64,
+}
+
+/// The five rules.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Rules {
+    /// Each request taken gets exactly one final answer in time.
+    pub answered: Rule,
+    /// No effect twice, no false promise that nothing ran.
+    pub effect: Rule,
+    /// Nothing new to a draining or gone worker past the grace.
+    pub drain: Rule,
+    /// No cold worker pushed over.
+    pub cold: Rule,
+    /// Nothing left pinned.
+    pub pinned: Rule,
+}
+
+impl Rules {
+    /// Whether all held.
+    pub fn held(&self) -> bool {
+        self.named().iter().all(|(_, r)| r.held)
+    }
+
+    fn named(&self) -> [(&'static str, Rule); 5] {
+        [
+            ("answered", self.answered),
+            ("effect", self.effect),
+            ("drain", self.drain),
+            ("cold", self.cold),
+            ("pinned", self.pinned),
+        ]
+    }
+}
+
+/// Percentiles in ms.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct Times {
+    /// Half are under this.
+    pub p50: f64,
+    /// Nine in ten.
+    pub p90: f64,
+    /// Ninety-nine in a hundred.
+    pub p99: f64,
+    /// How many were measured.
+    pub count: u64,
+}
+
+/// How tries ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Answers {
+    /// Answered whole.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Broke off midway.
+    pub broken: u64,
+    /// Told of another request under their identity.
+    pub duplicate: u64,
+    /// The client left.
+    pub left: u64,
+    /// Lost with a killed router.
+    pub lost: u64,
+}
+
+/// A day's report, from the recorded traffic alone.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Report {
+    /// The day's name.
+    pub day: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Seconds recorded.
+    pub seconds: f64,
+    /// The rules.
+    pub rules: Rules,
+    /// Requests, each with all its tries.
+    pub requests: u64,
+    /// Tries.
+    pub tries: u64,
+    /// How tries ended.
+    pub answers: Answers,
+    /// Worth answered in time over worth asked.
+    pub goodput: f64,
+    /// From the try's sending to its first token.
+    pub ttft_ms: Times,
+    /// Between tokens, a mean for each answer.
+    pub tpot_ms: Times,
+    /// Attempts that reached engines.
+    pub attempts: u64,
+    /// Faults played, by name.
+    pub faults: Vec<String>,
+    /// What broke, the first few of each rule.
+    pub broken: Vec<String>,
+}
+
+impl Report {
+    /// As one JSON object.
+    pub fn json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// For a person.
+    pub fn text(&self) -> String {
+        let mut out = format!("{} (seed {}), {:.1} s\n", self.day, self.seed, self.seconds);
+        for (name, r) in self.rules.named() {
+            let word = if r.held { "held" } else { "BROKEN" };
+            out.push_str(&format!("  rule {name:<9} {word:<7} {} checked, {} broken\n", r.checked, r.broken));
+        }
+        let a = self.answers;
+        out.push_str(&format!(
+            "  requests {} in {} tries, {} attempts at engines\n",
+            self.requests, self.tries, self.attempts
+        ));
+        out.push_str(&format!(
+            "  tries: served {}, refused {}, failed {}, broken off {}, duplicate {}, left {}, lost with a router {}\n",
+            a.served, a.refused, a.failed, a.broken, a.duplicate, a.left, a.lost
+        ));
+        out.push_str(&format!("  goodput {:.3}\n", self.goodput));
+        for (name, t) in [("TTFT", self.ttft_ms), ("TPOT", self.tpot_ms)] {
+            out.push_str(&format!(
+                "  {name} ms: p50 {:.1}, p90 {:.1}, p99 {:.1} ({})\n",
+                t.p50, t.p90, t.p99, t.count
+            ));
+        }
+        if !self.faults.is_empty() {
+            out.push_str(&format!("  faults: {}\n", self.faults.join(", ")));
+        }
+        for line in &self.broken {
+            out.push_str(&format!("  broken: {line}\n"));
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/routers.rs
@@ -0,0 +1,167 @@
+//! Routers under rehearsal: processes of their own, started and killed.
+
+use std::fs::File;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use crate::day::Day;
+use crate::record::Effect;
+
+pub struct Routers {
+    exe: PathBuf,
+    folder: PathBuf,
+    pub names: Vec<(String, SocketAddr)>,
+    children: Vec<Option<Child>>,
+    lives: u64,
+}
+
+/// An address that was free just now.
+fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+}
+
+/// The key of the stand-in clients, and its hash under the salt of the settings below.
+const SALT: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+fn settings(
+    day: &Day,
+    name: &str,
+    listen: SocketAddr,
+    register: SocketAddr,
+    list: &str,
+    key_hash: &str,
+) -> String {
+    let f = &day.figures;
+    let mut xml = format!(
+        r#"<chalkyard xmlns="urn:chalkyard:settings:1">
+  <router name="{name}" routers="{}" zone="yard" listen="{listen}" register="{register}" list-file="{list}" drain="5s"/>
+  <rules release="{}us" drain-grace="{}us" fall-multiple="{}" fall-after="{}us" cold-from="{}" cold-for="{}us"
+         answer-slack="{}us" max-attempts="4" reports="in-answers" self-prefill="true"/>
+  <waits stream="5s" slow-client="2s" register="5s"/>
+  <zones><zone name="yard"/></zones>
+  <kinds>
+    <kind name="reader" role="reader" kv-tokens="200000"/>
+    <kind name="writer" role="writer" kv-tokens="120000"/>
+    <kind name="mixed" role="mixed" kv-tokens="160000"/>
+  </kinds>
+"#,
+        day.routers, f.release_us, f.grace_us, f.fall_multiple, f.fall_us, f.cold_from, f.cold_us, f.slack_us
+    );
+    xml.push_str(&format!(
+        "  <classes default=\"{}\">\n",
+        day.classes.first().map_or("", |c| c.name.as_str())
+    ));
+    for c in &day.classes {
+        let effect = match c.effect {
+            Effect::Free => "effect=\"free\"".to_owned(),
+            Effect::SingleShot => "effect=\"single-shot\"".to_owned(),
+            Effect::Guarded => {
+                format!("effect=\"guarded\" group=\"cell\" dedup-window=\"{}us\"", c.window_us)
+            }
+        };
+        xml.push_str(&format!(
+            "    <class name=\"{}\" aim=\"{}us\" aim-per-1000-tokens=\"{}us\" deadline=\"{}us\" token-aim=\"{}us\" worth=\"{}\" {effect}/>\n",
+            c.name, c.aim_us, c.aim_per_1000_us, c.deadline_us, c.token_aim_us, c.worth
+        ));
+    }
+    xml.push_str("  </classes>\n");
+    xml.push_str(&format!(
+        "  <tenants salt=\"{SALT}\"><tenant name=\"yard\"><key hash=\"{key_hash}\"/></tenant></tenants>\n</chalkyard>\n"
+    ));
+    xml
+}
+
+impl Routers {
+    pub fn new(day: &Day, exe: PathBuf, register: SocketAddr) -> io::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("chalkyard-{}-{}", std::process::id(), day.seed));
+        std::fs::create_dir_all(&folder)?;
+        let mut names = Vec::new();
+        for i in 0..day.routers {
+            names.push((format!("r{}", i + 1), free_address()?));
+        }
+        let routers = Self { exe, folder, children: names.iter().map(|_| None).collect(), names, lives: 0 };
+        let bare = settings(day, "r0", free_address()?, register, "none", &"0".repeat(64));
+        let hash = routers.hash_key(&bare)?;
+        for (name, listen) in &routers.names {
+            let list = routers.folder.join(format!("{name}.list"));
+            let xml = settings(day, name, *listen, register, &list.display().to_string(), &hash);
+            std::fs::write(routers.folder.join(format!("{name}.xml")), xml)?;
+        }
+        Ok(routers)
+    }
+
+    /// The key's hash, by the program's own command, as an operator would make it.
+    fn hash_key(&self, settings: &str) -> io::Result<String> {
+        let file = self.folder.join("hash.xml");
+        std::fs::write(&file, settings)?;
+        let mut child = Command::new(&self.exe)
+            .arg("hash-key")
+            .arg(&file)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        if let Some(mut stdin) = child.stdin.take() {
+            io::Write::write_all(&mut stdin, b"rehearsal-key\n")?;
+        }
+        let output = child.wait_with_output()?;
+        Ok(String::from_utf8_lossy(&output.stdout).trim().to_owned())
+    }
+
+    pub fn start(&mut self, i: usize, seed: u64) -> io::Result<()> {
+        let Some((name, _)) = self.names.get(i) else { return Ok(()) };
+        self.lives += 1;
+        let log = File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")))?;
+        let mut command = Command::new(&self.exe);
+        command.arg("run").arg(self.folder.join(format!("{name}.xml")));
+        command.arg("--seed").arg((seed.wrapping_mul(1_000) + self.lives).to_string());
+        if std::env::var_os("CHALKYARD_KEEP").is_some() {
+            command.arg("--decisions").arg(self.folder.join(format!("{name}-{}.decisions", self.lives)));
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
+        if let Some(place) = self.children.get_mut(i) {
+            *place = Some(child);
+        }
+        Ok(())
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.children.get_mut(i).and_then(Option::take) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Routers whose process has ended by itself.
+    pub fn ended(&mut self) -> Option<String> {
+        for (i, child) in self.children.iter_mut().enumerate() {
+            if let Some(status) = child.as_mut().and_then(|c| c.try_wait().ok().flatten()) {
+                let name = self.names.get(i).map_or("", |n| n.0.as_str());
+                let log = self.folder.join(format!("{name}.log")).display().to_string();
+                return Some(format!("router {name} ended by itself: {status}; its log: {log}"));
+            }
+        }
+        None
+    }
+
+    /// Ends all; their files go unless something is to be looked into.
+    pub fn finish(&mut self, keep: bool) {
+        for i in 0..self.children.len() {
+            self.kill(i);
+        }
+        if keep || std::env::var_os("CHALKYARD_KEEP").is_some() {
+            eprintln!("routers' settings and logs: {}", self.folder.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Drop for Routers {
+    fn drop(&mut self) {
+        for i in 0..self.children.len() {
+            self.kill(i);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/config.rs
@@ -0,0 +1,149 @@
+//! What a router is told when it starts.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use chalkyard_api::client;
+use chalkyard_api::keys::KeyRing;
+use chalkyard_policy as p;
+
+/// A class by its name; its place in the list is its [`p::ClassId`].
+#[derive(Debug, Clone)]
+pub struct ClassEntry {
+    /// Its name, as clients give it.
+    pub name: String,
+}
+
+/// A tenant by its name; its place in the list is its [`p::TenantId`].
+#[derive(Debug, Clone)]
+pub struct TenantEntry {
+    /// Its name, for the log.
+    pub name: String,
+    /// Classes that its keys may ask for, by place; none: all.
+    pub classes: Option<Vec<usize>>,
+}
+
+/// A kind of engine.
+#[derive(Debug, Clone, Copy)]
+pub struct KindEntry {
+    /// What it does.
+    pub role: p::Role,
+    /// Its KV memory in tokens, where known.
+    pub kv_tokens: Option<u64>,
+}
+
+/// Bounds of a router's buffers and tables. What is past one is refused or waits; each says which.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Of client connections' decoders.
+    pub client: chalkyard_proto::Limits,
+    /// Of engine connections' decoders; the body's length is that of one whole stream.
+    pub engine: chalkyard_proto::Limits,
+    /// Of one call.
+    pub call: client::Bounds,
+    /// Bytes of one event of an engine's or the register's stream.
+    pub event_bytes: usize,
+    /// Bytes of one answer's text that is kept for a client that wants it whole.
+    pub answer_bytes: usize,
+    /// Client connections; one more is answered 503 and closed.
+    pub clients: usize,
+    /// Open requests; one more is refused before the module sees it.
+    pub open: usize,
+    /// Connections to one engine; at the bound an attempt ends as `NoConnection`.
+    pub engine_connections: usize,
+    /// Idle ones of these that are kept.
+    pub engine_idle: usize,
+    /// Bytes waiting for a slow client at which its engine is no longer read; half of it starts again.
+    pub client_buffer: usize,
+    /// Entries of the worker list.
+    pub workers: usize,
+    /// Identities remembered; the oldest finished ones go first.
+    pub identities: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        let client = chalkyard_proto::Limits::default();
+        Self {
+            client,
+            engine: chalkyard_proto::Limits { body_bytes: 256 * 1024 * 1024, ..client },
+            call: client::Bounds::default(),
+            event_bytes: 1024 * 1024,
+            answer_bytes: 4 * 1024 * 1024,
+            clients: 20_000,
+            open: 20_000,
+            engine_connections: 1_024,
+            engine_idle: 64,
+            client_buffer: 64 * 1024,
+            workers: 10_000,
+            identities: 100_000,
+        }
+    }
+}
+
+/// Bounds of a router's waits.
+#[derive(Debug, Clone, Copy)]
+pub struct Waits {
+    /// From a request's first byte to the end of its body.
+    pub head: p::Micros,
+    /// A client connection without a request.
+    pub idle: p::Micros,
+    /// An engine connection without one; under the engines' own.
+    pub engine_idle: p::Micros,
+    /// Until a connection to an engine or the register stands.
+    pub connect: p::Micros,
+    /// Between two events of a begun answer.
+    pub stream: p::Micros,
+    /// A client that takes nothing of what waits for it.
+    pub slow_client: p::Micros,
+    /// Without a sign of life from the register.
+    pub register: p::Micros,
+    /// A final answer leaves so long before the client's time is up.
+    pub reply_margin: p::Micros,
+    /// How long identities of finished requests that may have run are remembered.
+    pub identity: p::Micros,
+}
+
+impl Default for Waits {
+    fn default() -> Self {
+        let ms = |n: u64| p::Micros(n * 1_000);
+        Self {
+            head: ms(10_000),
+            idle: ms(60_000),
+            engine_idle: ms(10_000),
+            connect: ms(250),
+            stream: ms(20_000),
+            slow_client: ms(10_000),
+            register: ms(15_000),
+            reply_margin: ms(25),
+            identity: ms(600_000),
+        }
+    }
+}
+
+/// All that a [`crate::Core`] is told.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// This router's name; it must differ from all others' and goes into request ids.
+    pub name: String,
+    /// What the module is told.
+    pub policy: p::Settings,
+    /// Classes, in the order of `policy.classes`.
+    pub classes: Vec<ClassEntry>,
+    /// The class of calls that name none.
+    pub default_class: usize,
+    /// Tenants, in the order of `policy.tenants`.
+    pub tenants: Vec<TenantEntry>,
+    /// Their keys. Without tenants, no key is asked for.
+    pub keys: KeyRing,
+    /// Zones by name.
+    pub zones: BTreeMap<String, p::ZoneId>,
+    /// Kinds of engines by name.
+    pub kinds: BTreeMap<String, KindEntry>,
+    /// Where the list of workers comes from; none: only the first list.
+    pub register: Option<SocketAddr>,
+    /// Bounds.
+    pub bounds: Bounds,
+    /// Waits.
+    pub waits: Waits,
+}
--- /dev/null
+++ b/crates/router/src/core/attempts.rs
@@ -0,0 +1,813 @@
+//! Requests from arrival to their last verdict: attempts at engines, what came of them, final answers.
+
+use chalkyard_api::client::{
+    ErrorBody, ErrorKind, Event as ClientEvent, MessagesRequest, Usage, WholeAnswer,
+};
+use chalkyard_api::engine::{self, Chunk, Stage, StreamItem};
+use chalkyard_policy as p;
+use chalkyard_policy::{AttemptNo, Event, Micros, Outcome, RequestId, WorkerId};
+use chalkyard_proto::{encode, sse, Part, Start};
+use serde_json::value::RawValue;
+
+use super::pool::Task;
+use super::record::{since, AttemptRecord, Ended, Finished};
+use super::sources::report;
+use super::{ConnId, Core, Due, FinishedLine, Output};
+use crate::identity::Identity;
+use crate::timers::Key;
+
+/// Bytes of an engine's error answer that are read.
+const ERROR_BYTES: usize = 64 * 1024;
+/// A call to let go is tried so often, with this pause; then the engine's own time-out is left to it.
+const RELEASE_TRIES: u32 = 3;
+const RELEASE_PAUSE: Micros = Micros(30_000);
+
+/// What an attempt is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum At {
+    Read,
+    Pull,
+    Whole,
+}
+
+/// A reply as far as it has come.
+#[derive(Debug)]
+pub(super) enum Reply {
+    /// Nothing yet.
+    None,
+    /// A body that is read whole: a reader's answer, or an error's.
+    Whole { status: u16, body: Vec<u8> },
+    /// A stream of events.
+    Stream(Box<sse::Reader>),
+}
+
+#[derive(Debug)]
+struct Attempt {
+    worker: WorkerId,
+    at: At,
+    sent: Micros,
+    conn: Option<ConnId>,
+    timer: Option<Key>,
+    report: Option<p::Report>,
+    /// The wait between events.
+    stream_timer: Option<Key>,
+    ended: Option<(Outcome, Micros)>,
+}
+
+#[derive(Debug)]
+enum Answer {
+    /// None was given yet.
+    Owed,
+    /// The stream to the client has begun.
+    Begun,
+    /// Given, or owed no more.
+    Given { ended: Ended, phase: &'static str, reason: String, at: Micros },
+}
+
+/// A request.
+#[derive(Debug)]
+pub(super) struct Job {
+    client: ConnId,
+    pub request: p::Request,
+    call: MessagesRequest,
+    identity: Option<Identity>,
+    arrived: Micros,
+    attempts: Vec<Attempt>,
+    /// The reader that holds its state, and the parameters for the writer.
+    held: Option<(WorkerId, Box<RawValue>)>,
+    /// The writer at which a place may be held.
+    pub seat: Option<WorkerId>,
+    answer: Answer,
+    first_token: Option<Micros>,
+    /// The attempt whose answer goes to the client.
+    winner: Option<usize>,
+    paused: bool,
+    text: String,
+    stop_reason: Option<String>,
+    usage: Usage,
+    /// What the reader found kept: to the writer that pulls, the whole prompt is.
+    kept_at_reader: Option<u64>,
+}
+
+impl Job {
+    pub fn new(
+        client: ConnId,
+        request: p::Request,
+        call: MessagesRequest,
+        identity: Option<Identity>,
+        arrived: Micros,
+    ) -> Self {
+        Self {
+            client,
+            request,
+            call,
+            identity,
+            arrived,
+            attempts: Vec::new(),
+            held: None,
+            seat: None,
+            answer: Answer::Owed,
+            first_token: None,
+            winner: None,
+            paused: false,
+            text: String::new(),
+            stop_reason: None,
+            usage: Usage::default(),
+            kept_at_reader: None,
+        }
+    }
+
+    fn over(&self) -> bool {
+        matches!(self.answer, Answer::Given { .. })
+    }
+
+    fn out(&self) -> bool {
+        self.attempts.iter().any(|a| a.ended.is_none())
+    }
+
+    /// Whether any attempt may have had the request's effect: not the module's word, but ours.
+    fn may_have_run(&self) -> bool {
+        let ran = |a: &Attempt| a.at != At::Read && a.ended.is_none_or(|(o, _)| !o.proves_not_run());
+        self.attempts.iter().any(ran)
+    }
+
+    fn phase(&self) -> &'static str {
+        if matches!(self.answer, Answer::Begun) || self.winner.is_some() {
+            return "streaming";
+        }
+        match self.attempts.iter().rfind(|a| a.ended.is_none()).map(|a| a.at) {
+            Some(At::Read) => "reading",
+            Some(At::Pull) => "pulling",
+            Some(At::Whole) => "writing",
+            None if self.held.is_some() => "held",
+            None => "waiting",
+        }
+    }
+}
+
+fn outcome_name(o: Outcome) -> &'static str {
+    match o {
+        Outcome::Served => "served",
+        Outcome::Parsed => "parsed",
+        Outcome::ServerError => "server_error",
+        Outcome::Refused { no_state: false } => "refused",
+        Outcome::Refused { no_state: true } => "no_state",
+        Outcome::TimedOut => "timed_out",
+        Outcome::NoConnection => "no_connection",
+        Outcome::ConnectionLost => "connection_lost",
+        Outcome::Cancelled => "cancelled",
+        Outcome::NotSent => "not_sent",
+    }
+}
+
+impl Core {
+    // ---- The module's actions.
+
+    pub(super) fn send(&mut self, id: &RequestId, worker: WorkerId, give_up: Option<Micros>) {
+        let (now, most) = (self.now, self.config.policy.max_attempts as usize);
+        let via = self.via();
+        let host = self.host(&worker);
+        let role = self.engines.get(&worker).filter(|e| e.listed).map(|e| e.role);
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let at = match (role, &job.held) {
+            (Some(p::Role::Reader), _) => At::Read,
+            (_, Some(_)) => At::Pull,
+            _ => At::Whole,
+        };
+        let no = AttemptNo(job.attempts.len() as u32);
+        let attempt = Attempt {
+            worker: worker.clone(),
+            at,
+            sent: now,
+            conn: None,
+            timer: None,
+            report: None,
+            stream_timer: None,
+            ended: None,
+        };
+        job.attempts.push(attempt);
+        if job.over()
+            || job.winner.is_some()
+            || now >= job.request.deadline
+            || role.is_none()
+            || job.attempts.len() > most
+        {
+            return self.end_attempt(id, no, Outcome::NotSent, 0);
+        }
+        let stage = match (at, &job.held) {
+            (At::Read, _) => Stage::Read,
+            (At::Pull, Some((_, params))) => Stage::Pull(params),
+            _ => Stage::Whole,
+        };
+        let body = engine::completion(&job.call, stage);
+        let class = self.config.classes.get(job.request.class.0).map_or("", |c| c.name.as_str());
+        let mut fields = vec![
+            ("content-type", "application/json"),
+            ("via", &*via),
+            (engine::REQUEST_ID, &*id.0),
+            ("x-class", class),
+        ];
+        let tenant = job.identity.as_ref().map(|(t, key)| (t.map_or("-".into(), |t| t.to_string()), key));
+        // One tenant's key is no other's: engines know them together.
+        let key = tenant.map(|(t, key)| format!("\"{t}/{key}\""));
+        if let Some(key) = &key {
+            fields.push(("idempotency-key", key));
+        }
+        let bytes = encode::request("POST", engine::COMPLETIONS, &host, &fields, &body);
+        let due = give_up.map_or(job.request.deadline, |g| (now + g).min(job.request.deadline));
+        let conn = self.call(&worker, Task::Attempt(id.clone(), no, Reply::None), bytes, 0);
+        let Some(conn) = conn else { return self.end_attempt(id, no, Outcome::NoConnection, 0) };
+        let timer = self.timers.set(due, Due::Attempt(id.clone(), no));
+        if let Some(attempt) = self.attempt_mut(id, no) {
+            attempt.conn = Some(conn);
+            attempt.timer = Some(timer);
+        }
+    }
+
+    fn attempt_mut(&mut self, id: &RequestId, no: AttemptNo) -> Option<&mut Attempt> {
+        self.jobs.get_mut(id)?.attempts.get_mut(no.0 as usize)
+    }
+
+    pub(super) fn cancel(&mut self, id: &RequestId, no: AttemptNo) {
+        let streaming = self.jobs.get(id).is_some_and(|j| j.winner == Some(no.0 as usize));
+        if !streaming {
+            self.end_attempt(id, no, Outcome::Cancelled, 0);
+        }
+    }
+
+    pub(super) fn refuse(&mut self, id: &RequestId, retry_after: Option<Micros>) {
+        let error = ErrorBody {
+            kind: ErrorKind::Refused,
+            reason: "not taken now; nothing has run, trying again does no harm".into(),
+            field: None,
+            may_have_run: false,
+            retry_after: retry_after.map(Micros::as_secs_f64),
+        };
+        self.give_error(id, Ended::Refused, 503, error);
+    }
+
+    pub(super) fn fail(&mut self, id: &RequestId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let last = job.attempts.iter().rev().find_map(|a| a.ended).map(|(o, _)| outcome_name(o));
+        let reason = format!("failed; last attempt: {}", last.unwrap_or("none"));
+        self.give_failure(id, Ended::Failed, 504, reason);
+    }
+
+    fn give_failure(&mut self, id: &RequestId, ended: Ended, status: u16, reason: String) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let may_have_run = job.may_have_run();
+        let error =
+            ErrorBody { kind: ErrorKind::Failed, reason, field: None, may_have_run, retry_after: None };
+        self.give_error(id, ended, status, error);
+    }
+
+    pub(super) fn move_on(&mut self, id: &RequestId) {
+        let Some(no) = self.jobs.get(id).filter(|j| !j.over()).and_then(|j| j.winner) else { return };
+        self.give_failure(id, Ended::Moved, 503, "moved: come back and it goes on".into());
+        self.end_attempt(id, AttemptNo(no as u32), Outcome::Cancelled, 0);
+    }
+
+    pub(super) fn let_go(&mut self, id: &RequestId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let held = job.held.take().map(|(worker, _)| worker);
+        for worker in held.into_iter().chain(job.seat.take()) {
+            self.release(id.clone(), worker, 0);
+        }
+        self.forget_done(id);
+    }
+
+    // ---- Letting go.
+
+    fn release(&mut self, id: RequestId, worker: WorkerId, tries: u32) {
+        let fields =
+            [("content-type", "application/json"), ("via", &*self.via()), (engine::REQUEST_ID, &*id.0)];
+        let body = engine::naming(&id.0);
+        let bytes = encode::request("POST", engine::RELEASE, &self.host(&worker), &fields, &body);
+        // Beyond the bound by a few, so that letting go is not held up by what fills the engine.
+        match self.call(&worker, Task::Release(id.clone(), tries), bytes, 8) {
+            Some(conn) if self.links.get(&conn).is_some_and(|l| l.waiting.is_none()) => self.limit(conn),
+            Some(_) => {}
+            None => self.release_again(id, worker, tries),
+        }
+    }
+
+    fn release_again(&mut self, id: RequestId, worker: WorkerId, tries: u32) {
+        if tries + 1 < RELEASE_TRIES && self.engines.contains_key(&worker) {
+            self.timers.set(self.now + RELEASE_PAUSE, Due::Release(id, worker, tries + 1));
+        } else {
+            self.note("release", format!("{} could not be told to let go of {}", worker.0, id.0));
+        }
+    }
+
+    pub(super) fn release_at(&mut self, id: RequestId, worker: WorkerId, tries: u32) {
+        self.release(id, worker, tries);
+    }
+
+    // ---- Replies.
+
+    pub(super) fn drive_link(&mut self, conn: ConnId) {
+        loop {
+            let Some(link) = self.links.get_mut(&conn) else { return };
+            let part = match link.decoder.next_part() {
+                Ok(Some(part)) => part,
+                Ok(None) => return,
+                Err(e) => return self.reply_wrong(conn, e.reason == chalkyard_proto::Reason::Truncated),
+            };
+            let more = match &link.task {
+                Task::Attempt(..) => self.attempt_part(conn, part),
+                Task::Watch(_) => self.watch_part(conn, part),
+                Task::Fetch(_) => self.fetch_part(conn, part),
+                Task::Release(..) | Task::Seat(_) | Task::Probe(_) => self.call_part(conn, part),
+                Task::Rest => {
+                    if part == Part::End {
+                        self.park(conn);
+                        false
+                    } else {
+                        true
+                    }
+                }
+                Task::Idle => false,
+            };
+            if !more {
+                return;
+            }
+        }
+    }
+
+    /// A reply that can't be read further: cut short, or malformed.
+    fn reply_wrong(&mut self, conn: ConnId, cut: bool) {
+        if cut {
+            self.out.push(Output::Abort(conn));
+            return self.link_lost(conn);
+        }
+        let Some(link) = self.forget_link(conn) else { return };
+        self.out.push(Output::Abort(conn));
+        match link.task {
+            Task::Attempt(id, no, _) => self.end_attempt(&id, no, Outcome::ServerError, 0),
+            other => self.task_lost(other, link.worker),
+        }
+    }
+
+    /// A connection is gone. What it carried may have run if a byte of it was taken to be sent.
+    pub(super) fn link_lost(&mut self, conn: ConnId) {
+        let Some(link) = self.forget_link(conn) else { return };
+        let sent = link.waiting.is_none() && link.wrote > 0;
+        match link.task {
+            Task::Attempt(id, no, _) => {
+                let outcome = if sent { Outcome::ConnectionLost } else { Outcome::NoConnection };
+                self.end_attempt(&id, no, outcome, 0);
+            }
+            Task::Watch(_) => self.register_lost(Some(conn)),
+            other => self.task_lost(other, link.worker),
+        }
+    }
+
+    fn task_lost(&mut self, task: Task, worker: Option<WorkerId>) {
+        match (task, worker) {
+            (Task::Release(id, tries), Some(worker)) => self.release_again(id, worker, tries),
+            (Task::Probe(since), Some(worker)) => self.probed(worker, false, self.now - since, None),
+            (Task::Seat(id), Some(worker)) => {
+                self.events.push_back(Event::Booked { id, worker, held: false })
+            }
+            (Task::Fetch(_) | Task::Watch(_), _) => self.register_lost(None),
+            _ => {}
+        }
+    }
+
+    /// A part of the answer to a small call; true: more is to come.
+    fn call_part(&mut self, conn: ConnId, part: Part) -> bool {
+        let now = self.now;
+        let Some(link) = self.links.get_mut(&conn) else { return false };
+        let Part::Head(head) = part else {
+            return part != Part::End;
+        };
+        let ok = matches!(head.start, Start::Response { status: 200..=299 });
+        let load = report(head.header(engine::LOAD));
+        let worker = link.worker.clone().unwrap_or_default();
+        match std::mem::replace(&mut link.task, Task::Rest) {
+            Task::Probe(since) => self.probed(worker, ok, now - since, load),
+            Task::Seat(id) => self.events.push_back(Event::Booked { id, worker, held: ok }),
+            // Nothing is held under this id there: that is what was wanted.
+            Task::Release(..) if ok => {}
+            Task::Release(id, tries) => self.release_again(id, worker, tries),
+            _ => {}
+        }
+        true
+    }
+
+    /// A part of the reply to an attempt; true: go on reading.
+    fn attempt_part(&mut self, conn: ConnId, part: Part) -> bool {
+        let event_bytes = self.config.bounds.event_bytes;
+        let Some(link) = self.links.get_mut(&conn) else { return false };
+        let Task::Attempt(id, no, reply) = &mut link.task else { return false };
+        let (id, no) = (id.clone(), *no);
+        let Some(attempt) = self.jobs.get_mut(&id).and_then(|j| j.attempts.get_mut(no.0 as usize)) else {
+            self.abort_link(conn);
+            return false;
+        };
+        match (part, reply) {
+            (Part::Head(head), reply) => {
+                attempt.report = report(head.header(engine::LOAD));
+                let Start::Response { status } = head.start else { return false };
+                let events = head.header("content-type").is_some_and(|t| t.starts_with("text/event-stream"));
+                *reply = match (status, attempt.at, events) {
+                    (200, At::Pull | At::Whole, true) => {
+                        Reply::Stream(Box::new(sse::Reader::new(event_bytes)))
+                    }
+                    (200, At::Pull | At::Whole, false) => Reply::Whole { status: 500, body: Vec::new() },
+                    _ => Reply::Whole { status, body: Vec::new() },
+                };
+                true
+            }
+            (Part::Data(data), Reply::Whole { body, .. }) => {
+                if body.len() + data.len() > ERROR_BYTES + engine::PARAMS_BYTES {
+                    self.finish_reply(conn, &id, no, Outcome::ServerError, 0, true);
+                    return false;
+                }
+                body.extend(data);
+                true
+            }
+            (Part::Data(data), Reply::Stream(reader)) => {
+                let mut events = Vec::new();
+                let read = reader.push(&data, &mut events);
+                for event in events {
+                    match engine::stream_item(&event.data) {
+                        Ok(StreamItem::Chunk(chunk)) => self.chunk(&id, no, chunk),
+                        Ok(StreamItem::Done) => {
+                            self.finish_reply(conn, &id, no, Outcome::Served, 0, false);
+                            return self.links.contains_key(&conn);
+                        }
+                        Err(_) => {
+                            self.finish_reply(conn, &id, no, Outcome::ServerError, 0, true);
+                            return false;
+                        }
+                    }
+                    // The chunk can have ended the request and with it this connection.
+                    if !self.links.contains_key(&conn) {
+                        return false;
+                    }
+                }
+                if read.is_err() {
+                    self.finish_reply(conn, &id, no, Outcome::ServerError, 0, true);
+                    return false;
+                }
+                true
+            }
+            // The reply ended and its end marker never came: what was written may not be all.
+            (Part::End, Reply::Stream(_)) => {
+                self.finish_reply(conn, &id, no, Outcome::ConnectionLost, 0, true);
+                false
+            }
+            (Part::End, Reply::Whole { status, body }) => {
+                let (status, body) = (*status, std::mem::take(body));
+                let (outcome, kept) = match (status, attempt.at) {
+                    (200, At::Read) => match engine::read_answer(&body) {
+                        Ok((usage, params)) => {
+                            let worker = attempt.worker.clone();
+                            if let Some(job) = self.jobs.get_mut(&id) {
+                                job.held = Some((worker, params));
+                                job.usage = usage;
+                                job.kept_at_reader = Some(usage.kept_tokens);
+                            }
+                            (Outcome::Parsed, usage.kept_tokens)
+                        }
+                        Err(_) => (Outcome::ServerError, 0),
+                    },
+                    (429, _) => (Outcome::Refused { no_state: false }, 0),
+                    (409, At::Pull) if engine::says_no_state(&body) => {
+                        (Outcome::Refused { no_state: true }, 0)
+                    }
+                    _ => (Outcome::ServerError, 0),
+                };
+                self.park(conn);
+                if let Some(attempt) = self.attempt_mut(&id, no) {
+                    attempt.conn = None;
+                }
+                self.end_attempt(&id, no, outcome, kept);
+                false
+            }
+            (_, Reply::None) => false,
+        }
+    }
+
+    /// The attempt's end is known; the connection is closed, or read to the reply's end and used again.
+    fn finish_reply(
+        &mut self,
+        conn: ConnId,
+        id: &RequestId,
+        no: AttemptNo,
+        outcome: Outcome,
+        kept: u64,
+        close: bool,
+    ) {
+        if let Some(attempt) = self.attempt_mut(id, no) {
+            attempt.conn = None;
+        }
+        if close {
+            self.abort_link(conn);
+        } else if let Some(link) = self.links.get_mut(&conn) {
+            link.task = Task::Rest;
+            self.limit(conn);
+        }
+        self.end_attempt(id, no, outcome, kept);
+    }
+
+    /// A chunk of an answer, relayed as an event or kept for a whole answer.
+    fn chunk(&mut self, id: &RequestId, no: AttemptNo, chunk: Chunk) {
+        let (now, wait, most) = (self.now, self.config.waits.stream, self.config.bounds.answer_bytes);
+        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over()) else { return };
+        let index = no.0 as usize;
+        let first = job.winner.is_none();
+        if *job.winner.get_or_insert(index) != index {
+            return self.end_attempt(id, no, Outcome::Cancelled, 0);
+        }
+        let stream = job.call.stream;
+        if let Some(attempt) = job.attempts.get_mut(index) {
+            let timer = self.timers.set(now + wait, Due::Stream(id.clone(), no));
+            if let Some(old) = attempt.stream_timer.replace(timer) {
+                self.timers.cancel(old);
+            }
+            // A stream belongs to its client from now on; a whole answer still has its deadline.
+            if let Some(key) = attempt.timer.take_if(|_| stream) {
+                self.timers.cancel(key);
+            }
+            if first {
+                let elapsed = now - attempt.sent;
+                self.events.push_back(Event::Streaming { id: id.clone(), attempt: no, elapsed });
+            }
+        }
+        if let Some(usage) = chunk.usage {
+            job.usage = usage;
+        }
+        job.stop_reason = chunk.stop_reason.or(job.stop_reason.take());
+        if first {
+            job.first_token = Some(now);
+            // With the first token the state has moved, and whatever else was held goes by itself.
+            job.held = None;
+            job.seat = None;
+        }
+        let (client, model) = (job.client, job.call.model.clone());
+        if !stream {
+            job.text.push_str(&chunk.text);
+            if job.text.len() > most {
+                self.give_failure(id, Ended::Broken, 502, "the answer is longer than its bound".into());
+                self.end_attempt(id, no, Outcome::Cancelled, 0);
+            }
+            return;
+        }
+        if first {
+            job.answer = Answer::Begun;
+            self.open_stream(client, id, &model);
+        }
+        if !chunk.text.is_empty() {
+            self.stream_event(client, &ClientEvent::Delta { text: &chunk.text });
+        }
+        if first {
+            self.cancel_others(id, no);
+        }
+        if self.is_full(client) {
+            let Some(job) = self.jobs.get_mut(id).filter(|j| !j.paused) else { return };
+            if let Some(conn) = job.attempts.get(index).and_then(|a| a.conn) {
+                job.paused = true;
+                self.out.push(Output::Pause(conn));
+                self.watch_slow(client);
+            }
+        }
+    }
+
+    fn cancel_others(&mut self, id: &RequestId, no: AttemptNo) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let others: Vec<u32> = (0..job.attempts.len() as u32).filter(|n| *n != no.0).collect();
+        for other in others {
+            self.end_attempt(id, AttemptNo(other), Outcome::Cancelled, 0);
+        }
+    }
+
+    pub(super) fn resume_engine(&mut self, id: &RequestId) {
+        let Some(job) = self.jobs.get_mut(id).filter(|j| j.paused) else { return };
+        job.paused = false;
+        let conn = job.winner.and_then(|i| job.attempts.get(i)).and_then(|a| a.conn);
+        if let Some(conn) = conn {
+            self.out.push(Output::Resume(conn));
+        }
+    }
+
+    // ---- Ends.
+
+    /// Ends an attempt, once: its connection, its time-outs, and the module's verdict.
+    fn end_attempt(&mut self, id: &RequestId, no: AttemptNo, outcome: Outcome, kept: u64) {
+        let now = self.now;
+        let index = no.0 as usize;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let winner = job.winner == Some(index);
+        let Some(attempt) = job.attempts.get_mut(index).filter(|a| a.ended.is_none()) else { return };
+        attempt.ended = Some((outcome, now));
+        let (conn, at, worker, elapsed) =
+            (attempt.conn.take(), attempt.at, attempt.worker.clone(), now - attempt.sent);
+        for key in attempt.timer.take().into_iter().chain(attempt.stream_timer.take()) {
+            self.timers.cancel(key);
+        }
+        let report = attempt.report.take();
+        if outcome == (Outcome::Refused { no_state: true }) {
+            job.held = None;
+        }
+        let kept = if outcome == Outcome::Served { job.usage.kept_tokens } else { kept };
+        if let (Outcome::Served, At::Pull, Some(kept)) = (outcome, at, job.kept_at_reader) {
+            job.usage.kept_tokens = kept;
+        }
+        let stream = job.call.stream;
+        if let Some(conn) = conn {
+            self.abort_link(conn);
+        }
+        // A read that ended otherwise may have left state behind; a client's leaving is no reason to hold it.
+        let state_left = matches!(
+            outcome,
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::ConnectionLost | Outcome::ServerError
+        );
+        if at == At::Read && state_left {
+            self.release(id.clone(), worker, 0);
+        }
+        match outcome {
+            Outcome::Served => self.serve(id),
+            // Of a stream that was begun nothing can be taken back.
+            _ if winner && stream => {
+                let reason = format!("the answer broke off: {}", outcome_name(outcome));
+                self.give_failure(id, Ended::Broken, 502, reason);
+            }
+            // Nothing of a whole answer has reached the client: the module may try again.
+            _ if winner => {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.winner = None;
+                    job.text.clear();
+                }
+            }
+            _ => {}
+        }
+        let over = self.jobs.get(id).is_none_or(Job::over);
+        let id = id.clone();
+        self.events.push_back(Event::Verdict {
+            id: id.clone(),
+            attempt: no,
+            outcome,
+            elapsed,
+            over,
+            kept,
+            report,
+        });
+        self.forget_done(&id);
+    }
+
+    pub(super) fn attempt_due(&mut self, id: &RequestId, no: AttemptNo) {
+        if let Some(attempt) = self.attempt_mut(id, no) {
+            attempt.timer = None;
+        }
+        self.end_attempt(id, no, Outcome::TimedOut, 0);
+    }
+
+    pub(super) fn stream_due(&mut self, id: &RequestId, no: AttemptNo) {
+        // A stream that is not read since its client is slow is the client's to end.
+        if self.jobs.get(id).is_some_and(|j| j.paused) {
+            let wait = self.config.waits.stream;
+            let timer = self.timers.set(self.now + wait, Due::Stream(id.clone(), no));
+            if let Some(attempt) = self.attempt_mut(id, no) {
+                attempt.stream_timer = Some(timer);
+            }
+            return;
+        }
+        self.end_attempt(id, no, Outcome::TimedOut, 0);
+    }
+
+    /// The answer is whole.
+    fn serve(&mut self, id: &RequestId) {
+        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over()) else { return };
+        let (client, usage, model) = (job.client, job.usage, job.call.model.clone());
+        let stop = job.stop_reason.clone().unwrap_or_else(|| "stop".into());
+        let (stream, begun, text) =
+            (job.call.stream, matches!(job.answer, Answer::Begun), std::mem::take(&mut job.text));
+        self.give(id, Ended::Served, String::new());
+        if stream {
+            if !begun {
+                self.open_stream(client, id, &model);
+            }
+            self.end_stream(client, &ClientEvent::Closed { stop_reason: &stop, usage });
+        } else {
+            let answer = WholeAnswer { id: &id.0, model: &model, content: &text, stop_reason: &stop, usage };
+            self.whole_answer(client, id, &answer);
+        }
+    }
+
+    fn give_error(&mut self, id: &RequestId, ended: Ended, status: u16, error: ErrorBody) {
+        let Some(job) = self.jobs.get(id).filter(|j| !j.over()) else { return };
+        let (client, begun) = (job.client, matches!(job.answer, Answer::Begun));
+        self.give(id, ended, error.reason.clone());
+        if begun {
+            self.end_stream(client, &ClientEvent::Broken { error });
+        } else {
+            self.answer_error(client, status, &error);
+        }
+        self.forget_done(id);
+    }
+
+    /// Notes that the final answer is given; the one place that does.
+    fn give(&mut self, id: &RequestId, ended: Ended, reason: String) {
+        let (now, remember) = (self.now, self.config.waits.identity);
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let phase = job.phase();
+        let class = self.config.policy.classes.get(job.request.class.0);
+        let once = class.is_none_or(|c| c.effect != p::Effect::Free);
+        let until = (once && job.may_have_run()).then(|| now + remember);
+        job.answer = Answer::Given { ended, phase, reason, at: now };
+        if let Some(identity) = &job.identity {
+            self.identities.end(identity, until);
+        }
+    }
+
+    /// The client is gone: nothing more is owed, and no work goes on for it.
+    pub(super) fn client_left(&mut self, id: &RequestId, ended: Ended) {
+        if self.jobs.get(id).is_none_or(Job::over) {
+            return;
+        }
+        self.give(id, ended, String::new());
+        self.events.push_back(Event::ClientGone(id.clone()));
+        let attempts = self.jobs.get(id).map_or(0, |j| j.attempts.len() as u32);
+        for no in 0..attempts {
+            self.end_attempt(id, AttemptNo(no), Outcome::Cancelled, 0);
+        }
+        self.forget_done(id);
+    }
+
+    /// The client closed its side; it may still hear why it gets nothing.
+    pub(super) fn half_closed(&mut self, id: &RequestId) {
+        let Some(job) = self.jobs.get(id).filter(|j| !j.over()) else { return };
+        let (client, begun, may_have_run) =
+            (job.client, matches!(job.answer, Answer::Begun), job.may_have_run());
+        let reason = "the client closed its side of the connection, which is taken as leaving".into();
+        let error =
+            ErrorBody { kind: ErrorKind::Failed, reason, field: None, may_have_run, retry_after: None };
+        self.client_left(id, Ended::ClientGone);
+        if begun {
+            self.end_stream(client, &ClientEvent::Broken { error });
+        } else {
+            self.answer_error(client, 400, &error);
+        }
+    }
+
+    /// Rule 1's backstop: the module owes an answer and the time is up.
+    pub(super) fn overdue(&mut self, id: &RequestId) {
+        let owed = self
+            .jobs
+            .get(id)
+            .is_some_and(|j| matches!(j.answer, Answer::Owed) && (j.winner.is_none() || !j.call.stream));
+        if !owed {
+            return;
+        }
+        self.note("overdue", format!("{} had no final answer from the module in time", id.0));
+        self.give_failure(id, Ended::Overdue, 504, "no answer in time".into());
+        self.events.push_back(Event::ClientGone(id.clone()));
+        let attempts = self.jobs.get(id).map_or(0, |j| j.attempts.len() as u32);
+        for no in 0..attempts {
+            self.end_attempt(id, AttemptNo(no), Outcome::TimedOut, 0);
+        }
+    }
+
+    /// Once nothing is owed, out or held, the request is told of and forgotten.
+    fn forget_done(&mut self, id: &RequestId) {
+        let done =
+            self.jobs.get(id).is_some_and(|j| j.over() && !j.out() && j.held.is_none() && j.seat.is_none());
+        if !done {
+            return;
+        }
+        let Some(job) = self.jobs.remove(id) else { return };
+        let Answer::Given { ended, phase, reason, at } = job.answer else { return };
+        let name = |i: usize| self.config.tenants.get(i).map(|t| t.name.clone());
+        let attempts = job.attempts.iter().map(|a| AttemptRecord {
+            worker: a.worker.0.to_string(),
+            stage: match a.at {
+                At::Read => "read",
+                At::Pull => "pull",
+                At::Whole => "whole",
+            },
+            outcome: a.ended.map_or("open", |(o, _)| outcome_name(o)),
+            sent_us: since(a.sent, job.arrived),
+            took_us: a.ended.map_or(0, |(_, end)| since(end, a.sent)),
+        });
+        let finished = Finished {
+            id: id.0.to_string(),
+            class: self.config.classes.get(job.request.class.0).map(|c| c.name.clone()).unwrap_or_default(),
+            tenant: job.request.tenant.and_then(|t| name(t.0)),
+            identity: job.identity.map(|(_, key)| key),
+            ended,
+            phase,
+            reason,
+            attempts: attempts.collect(),
+            arrived_us: job.arrived.0,
+            first_token_us: job.first_token.map(|t| since(t, job.arrived)),
+            total_us: since(at, job.arrived),
+            estimated_tokens: job.request.prompt_tokens,
+            prompt_tokens: job.usage.prompt_tokens,
+            kept_tokens: job.usage.kept_tokens,
+            output_tokens: job.usage.output_tokens,
+        };
+        self.out.push(Output::Finished(Box::new(FinishedLine(finished))));
+    }
+}
--- /dev/null
+++ b/crates/router/src/core/mod.rs
@@ -0,0 +1,322 @@
+//! The sans-IO core: inputs to outputs.
+
+mod attempts;
+mod clients;
+mod pool;
+pub(crate) mod record;
+mod sources;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use chalkyard_policy as p;
+use chalkyard_policy::{Action, Event, Micros};
+
+use crate::config::Config;
+use crate::identity::Identities;
+use crate::register;
+use crate::timers::Timers;
+use attempts::Job;
+use clients::Client;
+use pool::{Engine, Link, Task};
+use record::Finished;
+
+/// A connection. Never given twice in a core's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// What a core hears.
+#[derive(Debug)]
+pub enum Input<'a> {
+    /// A client has connected; the shell chooses an even number.
+    Accepted(ConnId),
+    /// A connection that was asked for stands.
+    Connected(ConnId),
+    /// It does not, or is lost: nothing can be read or written any more.
+    Lost(ConnId),
+    /// Bytes came.
+    Bytes(ConnId, &'a [u8]),
+    /// The peer has closed its side.
+    Eof(ConnId),
+    /// So many bytes were taken by the system to be sent.
+    Wrote(ConnId, usize),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a core wants done, in order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Connect to an engine or the register.
+    Connect(ConnId, SocketAddr),
+    /// Write bytes.
+    Write(ConnId, Vec<u8>),
+    /// Close once all is written.
+    Close(ConnId),
+    /// Close now; what is not written is dropped.
+    Abort(ConnId),
+    /// Read no more from it for now.
+    Pause(ConnId),
+    /// Read it again.
+    Resume(ConnId),
+    /// Keep this list for the next start.
+    KeepList(String),
+    /// A request is over.
+    Finished(Box<FinishedLine>),
+    /// Something to tell an operator.
+    Note(&'static str, String),
+}
+
+/// A record with its own comparison, so that outputs can be compared in tests.
+#[derive(Debug, Clone)]
+pub struct FinishedLine(pub Finished);
+
+impl PartialEq for FinishedLine {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.id == other.0.id
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Due {
+    Module(p::TimerId),
+    Client(ConnId),
+    Connect(ConnId),
+    EngineIdle(ConnId),
+    Attempt(p::RequestId, p::AttemptNo),
+    Stream(p::RequestId, p::AttemptNo),
+    Overdue(p::RequestId),
+    Release(p::RequestId, p::WorkerId, u32),
+    Register(ConnId),
+}
+
+/// Called with each event given to the module and the actions that came back.
+pub type Observer = Box<dyn FnMut(Micros, &Event, &[Action]) + Send>;
+
+/// One router's flow. All maps are ordered; the same inputs give the same outputs.
+pub struct Core {
+    config: Config,
+    module: p::Router,
+    now: Micros,
+    out: Vec<Output>,
+    /// Events for the module that wait: its actions can cause further ones.
+    events: VecDeque<Event>,
+    timers: Timers<Due>,
+    clients: BTreeMap<ConnId, Client>,
+    /// Clients whose next request can be looked for.
+    ready: VecDeque<ConnId>,
+    links: BTreeMap<ConnId, Link>,
+    engines: BTreeMap<p::WorkerId, Engine>,
+    jobs: BTreeMap<p::RequestId, Job>,
+    identities: Identities,
+    held: register::Held,
+    register: Option<ConnId>,
+    next_link: u64,
+    next_request: u64,
+    draining: bool,
+    observer: Option<Observer>,
+}
+
+impl Core {
+    /// A core at its start. `now` is in µs since 1970, measured by a monotonic clock from then on: ids of
+    /// requests and the starts of workers are told by it.
+    pub fn new(config: Config, seed: u64, now: Micros) -> Self {
+        let module = p::Router::new(config.policy.clone(), seed);
+        let identities = Identities::new(config.bounds.identities);
+        Self {
+            config,
+            module,
+            now,
+            out: Vec::new(),
+            events: VecDeque::new(),
+            timers: Timers::default(),
+            clients: BTreeMap::new(),
+            ready: VecDeque::new(),
+            links: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            identities,
+            held: register::Held::default(),
+            register: None,
+            next_link: 1,
+            next_request: 0,
+            draining: false,
+            observer: None,
+        }
+    }
+
+    /// Has each event and the module's actions on it told to `observer`.
+    pub fn observe(&mut self, observer: Observer) {
+        self.observer = Some(observer);
+    }
+
+    /// Starts: the list of the last life, if any, is told as stale, and the register is asked.
+    pub fn start(&mut self, now: Micros, last_list: Option<&str>, out: &mut Vec<Output>) {
+        self.now = now;
+        let stale = last_list.map(|text| self.held.snapshot(text, &self.config));
+        let workers = match stale {
+            Some(Ok(named)) => self.learn(named, true),
+            Some(Err(wrong)) => {
+                self.note("list", format!("the kept list can't be read, starting without: {wrong:?}"));
+                Vec::new()
+            }
+            None => Vec::new(),
+        };
+        // Without a register the list given is all there is, and current.
+        let kind = if self.config.register.is_some() { p::ListKind::Stale } else { p::ListKind::Full };
+        self.events.push_back(Event::Workers { kind, workers });
+        if self.config.policy.discovery == p::Discovery::Push {
+            self.watch_register();
+        }
+        self.pump();
+        out.append(&mut self.out);
+    }
+
+    /// Takes one input and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, input: Input<'_>, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Accepted(conn) => self.accepted(conn),
+            Input::Connected(conn) => self.connected(conn),
+            Input::Lost(conn) if self.clients.contains_key(&conn) => self.client_lost(conn),
+            Input::Lost(conn) => self.link_lost(conn),
+            Input::Bytes(conn, bytes) if self.clients.contains_key(&conn) => self.client_bytes(conn, bytes),
+            Input::Bytes(conn, bytes) => self.link_bytes(conn, bytes),
+            Input::Eof(conn) if self.clients.contains_key(&conn) => self.client_eof(conn),
+            Input::Eof(conn) => self.link_eof(conn),
+            Input::Wrote(conn, bytes) => self.wrote(conn, bytes),
+            Input::Tick => {}
+        }
+        while let Some(due) = self.timers.pop(self.now) {
+            self.due(due);
+            self.pump();
+        }
+        self.pump();
+        out.append(&mut self.out);
+    }
+
+    /// When [`Input::Tick`] is next needed.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.next_due()
+    }
+
+    /// Takes no new requests; what is open goes on. Idle clients are closed.
+    pub fn drain(&mut self, now: Micros, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        self.draining = true;
+        let idle: Vec<ConnId> = self.clients.iter().filter(|(_, c)| c.is_idle()).map(|(id, _)| *id).collect();
+        for conn in idle {
+            self.drop_client(conn);
+            self.out.push(Output::Close(conn));
+        }
+        self.pump();
+        out.append(&mut self.out);
+    }
+
+    /// Requests without a final answer or with something still out or held.
+    pub fn open_requests(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Client connections.
+    pub fn open_clients(&self) -> usize {
+        self.clients.len()
+    }
+
+    fn note(&mut self, what: &'static str, text: String) {
+        self.out.push(Output::Note(what, text));
+    }
+
+    /// Feeds the module and looks for clients' next requests until nothing is left to do.
+    fn pump(&mut self) {
+        loop {
+            while let Some(event) = self.events.pop_front() {
+                let mut actions = Vec::new();
+                let seen = self.observer.is_some().then(|| event.clone());
+                self.module.handle(self.now, event, &mut actions);
+                if let Some((observer, event)) = self.observer.as_mut().zip(seen) {
+                    observer(self.now, &event, &actions);
+                }
+                for action in actions {
+                    self.act(action);
+                }
+            }
+            let Some(conn) = self.ready.pop_front() else { return };
+            self.drive_client(conn);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, worker, give_up } => self.send(&id, worker, give_up),
+            Action::Cancel { id, attempt } => self.cancel(&id, attempt),
+            Action::Refuse { id, retry_after } => self.refuse(&id, retry_after),
+            Action::Fail(id) => self.fail(&id),
+            Action::Move(id) => self.move_on(&id),
+            Action::Book { id, worker } => self.book(&id, worker),
+            Action::LetGo(id) => self.let_go(&id),
+            Action::SetTimer { timer, after } => {
+                self.timers.set(self.now + after, Due::Module(timer));
+            }
+            Action::Probe(worker) => self.probe(worker),
+            Action::CloseIdle(worker) => self.close_idle(&worker),
+            Action::Subscribe => self.watch_register(),
+            Action::Reload => self.fetch_list(),
+            // The settings can't allow it yet: there is no way to name peers.
+            Action::Tell { .. } => self.note("tell", "messages to other routers are not allowed here".into()),
+            Action::Log(line) => self.note("module", line),
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Module(timer) => self.events.push_back(Event::Timer(timer)),
+            Due::Client(conn) => self.client_due(conn),
+            Due::Connect(conn) => self.connect_due(conn),
+            Due::EngineIdle(conn) => self.idle_due(conn),
+            Due::Attempt(id, no) => self.attempt_due(&id, no),
+            Due::Stream(id, no) => self.stream_due(&id, no),
+            Due::Overdue(id) => self.overdue(&id),
+            Due::Release(id, worker, tries) => self.release_at(id, worker, tries),
+            Due::Register(conn) => self.register_due(conn),
+        }
+    }
+
+    fn wrote(&mut self, conn: ConnId, bytes: usize) {
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.wrote(self.now, bytes as u64);
+            self.client_drained(conn);
+        } else if let Some(link) = self.links.get_mut(&conn) {
+            link.wrote += bytes as u64;
+        }
+    }
+
+    fn link_bytes(&mut self, conn: ConnId, bytes: &[u8]) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        match &mut link.task {
+            // Nobody asked: a second reply. What came first may be trusted, the connection may not.
+            Task::Idle => {
+                self.note("engine", "bytes that nobody asked for; connection closed".into());
+                self.abort_link(conn);
+            }
+            _ => {
+                link.decoder.push(bytes);
+                self.drive_link(conn);
+            }
+        }
+    }
+
+    fn link_eof(&mut self, conn: ConnId) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        if matches!(link.task, Task::Idle) {
+            return self.abort_link(conn);
+        }
+        link.decoder.close();
+        self.drive_link(conn);
+        // If it still has a task, its answer will not come any more.
+        if self.links.contains_key(&conn) {
+            self.out.push(Output::Abort(conn));
+            self.link_lost(conn);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/core/pool.rs
@@ -0,0 +1,199 @@
+//! Connections to engines: kept alive, reused, bounded.
+
+use std::net::SocketAddr;
+
+use chalkyard_policy as p;
+use chalkyard_policy::Micros;
+use chalkyard_proto::{Decoder, Side};
+
+use super::attempts::Reply;
+use super::{ConnId, Core, Due, Output};
+use crate::timers::Key;
+
+/// An engine and our connections to it.
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub address: SocketAddr,
+    pub role: p::Role,
+    pub listed: bool,
+    /// Last used last: the most recent one is the least likely to be closed by the engine.
+    pub idle: Vec<ConnId>,
+    pub open: usize,
+}
+
+/// What a connection of ours is doing.
+#[derive(Debug)]
+pub(super) enum Task {
+    /// Nothing; it may be used.
+    Idle,
+    /// Carries an attempt.
+    Attempt(p::RequestId, p::AttemptNo, Reply),
+    /// Carries a call to let go of what is held for a request; so many were tried before.
+    Release(p::RequestId, u32),
+    /// Asks for a seat.
+    Seat(p::RequestId),
+    /// Probes, since then.
+    Probe(Micros),
+    /// Its attempt is over; the rest of the reply is read so that it can be used again.
+    Rest,
+    /// Watches the register.
+    Watch(Box<chalkyard_proto::sse::Reader>),
+    /// Fetches the list.
+    Fetch(Vec<u8>),
+}
+
+/// A connection of ours.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub worker: Option<p::WorkerId>,
+    pub decoder: Decoder,
+    pub task: Task,
+    /// What is to be written once it stands.
+    pub waiting: Option<Vec<u8>>,
+    /// Bytes of the present call that the system has taken; none means that it was not sent.
+    pub wrote: u64,
+    pub timer: Option<Key>,
+}
+
+impl Core {
+    /// A connection that carries `task`, on which `bytes` are written; none at the bound.
+    pub(super) fn call(
+        &mut self,
+        worker: &p::WorkerId,
+        task: Task,
+        bytes: Vec<u8>,
+        spare: usize,
+    ) -> Option<ConnId> {
+        let most = self.config.bounds.engine_connections + spare;
+        let engine = self.engines.get_mut(worker)?;
+        while let Some(conn) = engine.idle.pop() {
+            let Some(link) = self.links.get_mut(&conn) else { continue };
+            if let Some(key) = link.timer.take() {
+                self.timers.cancel(key);
+            }
+            link.task = task;
+            link.wrote = 0;
+            self.out.push(Output::Write(conn, bytes));
+            return Some(conn);
+        }
+        if engine.open >= most {
+            return None;
+        }
+        engine.open += 1;
+        let address = engine.address;
+        Some(self.connect(Some(worker.clone()), address, task, bytes))
+    }
+
+    pub(super) fn connect(
+        &mut self,
+        worker: Option<p::WorkerId>,
+        address: SocketAddr,
+        task: Task,
+        bytes: Vec<u8>,
+    ) -> ConnId {
+        let conn = ConnId(self.next_link);
+        self.next_link += 2;
+        let timer = self.timers.set(self.now + self.config.waits.connect, Due::Connect(conn));
+        let decoder = Decoder::new(Side::Response, self.config.bounds.engine);
+        let link = Link { worker, decoder, task, waiting: Some(bytes), wrote: 0, timer: Some(timer) };
+        self.links.insert(conn, link);
+        self.out.push(Output::Connect(conn, address));
+        conn
+    }
+
+    pub(super) fn connected(&mut self, conn: ConnId) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        if let Some(key) = link.timer.take() {
+            self.timers.cancel(key);
+        }
+        let bytes = link.waiting.take();
+        match link.task {
+            Task::Idle => self.park(conn),
+            Task::Watch(_) => {
+                let timer = self.timers.set(self.now + self.config.waits.register, Due::Register(conn));
+                if let Some(link) = self.links.get_mut(&conn) {
+                    link.timer = Some(timer);
+                }
+            }
+            // A call that is no attempt has no time-out of the module's.
+            Task::Release(..) | Task::Seat(_) | Task::Probe(_) | Task::Fetch(_) => self.limit(conn),
+            Task::Attempt(..) | Task::Rest => {}
+        }
+        if let Some(bytes) = bytes {
+            self.out.push(Output::Write(conn, bytes));
+        }
+    }
+
+    /// Bounds what follows on a connection by the connect time, in which small calls are answered.
+    pub(super) fn limit(&mut self, conn: ConnId) {
+        let timer = self.timers.set(self.now + self.config.waits.connect, Due::Connect(conn));
+        if let Some(link) = self.links.get_mut(&conn) {
+            if let Some(key) = link.timer.replace(timer) {
+                self.timers.cancel(key);
+            }
+        }
+    }
+
+    pub(super) fn connect_due(&mut self, conn: ConnId) {
+        if self.links.contains_key(&conn) {
+            self.out.push(Output::Abort(conn));
+            self.link_lost(conn);
+        }
+    }
+
+    pub(super) fn idle_due(&mut self, conn: ConnId) {
+        if self.links.get(&conn).is_some_and(|l| matches!(l.task, Task::Idle)) {
+            self.abort_link(conn);
+        }
+    }
+
+    /// A reply has ended well: the connection waits for the next call, if it may.
+    pub(super) fn park(&mut self, conn: ConnId) {
+        let (most, wait) = (self.config.bounds.engine_idle, self.config.waits.engine_idle);
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        if let Some(key) = link.timer.take() {
+            self.timers.cancel(key);
+        }
+        let engine = link.worker.as_ref().and_then(|w| self.engines.get_mut(w));
+        let engine = engine.filter(|e| e.listed && e.idle.len() < most && link.decoder.is_idle());
+        let Some(engine) = engine else { return self.abort_link(conn) };
+        engine.idle.push(conn);
+        link.task = Task::Idle;
+        link.timer = Some(self.timers.set(self.now + wait, Due::EngineIdle(conn)));
+    }
+
+    /// Closes a connection whose task is over or never mattered.
+    pub(super) fn abort_link(&mut self, conn: ConnId) {
+        if self.forget_link(conn).is_some() {
+            self.out.push(Output::Abort(conn));
+        }
+    }
+
+    pub(super) fn forget_link(&mut self, conn: ConnId) -> Option<Link> {
+        let link = self.links.remove(&conn)?;
+        if let Some(key) = link.timer {
+            self.timers.cancel(key);
+        }
+        if let Some(worker) = &link.worker {
+            if let Some(engine) = self.engines.get_mut(worker) {
+                engine.open = engine.open.saturating_sub(1);
+                engine.idle.retain(|c| *c != conn);
+                if engine.open == 0 && !engine.listed {
+                    self.engines.remove(worker);
+                }
+            }
+        }
+        Some(link)
+    }
+
+    pub(super) fn close_idle(&mut self, worker: &p::WorkerId) {
+        let idle = self.engines.get_mut(worker).map(|e| std::mem::take(&mut e.idle));
+        for conn in idle.unwrap_or_default() {
+            self.abort_link(conn);
+        }
+    }
+
+    pub(super) fn host(&self, worker: &p::WorkerId) -> String {
+        self.engines.get(worker).map(|e| e.address.to_string()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/router/src/core/record.rs
@@ -0,0 +1,80 @@
+//! What is told of a finished request: enough to find a cause.
+
+use chalkyard_policy::Micros;
+use serde::Serialize;
+
+/// Who ended a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ended {
+    /// An engine answered to the end.
+    Served,
+    /// The module refused it.
+    Refused,
+    /// The module gave it up.
+    Failed,
+    /// The engine's stream broke after it had begun.
+    Broken,
+    /// The client left.
+    ClientGone,
+    /// The client took nothing for too long.
+    ClientSlow,
+    /// The module moved the stream on.
+    Moved,
+    /// No final answer came from the module in time: the router's own backstop. An error of ours.
+    Overdue,
+}
+
+/// One attempt.
+#[derive(Debug, Clone, Serialize)]
+pub struct AttemptRecord {
+    /// The worker.
+    pub worker: String,
+    /// `read`, `pull` or `whole`.
+    pub stage: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+    /// From the request's arrival to its sending, µs.
+    pub sent_us: u64,
+    /// From its sending to its end, µs.
+    pub took_us: u64,
+}
+
+/// One finished request.
+#[derive(Debug, Clone, Serialize)]
+pub struct Finished {
+    /// The router's id of it.
+    pub id: String,
+    /// Class.
+    pub class: String,
+    /// Tenant.
+    pub tenant: Option<String>,
+    /// The client's identity for it.
+    pub identity: Option<String>,
+    /// Who ended it.
+    pub ended: Ended,
+    /// In which phase: `waiting`, `reading`, `held`, `pulling`, `writing`, `streaming`.
+    pub phase: &'static str,
+    /// In words, where there is more to say.
+    pub reason: String,
+    /// Its attempts in order.
+    pub attempts: Vec<AttemptRecord>,
+    /// When it came, µs since 1970.
+    pub arrived_us: u64,
+    /// To the first token, µs.
+    pub first_token_us: Option<u64>,
+    /// To the final answer, µs.
+    pub total_us: u64,
+    /// Prompt tokens by our estimate.
+    pub estimated_tokens: u64,
+    /// By the engine's count; 0 where it was not told.
+    pub prompt_tokens: u64,
+    /// Of these, kept.
+    pub kept_tokens: u64,
+    /// Tokens of the answer.
+    pub output_tokens: u64,
+}
+
+pub(crate) fn since(later: Micros, earlier: Micros) -> u64 {
+    (later - earlier).0
+}
--- /dev/null
+++ b/crates/router/src/core/sources.rs
@@ -0,0 +1,211 @@
+//! The register, probes and seats: calls of ours that carry no request.
+
+use chalkyard_api::engine;
+use chalkyard_policy as p;
+use chalkyard_policy::{Event, Micros};
+use chalkyard_proto::{encode, sse, Part, Start};
+
+use super::pool::{Engine, Task};
+use super::{ConnId, Core, Due, Output};
+use crate::register::{Named, Wrong};
+
+/// Bytes of a list that is fetched whole.
+const LIST_BYTES: usize = 16 * 1024 * 1024;
+
+pub(super) fn report(header: Option<&str>) -> Option<p::Report> {
+    let load = engine::load(header?)?;
+    let named = load.named_metrics;
+    Some(p::Report {
+        in_flight: named.in_flight,
+        queued: named.queue_depth,
+        slots_used: load.cpu_utilization,
+        latency: named.latency_ms.map(|ms| Micros::from_secs_f64(ms / 1e3)),
+        served_per_s: load.rps_fractional,
+        errors_per_s: load.eps,
+        kv_used: load.mem_utilization,
+        waiting_tokens: named.waiting_tokens,
+    })
+}
+
+impl Core {
+    /// Notes where workers are; gives what the module is told.
+    pub(super) fn learn(&mut self, named: Vec<Named>, whole: bool) -> Vec<p::Worker> {
+        if whole {
+            for engine in self.engines.values_mut() {
+                engine.listed = false;
+            }
+        }
+        let mut moved = Vec::new();
+        for (worker, address) in &named {
+            let listed = worker.lifecycle != p::Lifecycle::Out;
+            let fresh = Engine { address: *address, role: worker.role, listed, idle: Vec::new(), open: 0 };
+            let engine = self.engines.entry(worker.id.clone()).or_insert(fresh);
+            engine.role = worker.role;
+            engine.listed = listed;
+            if engine.address != *address {
+                engine.address = *address;
+                moved.push(worker.id.clone());
+            }
+        }
+        let unlisted = self.engines.iter().filter(|(_, e)| !e.listed).map(|(id, _)| id.clone());
+        for id in unlisted.chain(moved).collect::<Vec<_>>() {
+            self.close_idle(&id);
+        }
+        self.engines.retain(|_, e| e.listed || e.open > 0);
+        named.into_iter().map(|(worker, _)| worker).collect()
+    }
+
+    fn register_call(&mut self, target: &str, task: Task) -> Option<ConnId> {
+        let address = self.config.register?;
+        let bytes = encode::request("GET", target, &address.to_string(), &[("via", &self.via())], &[]);
+        Some(self.connect(None, address, task, bytes))
+    }
+
+    /// How this router names itself to engines and the register.
+    pub(super) fn via(&self) -> String {
+        format!("1.1 {}", self.config.name)
+    }
+
+    pub(super) fn watch_register(&mut self) {
+        if let Some(old) = self.register.take() {
+            self.abort_link(old);
+        }
+        let reader = Box::new(sse::Reader::new(LIST_BYTES));
+        self.register = self.register_call("/v1/workers?watch=1", Task::Watch(reader));
+    }
+
+    pub(super) fn fetch_list(&mut self) {
+        self.register_call("/v1/workers", Task::Fetch(Vec::new()));
+    }
+
+    /// The register is lost: the module says when it is asked again.
+    pub(super) fn register_lost(&mut self, conn: Option<ConnId>) {
+        if conn.is_some() && self.register == conn {
+            self.register = None;
+        }
+        self.events.push_back(Event::Workers { kind: p::ListKind::Failed, workers: Vec::new() });
+        self.note("register", "lost or not reached; the list held stays".into());
+    }
+
+    pub(super) fn register_due(&mut self, conn: ConnId) {
+        if self.links.contains_key(&conn) {
+            self.abort_link(conn);
+            self.register_lost(Some(conn));
+        }
+    }
+
+    fn alive(&mut self, conn: ConnId) {
+        let timer = self.timers.set(self.now + self.config.waits.register, Due::Register(conn));
+        if let Some(link) = self.links.get_mut(&conn) {
+            if let Some(old) = link.timer.replace(timer) {
+                self.timers.cancel(old);
+            }
+        }
+    }
+
+    /// A part of the watch's answer; true: it goes on.
+    pub(super) fn watch_part(&mut self, conn: ConnId, part: Part) -> bool {
+        let data = match part {
+            Part::Head(head) if head.start == (Start::Response { status: 200 }) => return true,
+            Part::Data(data) => data,
+            Part::Head(_) | Part::End => {
+                self.abort_link(conn);
+                self.register_lost(Some(conn));
+                return false;
+            }
+        };
+        self.alive(conn);
+        let mut events = Vec::new();
+        let Some(Task::Watch(reader)) = self.links.get_mut(&conn).map(|l| &mut l.task) else { return false };
+        let read = reader.push(&data, &mut events).map_err(|e| Wrong::Malformed(e.to_string()));
+        for event in events {
+            let news = match event.name.as_str() {
+                "snapshot" => self.held.snapshot(&event.data, &self.config).map(|n| (n, p::ListKind::Full)),
+                "change" => self.held.change(&event.data, &self.config).map(|n| (n, p::ListKind::Changes)),
+                _ => continue,
+            };
+            match news {
+                Ok((named, kind)) => self.news(named, kind),
+                // What was lost comes again with a snapshot, which each new watch begins with.
+                Err(Wrong::Gap) => {
+                    self.note("register", "a change was lost; asking for a snapshot".into());
+                    self.watch_register();
+                    return false;
+                }
+                Err(Wrong::Malformed(why)) => self.note("register", format!("list not taken: {why}")),
+            }
+        }
+        if let Err(Wrong::Malformed(why)) = read {
+            self.note("register", why);
+            self.abort_link(conn);
+            self.register_lost(Some(conn));
+            return false;
+        }
+        true
+    }
+
+    fn news(&mut self, named: Vec<Named>, kind: p::ListKind) {
+        let workers = self.learn(named, kind == p::ListKind::Full);
+        self.out.push(Output::KeepList(self.held.text()));
+        self.events.push_back(Event::Workers { kind, workers });
+    }
+
+    /// A part of a fetched list; true: more is to come.
+    pub(super) fn fetch_part(&mut self, conn: ConnId, part: Part) -> bool {
+        let Some(Task::Fetch(body)) = self.links.get_mut(&conn).map(|l| &mut l.task) else { return false };
+        match part {
+            Part::Head(head) if head.start == (Start::Response { status: 200 }) => return true,
+            Part::Data(data) if body.len() + data.len() <= LIST_BYTES => {
+                body.extend(data);
+                return true;
+            }
+            Part::End => {
+                let text = String::from_utf8(std::mem::take(body)).unwrap_or_default();
+                self.abort_link(conn);
+                match self.held.snapshot(&text, &self.config) {
+                    Ok(named) => self.news(named, p::ListKind::Full),
+                    Err(wrong) => {
+                        self.note("register", format!("list not taken: {wrong:?}"));
+                        self.register_lost(None);
+                    }
+                }
+            }
+            _ => {
+                self.abort_link(conn);
+                self.register_lost(None);
+            }
+        }
+        false
+    }
+
+    pub(super) fn probe(&mut self, worker: p::WorkerId) {
+        let bytes = encode::request("GET", engine::HEALTH, &self.host(&worker), &[("via", &self.via())], &[]);
+        match self.call(&worker, Task::Probe(self.now), bytes, 1) {
+            Some(conn) => self.limit(conn),
+            None => self.probed(worker, false, Micros(0), None),
+        }
+    }
+
+    pub(super) fn probed(
+        &mut self,
+        worker: p::WorkerId,
+        ok: bool,
+        elapsed: Micros,
+        report: Option<p::Report>,
+    ) {
+        self.events.push_back(Event::Probed { worker, ok, elapsed, report });
+    }
+
+    pub(super) fn book(&mut self, id: &p::RequestId, worker: p::WorkerId) {
+        let fields =
+            [("content-type", "application/json"), ("via", &*self.via()), (engine::REQUEST_ID, &*id.0)];
+        let body = engine::naming(&id.0);
+        let bytes = encode::request("POST", engine::SEATS, &self.host(&worker), &fields, &body);
+        if let Some(conn) = self.call(&worker, Task::Seat(id.clone()), bytes, 1) {
+            self.limit(conn);
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.seat = Some(worker);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/identity.rs
@@ -0,0 +1,102 @@
+//! Requests under one identity at one router are one request.
+//!
+//! Decisions and state, sans-IO: while the first is open, a second is told of it; afterwards, one that
+//! may have run and must not run twice is remembered for a time, and a repeat is told to look it up.
+//! What was refused, or is free to repeat, is forgotten at its end. Across routers the identity travels
+//! to the engines.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use chalkyard_policy::Micros;
+
+/// An identity is one tenant's.
+pub(crate) type Identity = (Option<usize>, String);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Open,
+    /// Ended; remembered until then.
+    Ran(Micros),
+}
+
+/// Why a request is not taken as a new one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Repeat {
+    /// The first is still open here.
+    Open,
+    /// The first has ended here and may have run.
+    Ran,
+    /// No more identities can be remembered: taking one more could run it twice.
+    Full,
+}
+
+/// The identities that are known here.
+#[derive(Debug)]
+pub(crate) struct Identities {
+    known: BTreeMap<Identity, State>,
+    /// Ended ones, in the order in which they are forgotten.
+    ended: VecDeque<(Micros, Identity)>,
+    most: usize,
+}
+
+impl Identities {
+    pub fn new(most: usize) -> Self {
+        Self { known: BTreeMap::new(), ended: VecDeque::new(), most }
+    }
+
+    /// Takes a new request under its identity, or says why not.
+    pub fn begin(&mut self, now: Micros, identity: &Identity) -> Result<(), Repeat> {
+        self.forget(now);
+        match self.known.get(identity) {
+            Some(State::Open) => Err(Repeat::Open),
+            Some(State::Ran(_)) => Err(Repeat::Ran),
+            None if self.known.len() >= self.most => Err(Repeat::Full),
+            None => {
+                self.known.insert(identity.clone(), State::Open);
+                Ok(())
+            }
+        }
+    }
+
+    /// The request has its final answer; `until`: it may have run and must not again.
+    pub fn end(&mut self, identity: &Identity, until: Option<Micros>) {
+        match until {
+            Some(until) => {
+                self.known.insert(identity.clone(), State::Ran(until));
+                self.ended.push_back((until, identity.clone()));
+            }
+            None => {
+                self.known.remove(identity);
+            }
+        }
+    }
+
+    /// All are remembered for the same span, so the first that ended is the first to go.
+    fn forget(&mut self, now: Micros) {
+        while let Some((until, identity)) = self.ended.pop_front_if(|(until, _)| *until <= now) {
+            if self.known.get(&identity) == Some(&State::Ran(until)) {
+                self.known.remove(&identity);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_repeat_is_told_of_the_first_until_it_is_forgotten() {
+        let mut ids = Identities::new(2);
+        let (a, b, c) = ((Some(0), "k".to_owned()), (Some(1), "k".to_owned()), (None, "k".to_owned()));
+        assert_eq!(ids.begin(Micros(1), &a), Ok(()));
+        assert_eq!(ids.begin(Micros(2), &a), Err(Repeat::Open));
+        assert_eq!(ids.begin(Micros(2), &b), Ok(()), "another tenant's key is another identity");
+        assert_eq!(ids.begin(Micros(2), &c), Err(Repeat::Full));
+        ids.end(&a, Some(Micros(10)));
+        ids.end(&b, None);
+        assert_eq!(ids.begin(Micros(3), &a), Err(Repeat::Ran));
+        assert_eq!(ids.begin(Micros(3), &b), Ok(()), "refused, so it may come again");
+        assert_eq!(ids.begin(Micros(10), &a), Ok(()));
+    }
+}
--- /dev/null
+++ b/crates/router/src/shell.rs
@@ -0,0 +1,535 @@
+//! The thin shell: sockets and time for a [`Core`], on mio, one thread.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use chalkyard_policy::Micros;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+use slab::Slab;
+
+use crate::{ConnId, Core, Finished, Input, Output};
+
+const LISTENER: Token = Token(0);
+const WAKER: Token = Token(1);
+const FIRST: usize = 2;
+/// Bytes read at once, and so many such reads from one connection before others have their turn.
+const READ_BYTES: usize = 16 * 1024;
+const READS_A_TURN: usize = 8;
+/// Connections taken at once before others have their turn.
+const ACCEPTS_A_TURN: usize = 64;
+/// A connection that is closed has this long to take what is left, and to close its side.
+const LINGER: Duration = Duration::from_secs(2);
+/// So many at most may linger; more are cut.
+const LINGERING: usize = 1_024;
+/// Out of file descriptors, no connection is taken for this span.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Takes what a router has to tell.
+pub trait Sink {
+    /// A request is over.
+    fn finished(&mut self, record: &Finished);
+    /// Something happened that an operator may want to know.
+    fn note(&mut self, what: &str, text: &str);
+    /// The list of workers to keep for the next start.
+    fn keep_list(&mut self, text: &str);
+}
+
+/// µs since 1970 by a clock that never goes back: the time of day at its start, monotonic from then on.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    /// Starts at the present time of day.
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), unix: Micros(unix.as_micros() as u64) }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Micros {
+        self.unix + Micros(self.start.elapsed().as_micros() as u64)
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The loop's real granularity: how late a wait of 1 ms ends, over a few of them, at least 1 ms.
+pub fn granularity() -> Micros {
+    let Ok(mut poll) = Poll::new() else { return Micros(2_000) };
+    let mut events = Events::with_capacity(1);
+    let longest = (0..5).map(|_| {
+        let start = Instant::now();
+        let _ = poll.poll(&mut events, Some(Duration::from_millis(1)));
+        start.elapsed()
+    });
+    let longest = longest.max().unwrap_or_default().as_micros() as u64;
+    Micros(longest.clamp(1_000, 10_000))
+}
+
+/// Ends a running shell from another thread.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    waker: Arc<Waker>,
+    drain: Arc<AtomicBool>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Handle {
+    /// Takes no new requests; the loop ends when all that is open has ended.
+    pub fn drain(&self) {
+        self.drain.store(true, Ordering::SeqCst);
+        let _ = self.waker.wake();
+    }
+
+    /// Ends the loop now.
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::SeqCst);
+        let _ = self.waker.wake();
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Connecting,
+    Open,
+    /// To be closed once all is written.
+    Closing,
+}
+
+#[derive(Debug)]
+struct Sock {
+    id: ConnId,
+    stream: TcpStream,
+    out: VecDeque<Vec<u8>>,
+    /// Bytes of the first piece already written.
+    done: usize,
+    state: State,
+    paused: bool,
+    /// Readable since the last time that reading had to wait.
+    readable: bool,
+    shut: bool,
+}
+
+/// Sockets and time for one core.
+pub struct Shell<S> {
+    poll: Poll,
+    core: Core,
+    sink: S,
+    clock: Clock,
+    listener: Option<TcpListener>,
+    handle: Handle,
+    socks: Slab<Sock>,
+    by_id: BTreeMap<ConnId, usize>,
+    /// Connections with bytes to write, and with bytes to read on.
+    dirty: BTreeSet<usize>,
+    again: VecDeque<usize>,
+    lingering: usize,
+    /// When lingering ones are cut, in order: all linger for the same span.
+    cuts: VecDeque<(Instant, usize, ConnId)>,
+    accept_at: Option<Instant>,
+    next_client: u64,
+    drain_for: Duration,
+    outputs: Vec<Output>,
+    buffer: Vec<u8>,
+}
+
+/// A listening socket; with `shared`, several processes may listen on one address (`SO_REUSEPORT`).
+pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    if shared {
+        socket.set_reuse_port(true)?;
+    }
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1_024)?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
+impl<S: Sink> Shell<S> {
+    /// A shell around a core. `drain_for` bounds how long a drain waits for open requests.
+    pub fn new(
+        core: Core,
+        sink: S,
+        clock: Clock,
+        listener: TcpListener,
+        drain_for: Duration,
+    ) -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
+        let (drain, stop) = Default::default();
+        let mut listener = listener;
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        Ok(Self {
+            poll,
+            core,
+            sink,
+            clock,
+            listener: Some(listener),
+            handle: Handle { waker, drain, stop },
+            socks: Slab::new(),
+            by_id: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            again: VecDeque::new(),
+            lingering: 0,
+            cuts: VecDeque::new(),
+            accept_at: None,
+            next_client: 2,
+            drain_for,
+            outputs: Vec::new(),
+            buffer: vec![0; READ_BYTES],
+        })
+    }
+
+    /// A handle to end the loop.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Runs until it is stopped, or drained and done. Tells how many requests were still open.
+    pub fn run(&mut self, last_list: Option<&str>) -> io::Result<usize> {
+        let mut events = Events::with_capacity(1_024);
+        let mut draining: Option<Instant> = None;
+        self.core.start(self.clock.now(), last_list, &mut self.outputs);
+        self.settle();
+        loop {
+            let wait = self.wait(draining);
+            match self.poll.poll(&mut events, wait) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                other => other?,
+            }
+            for event in &events {
+                match event.token() {
+                    LISTENER => self.accept_at = Some(Instant::now()),
+                    WAKER => {}
+                    Token(token) => self.ready(
+                        token - FIRST,
+                        event.is_readable() || event.is_error(),
+                        event.is_writable(),
+                    ),
+                }
+            }
+            if self.accept_at.is_some_and(|at| at <= Instant::now()) {
+                self.accept();
+            }
+            for _ in 0..self.again.len() {
+                if let Some(key) = self.again.pop_front() {
+                    self.read(key);
+                }
+            }
+            self.feed(Input::Tick);
+            self.sweep();
+            if self.handle.stop.load(Ordering::SeqCst) {
+                return Ok(self.core.open_requests());
+            }
+            if draining.is_none() && self.handle.drain.load(Ordering::SeqCst) {
+                draining = Some(Instant::now() + self.drain_for);
+                self.listener = None;
+                self.core.drain(self.clock.now(), &mut self.outputs);
+                self.settle();
+            }
+            if let Some(until) = draining {
+                let done = self.core.open_requests() == 0 && self.core.open_clients() == 0;
+                let written = self.lingering == 0;
+                if (done && written) || Instant::now() >= until {
+                    return Ok(self.core.open_requests());
+                }
+            }
+        }
+    }
+
+    fn wait(&self, draining: Option<Instant>) -> Option<Duration> {
+        if !self.again.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let now = self.clock.now();
+        // Rounded up to the millisecond that the system waits in: waking too early would spin.
+        let core = self.core.next_due().map(|at| Duration::from_micros((at - now).0.max(1)));
+        let from = Instant::now();
+        let accept = self.accept_at.map(|at| at.saturating_duration_since(from));
+        let linger = (self.lingering > 0).then_some(Duration::from_millis(100));
+        let drain = draining.map(|at| at.saturating_duration_since(from).min(Duration::from_millis(20)));
+        [core, accept, linger, drain].into_iter().flatten().min()
+    }
+
+    fn feed(&mut self, input: Input<'_>) {
+        let now = self.clock.now();
+        self.core.handle(now, input, &mut self.outputs);
+        self.settle();
+    }
+
+    /// Carries out outputs, and what writing causes, until nothing is left.
+    fn settle(&mut self) {
+        loop {
+            for output in std::mem::take(&mut self.outputs) {
+                self.carry_out(output);
+            }
+            let Some(key) = self.dirty.pop_first() else {
+                if self.outputs.is_empty() {
+                    return;
+                }
+                continue;
+            };
+            self.write(key);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Connect(id, address) => self.connect(id, address),
+            Output::Write(id, bytes) => {
+                if let Some(key) = self.by_id.get(&id).copied() {
+                    if let Some(sock) = self.socks.get_mut(key) {
+                        sock.out.push_back(bytes);
+                        if sock.state != State::Connecting {
+                            self.dirty.insert(key);
+                        }
+                    }
+                }
+            }
+            Output::Close(id) => self.close(id),
+            Output::Abort(id) => {
+                if let Some(key) = self.by_id.get(&id).copied() {
+                    self.remove(key);
+                }
+            }
+            Output::Pause(id) => self.pause(id, true),
+            Output::Resume(id) => self.pause(id, false),
+            Output::KeepList(text) => self.sink.keep_list(&text),
+            Output::Finished(line) => self.sink.finished(&line.0),
+            Output::Note(what, text) => self.sink.note(what, &text),
+        }
+    }
+
+    fn add(&mut self, id: ConnId, mut stream: TcpStream, state: State) -> io::Result<usize> {
+        let _ = stream.set_nodelay(true);
+        let entry = self.socks.vacant_entry();
+        let key = entry.key();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, Token(key + FIRST), both)?;
+        entry.insert(Sock {
+            id,
+            stream,
+            out: VecDeque::new(),
+            done: 0,
+            state,
+            paused: false,
+            readable: false,
+            shut: false,
+        });
+        self.by_id.insert(id, key);
+        Ok(key)
+    }
+
+    fn connect(&mut self, id: ConnId, address: SocketAddr) {
+        let added = TcpStream::connect(address).and_then(|s| self.add(id, s, State::Connecting));
+        if added.is_err() {
+            // Told in the next round: the core has not yet finished this one.
+            self.core.handle(self.clock.now(), Input::Lost(id), &mut self.outputs);
+        }
+    }
+
+    fn remove(&mut self, key: usize) -> Option<ConnId> {
+        let mut sock = self.socks.try_remove(key)?;
+        let _ = self.poll.registry().deregister(&mut sock.stream);
+        self.dirty.remove(&key);
+        self.by_id.remove(&sock.id);
+        if sock.state == State::Closing {
+            self.lingering -= 1;
+        }
+        Some(sock.id)
+    }
+
+    /// The connection failed: the core hears of it unless it has closed it itself.
+    fn lost(&mut self, key: usize) {
+        let closing = self.socks.get(key).is_some_and(|s| s.state == State::Closing);
+        if let Some(id) = self.remove(key) {
+            if !closing {
+                self.core.handle(self.clock.now(), Input::Lost(id), &mut self.outputs);
+            }
+        }
+    }
+
+    fn close(&mut self, id: ConnId) {
+        let Some(key) = self.by_id.get(&id).copied() else { return };
+        if self.lingering >= LINGERING {
+            self.remove(key);
+            return;
+        }
+        if let Some(sock) = self.socks.get_mut(key) {
+            let cut = Instant::now() + LINGER;
+            sock.state = State::Closing;
+            self.cuts.push_back((cut, key, id));
+            sock.paused = false;
+            self.lingering += 1;
+            self.dirty.insert(key);
+            self.again.push_back(key);
+        }
+    }
+
+    fn pause(&mut self, id: ConnId, paused: bool) {
+        let Some(key) = self.by_id.get(&id).copied() else { return };
+        let Some(sock) = self.socks.get_mut(key) else { return };
+        sock.paused = paused;
+        if !paused && sock.readable {
+            self.again.push_back(key);
+        }
+    }
+
+    fn ready(&mut self, key: usize, readable: bool, writable: bool) {
+        let Some(sock) = self.socks.get_mut(key) else { return };
+        if sock.state == State::Connecting {
+            if !writable && !readable {
+                return;
+            }
+            let error = sock.stream.take_error();
+            match (error, sock.stream.peer_addr()) {
+                (Ok(None), Ok(_)) => {
+                    sock.state = State::Open;
+                    let id = sock.id;
+                    self.feed(Input::Connected(id));
+                }
+                (Ok(None), Err(e)) if e.kind() == io::ErrorKind::NotConnected => return,
+                _ => {
+                    self.lost(key);
+                    return self.settle();
+                }
+            }
+        } else if writable {
+            self.dirty.insert(key);
+            self.settle();
+        }
+        if readable {
+            if let Some(sock) = self.socks.get_mut(key) {
+                sock.readable = true;
+            }
+            self.read(key);
+        }
+    }
+
+    fn read(&mut self, key: usize) {
+        for _ in 0..READS_A_TURN {
+            let Some(sock) = self.socks.get_mut(key) else { return };
+            if sock.paused || sock.state == State::Connecting {
+                return;
+            }
+            let closing = sock.state == State::Closing;
+            let id = sock.id;
+            match sock.stream.read(&mut self.buffer) {
+                Ok(0) if closing => {
+                    if sock.out.is_empty() {
+                        self.remove(key);
+                    } else {
+                        sock.readable = false;
+                        sock.paused = true;
+                    }
+                    return;
+                }
+                Ok(0) => {
+                    sock.readable = false;
+                    // Nothing more can come; writing goes on.
+                    sock.paused = true;
+                    return self.feed(Input::Eof(id));
+                }
+                Ok(_) if closing => {}
+                Ok(n) => {
+                    let buffer = std::mem::take(&mut self.buffer);
+                    self.feed(Input::Bytes(id, buffer.get(..n).unwrap_or_default()));
+                    self.buffer = buffer;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    sock.readable = false;
+                    return;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.lost(key);
+                    return self.settle();
+                }
+            }
+        }
+        self.again.push_back(key);
+    }
+
+    fn write(&mut self, key: usize) {
+        loop {
+            let Some(sock) = self.socks.get_mut(key) else { return };
+            let Some(piece) = sock.out.front() else { break };
+            let id = sock.id;
+            let rest = piece.get(sock.done..).unwrap_or_default();
+            match sock.stream.write(rest) {
+                Ok(n) => {
+                    sock.done += n;
+                    if sock.done >= piece.len() {
+                        sock.out.pop_front();
+                        sock.done = 0;
+                    }
+                    if sock.state != State::Closing {
+                        self.core.handle(self.clock.now(), Input::Wrote(id, n), &mut self.outputs);
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.lost(key),
+            }
+        }
+        if let Some(sock) = self.socks.get_mut(key) {
+            sock.out.shrink_to(4);
+            if sock.state == State::Closing && !sock.shut {
+                sock.shut = true;
+                let _ = sock.stream.shutdown(Shutdown::Write);
+                // The peer may have closed before: then nothing more will be told of it.
+                self.again.push_back(key);
+                sock.paused = false;
+            }
+        }
+    }
+
+    /// Cuts connections that linger past their time.
+    fn sweep(&mut self) {
+        let now = Instant::now();
+        while let Some((_, key, id)) = self.cuts.pop_front_if(|(at, ..)| *at <= now) {
+            if self.by_id.get(&id) == Some(&key) {
+                self.remove(key);
+            }
+        }
+    }
+
+    fn accept(&mut self) {
+        self.accept_at = None;
+        for _ in 0..ACCEPTS_A_TURN {
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let id = ConnId(self.next_client);
+                    self.next_client += 2;
+                    if self.add(id, stream, State::Open).is_ok() {
+                        self.feed(Input::Accepted(id));
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    self.sink.note("accept", &format!("no connection can be taken for now: {e}"));
+                    self.accept_at = Some(Instant::now() + ACCEPT_PAUSE);
+                    return;
+                }
+            }
+        }
+        self.accept_at = Some(Instant::now());
+    }
+}
