--- /dev/null
+++ b/crates/router/tests/flow.rs
@@ -0,0 +1,476 @@
+//! The ordinary path and the hard cases, on bytes and connections' fates alone.
+#![allow(clippy::unwrap_used, clippy::panic, clippy::indexing_slicing)]
+
+mod common;
+
+use chalkyard_policy::{Action, Event, ListKind, Outcome, Router};
+use chalkyard_router::*;
+use common::*;
+
+fn yard() -> Yard {
+    Yard::new(config(), &usual())
+}
+
+/// A request that was read and is being pulled: its client, and the writer's call.
+fn pulling(yard: &mut Yard, class: &str) -> (ConnId, Call) {
+    let client = yard.ask(class);
+    let read = yard.call();
+    assert_eq!(read.port, 1);
+    assert_eq!(read.body["kv_transfer_params"]["do_remote_decode"], true);
+    yard.parsed(&read);
+    let pull = yard.call();
+    assert_ne!(pull.port, 1);
+    (client, pull)
+}
+
+#[test]
+fn a_request_is_read_handed_over_written_and_streamed() {
+    let mut y = yard();
+    let (client, pull) = pulling(&mut y, "help");
+    assert_eq!(pull.body["kv_transfer_params"]["remote_engine_id"], "read");
+    assert_eq!(pull.header("via"), "1.1 r1");
+    y.begin_stream(pull.conn);
+    y.token(pull.conn, "a");
+    y.token(pull.conn, "b");
+    y.end_stream(pull.conn);
+    let (status, events) = y.answer(client);
+    let names: Vec<&str> = events.iter().map(|(n, _)| n.as_str()).collect();
+    assert_eq!(status, 200);
+    assert_eq!(names, ["message.opened", "message.delta", "message.delta", "message.closed"]);
+    assert_eq!(events[3].1["usage"]["kept_tokens"], 64, "what the reader found kept, not the writer");
+    assert_eq!(y.outcomes(), [Outcome::Parsed, Outcome::Served]);
+    assert_eq!(y.core.open_requests(), 0);
+    let record = &y.finished[0];
+    assert_eq!((record.phase, record.attempts.len(), record.output_tokens), ("streaming", 2, 2));
+    assert!(record.estimated_tokens.abs_diff(record.prompt_tokens) < 10);
+}
+
+#[test]
+fn a_whole_answer_comes_as_one_body_and_connections_are_used_again() {
+    let mut y = yard();
+    let client = y.client();
+    for n in 0..2 {
+        y.ask_with(client, "help", None, false, 4_000);
+        let read = y.call();
+        y.parsed(&read);
+        let pull = y.call();
+        y.begin_stream(pull.conn);
+        y.token(pull.conn, "a");
+        y.token(pull.conn, "b");
+        assert_eq!(y.answers(client).len(), n);
+        y.end_stream(pull.conn);
+        assert_eq!(y.answers(client)[n].1[0].1["content"], "ab");
+    }
+    assert!(y.ports.len() <= 3, "a connection an engine at most: {:?}", y.ports);
+}
+
+#[test]
+fn closed_before_the_first_byte_proves_not_run_and_after_it_does_not() {
+    for (taken, outcome) in [(0, Outcome::NoConnection), (1, Outcome::ConnectionLost)] {
+        let mut y =
+            Yard::new(config(), &[entry("read", "reader", 1, "in"), entry("write", "writer", 2, "in")]);
+        // A first request leaves an idle connection at the writer.
+        let (_, pull) = pulling(&mut y, "report");
+        y.begin_stream(pull.conn);
+        y.token(pull.conn, "a");
+        y.end_stream(pull.conn);
+        let client = y.ask("report");
+        let read = y.call();
+        // From now on the system takes nothing on that connection but what is said below.
+        y.stuck.insert(pull.conn);
+        y.parsed(&read);
+        assert!(!y.has_call());
+        if taken > 0 {
+            y.input(Input::Wrote(pull.conn, taken));
+        }
+        y.input(Input::Lost(pull.conn));
+        assert_eq!(y.outcomes().last(), Some(&outcome));
+        if taken > 0 {
+            assert_eq!(y.error(client), (504, "failed".into(), true), "a single shot is not sent again");
+        } else {
+            assert!(y.answers(client).is_empty(), "proven not run: the module may go on");
+            y.advance(ms(2_500));
+            assert!(y.call().port <= 2, "sent again, after the module's bench for a dead writer");
+        }
+    }
+}
+
+#[test]
+fn a_second_reply_on_a_connection_spoils_it_and_nothing_else() {
+    let mut y = yard();
+    let (client, pull) = pulling(&mut y, "help");
+    y.begin_stream(pull.conn);
+    y.token(pull.conn, "a");
+    y.end_stream(pull.conn);
+    y.reply(pull.conn, 200, "{}");
+    assert!(y.closed.contains(&pull.conn));
+    assert_eq!(y.answer(client).0, 200);
+    // Both at once: the second must not be taken for the answer to the next request.
+    let (client, pull) = pulling(&mut y, "help");
+    let mut both = chalkyard_proto::encode::response(429, &[], b"{}", true);
+    both.extend(both.clone());
+    y.bytes(pull.conn, &both);
+    assert!(y.closed.contains(&pull.conn));
+    assert!(y.answers(client).is_empty());
+}
+
+#[test]
+fn a_lost_answer_of_a_single_shot_is_failed_and_never_sent_again() {
+    let mut y = yard();
+    let (client, pull) = pulling(&mut y, "report");
+    y.input(Input::Eof(pull.conn));
+    let (status, kind, ran) = y.error(client);
+    assert_eq!((status, kind.as_str(), ran), (504, "failed", true));
+    y.advance(ms(6_000));
+    assert!(!y.has_call());
+    let releases = y.releases();
+    assert!(releases.iter().all(|r| r.port == 1), "its state at the reader is let go");
+    assert_eq!(releases.len(), 3, "a call to let go that is not answered is tried again, thrice in all");
+    assert_eq!(y.core.open_requests(), 0);
+}
+
+#[test]
+fn an_identity_is_one_request_at_one_router() {
+    let mut y = yard();
+    let first = y.client();
+    y.ask_with(first, "report", Some("k"), true, 4_000);
+    let again = y.client();
+    y.ask_with(again, "report", Some("k"), true, 4_000);
+    assert_eq!(y.error(again), (409, "duplicate".into(), true));
+    let read = y.call();
+    assert_eq!(read.header("idempotency-key"), "\"-/k\"");
+    y.parsed(&read);
+    let pull = y.call();
+    y.input(Input::Lost(pull.conn));
+    let later = y.client();
+    y.ask_with(later, "report", Some("k"), true, 4_000);
+    assert_eq!(y.error(later), (409, "duplicate".into(), true), "it may have run: look it up");
+    assert!(!y.has_call());
+    y.advance(ms(700_000));
+    let much_later = y.client();
+    y.ask_with(much_later, "report", Some("k"), true, 4_000);
+    assert!(y.has_call());
+}
+
+#[test]
+fn a_reply_that_races_its_cancel_gives_one_verdict() {
+    let mut y = yard();
+    let client = y.ask("help");
+    let read = y.call();
+    // The client leaves; the reply is already on its way.
+    y.input(Input::Lost(client));
+    y.parsed(&read);
+    y.reply(read.conn, 200, "{}");
+    assert_eq!(y.outcomes(), [Outcome::Cancelled]);
+    assert_eq!(y.releases().len(), 1, "what the read may have left is let go");
+    assert_eq!(y.finished[0].ended, Ended::ClientGone);
+    assert_eq!(y.core.open_requests(), 0);
+}
+
+#[test]
+fn a_client_gone_between_read_and_pull_lets_the_state_go() {
+    let mut y = yard();
+    y.refused_ports.extend([2, 3]);
+    let client = y.ask("help");
+    let read = y.call();
+    y.parsed(&read);
+    assert!(!y.has_call(), "no writer can be reached");
+    y.input(Input::Lost(client));
+    let releases = y.releases();
+    assert_eq!((releases.len(), releases[0].port), (1, 1));
+    assert_eq!(releases[0].body["request_id"], releases[0].header("x-request-id"));
+    assert_eq!(y.core.open_requests(), 0);
+}
+
+#[test]
+fn a_reader_that_dies_with_the_state_sends_the_request_to_be_read_again() {
+    let mut y = yard();
+    let (client, pull) = pulling(&mut y, "report");
+    y.reply(pull.conn, 409, r#"{"error":{"type":"no_state","message":"gone"}}"#);
+    assert_eq!(y.outcomes(), [Outcome::Parsed, Outcome::Refused { no_state: true }]);
+    y.advance(ms(100));
+    let again = y.call();
+    assert!(again.body["kv_transfer_params"]["remote_engine_id"].is_null());
+    assert!(y.answers(client).is_empty());
+}
+
+#[test]
+fn a_stream_that_stops_midway_ends_as_broken_once() {
+    let mut y = yard();
+    let (client, pull) = pulling(&mut y, "report");
+    y.begin_stream(pull.conn);
+    y.token(pull.conn, "a");
+    y.advance(ms(60_000));
+    let (status, events) = y.answer(client);
+    assert_eq!(status, 200);
+    let (name, last) = events.last().unwrap();
+    assert_eq!((name.as_str(), &last["error"]["may_have_run"]), ("message.broken", &true.into()));
+    assert_eq!(y.outcomes().last(), Some(&Outcome::TimedOut));
+    assert!(y.closed.contains(&pull.conn));
+    assert_eq!(y.core.open_requests(), 0);
+}
+
+#[test]
+fn a_malformed_chunk_and_a_missing_end_marker_break_the_stream() {
+    for (bytes, outcome) in
+        [(&b"zz\r\n"[..], Outcome::ServerError), (&b"0\r\n\r\n"[..], Outcome::ConnectionLost)]
+    {
+        let mut y = yard();
+        let (client, pull) = pulling(&mut y, "help");
+        y.begin_stream(pull.conn);
+        y.token(pull.conn, "a");
+        y.bytes(pull.conn, bytes);
+        assert_eq!(y.outcomes().last(), Some(&outcome));
+        assert_eq!(y.answer(client).1.last().unwrap().0, "message.broken");
+    }
+}
+
+#[test]
+fn a_whole_answer_that_breaks_is_tried_again_where_that_is_free() {
+    for (class, again) in [("help", true), ("report", false)] {
+        let mut y = yard();
+        let client = y.client();
+        y.ask_with(client, class, None, false, 4_000);
+        let read = y.call();
+        y.parsed(&read);
+        let pull = y.call();
+        y.begin_stream(pull.conn);
+        y.token(pull.conn, "lost");
+        y.input(Input::Lost(pull.conn));
+        y.advance(ms(200));
+        assert_eq!(y.has_call(), again, "{class}");
+        assert_eq!(y.answers(client).is_empty(), again);
+    }
+}
+
+#[test]
+fn a_list_change_during_a_send_stops_new_work_and_not_what_runs() {
+    let mut config = config();
+    config.register = Some(REGISTER.parse().unwrap());
+    let mut y = Yard::new(config, &usual());
+    let watch = y.calls.remove(0);
+    assert_eq!(watch.target, "/v1/workers?watch=1");
+    let event = |y: &mut Yard, name: &str, data: &str| {
+        let (mut text, mut bytes) = (Vec::new(), Vec::new());
+        chalkyard_proto::sse::write(&mut text, name, None, data);
+        chalkyard_proto::encode::chunk(&mut bytes, &text);
+        y.bytes(watch.conn, &bytes);
+    };
+    y.begin_stream(watch.conn);
+    event(&mut y, "snapshot", &list(5, &usual()));
+    let (client, pull) = pulling(&mut y, "help");
+    let gone = if pull.port == 2 { "write-1" } else { "write-2" };
+    event(&mut y, "change", &list(6, &[entry(gone, "writer", pull.port, "draining")]));
+    y.begin_stream(pull.conn);
+    y.token(pull.conn, "a");
+    y.end_stream(pull.conn);
+    assert_eq!(y.answer(client).0, 200);
+    for _ in 0..6 {
+        let (_, next) = pulling(&mut y, "help");
+        assert_ne!(next.port, pull.port, "nothing new to a draining worker");
+        y.begin_stream(next.conn);
+        y.token(next.conn, "a");
+        y.end_stream(next.conn);
+    }
+    // A gap in the versions: a whole list is asked for.
+    event(&mut y, "change", &list(8, &[]));
+    let again = y.calls.iter().find(|c| c.target.contains("watch")).unwrap();
+    assert_ne!(again.conn, watch.conn);
+    assert!(y.kept_list.as_ref().unwrap().contains("\"draining\""));
+}
+
+#[test]
+fn a_register_that_is_down_from_the_start_is_asked_again_and_the_last_list_serves() {
+    let mut config = config();
+    config.register = Some(REGISTER.parse().unwrap());
+    let mut y = Yard::new(config, &usual());
+    let watch = y.calls.remove(0);
+    y.input(Input::Lost(watch.conn));
+    let (client, pull) = pulling(&mut y, "help");
+    y.begin_stream(pull.conn);
+    y.token(pull.conn, "a");
+    y.end_stream(pull.conn);
+    assert_eq!(y.answer(client).0, 200);
+    y.advance(ms(1_100));
+    assert!(y.calls.iter().any(|c| c.target.contains("watch")), "the module asks again");
+    let failed = |e: &Event| matches!(e, Event::Workers { kind: ListKind::Failed, .. });
+    assert!(y.heard.lock().unwrap().iter().any(|(_, e, _)| failed(e)));
+}
+
+#[test]
+fn a_deadline_reached_while_held_is_answered_in_time_and_the_state_let_go() {
+    let mut y = yard();
+    let client = y.ask("report");
+    let read = y.call();
+    y.refused_ports.extend([2, 3]);
+    y.parsed(&read);
+    y.advance(ms(3_990));
+    let (status, kind, ran) = y.error(client);
+    assert!(matches!(kind.as_str(), "failed" | "refused"), "{status} {kind}");
+    assert!(!ran, "nothing but a read was ever sent");
+    assert!(!y.releases().is_empty());
+    assert_eq!(y.core.open_requests(), 0);
+}
+
+#[test]
+fn a_silent_engine_is_answered_for_at_the_deadline() {
+    let mut y = yard();
+    let (client, _) = pulling(&mut y, "report");
+    y.advance(ms(3_960));
+    assert!(y.answers(client).is_empty());
+    y.advance(ms(30));
+    let (_, kind, ran) = y.error(client);
+    assert_eq!((kind.as_str(), ran), ("failed", true));
+    assert_eq!(y.finished.len(), 1);
+}
+
+#[test]
+fn a_slow_client_stops_its_engine_and_is_then_cut() {
+    let mut y = yard();
+    let (client, pull) = pulling(&mut y, "help");
+    y.begin_stream(pull.conn);
+    y.token(pull.conn, "a");
+    y.stuck.insert(client);
+    let text = "x".repeat(1_000);
+    for _ in 0..70 {
+        y.token(pull.conn, &text);
+    }
+    assert!(y.paused.contains(&pull.conn), "the engine is not read while its client takes nothing");
+    // It takes some: the engine is read again.
+    y.input(Input::Wrote(client, 60_000));
+    assert!(!y.paused.contains(&pull.conn));
+    for _ in 0..70 {
+        y.token(pull.conn, &text);
+    }
+    y.advance(ms(11_000));
+    assert!(y.closed.contains(&client) && y.closed.contains(&pull.conn));
+    assert_eq!(y.finished[0].ended, Ended::ClientSlow);
+    assert_eq!(y.outcomes().last(), Some(&Outcome::Cancelled));
+}
+
+#[test]
+fn half_closed_clients_are_taken_to_leave_and_get_one_answer() {
+    let mut y = yard();
+    let (client, pull) = pulling(&mut y, "report");
+    y.input(Input::Eof(client));
+    assert_eq!(y.error(client), (400, "failed".into(), true));
+    assert!(y.closed.contains(&client) && y.closed.contains(&pull.conn));
+    assert_eq!(y.outcomes().last(), Some(&Outcome::Cancelled));
+}
+
+#[test]
+fn bounds_refuse_what_is_past_them_and_say_so() {
+    let mut c = config();
+    c.bounds.open = 1;
+    c.bounds.clients = 3;
+    c.bounds.client.pipelined_bytes = 1_024;
+    let mut y = Yard::new(c, &usual());
+    let first = y.ask("help");
+    let second = y.ask("help");
+    assert_eq!(y.error(second), (503, "refused".into(), false));
+    let idle = y.client();
+    let one_more = y.client();
+    assert_eq!(y.error(one_more), (503, "refused".into(), false));
+    assert!(y.closed.contains(&one_more));
+    // Behind an open request only so much may wait; it is answered after that request.
+    y.ask_with(first, "help", None, true, 400);
+    assert!(y.paused.contains(&first));
+    let read = y.call();
+    y.parsed(&read);
+    let pull = y.call();
+    y.begin_stream(pull.conn);
+    y.token(pull.conn, "a");
+    y.end_stream(pull.conn);
+    let answers = y.answers(first);
+    assert_eq!((answers.len(), answers[0].0, answers[1].0), (2, 200, 400));
+    y.advance(ms(61_000));
+    assert!(y.closed.contains(&idle), "idle connections are closed");
+    assert_eq!(y.core.open_clients(), 0);
+}
+
+#[test]
+fn bad_calls_name_their_fault_and_never_reach_an_engine() {
+    let mut y = yard();
+    let cases: [(&[u8], u16); 7] = [
+        (b"GET /v1/messages HTTP/1.1\r\nHost: a\r\n\r\n", 405),
+        (b"POST /v2/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 404),
+        (b"POST /v1/messages HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}", 400),
+        (b"POST /v1/messages HTTP/1.1\r\nHost: a\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n{}", 415),
+        (b"POST /v1/messages HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}", 400),
+        (b"POST /v1/messages HTTP/1.1\r\nHost: a\r\nContent-Length: 9999999\r\n\r\n", 413),
+        (b"nonsense\r\n\r\n", 400),
+    ];
+    for (bytes, status) in cases {
+        let client = y.client();
+        y.bytes(client, bytes);
+        let (got, body) = y.answer(client);
+        assert_eq!(got, status, "{}", String::from_utf8_lossy(bytes));
+        assert!(!body[0].1["error"]["reason"].as_str().unwrap().is_empty());
+    }
+    let client = y.client();
+    y.ask_with(client, "nonsense", None, true, 10);
+    assert_eq!(y.answer(client).1[0].1["error"]["field"], "metadata.class");
+    let slow = y.client();
+    y.bytes(slow, b"POST /v1/mess");
+    y.advance(ms(10_100));
+    assert_eq!(y.answer(slow).0, 408);
+    assert!(y.calls.is_empty());
+    assert!(y.heard.lock().unwrap().iter().all(|(_, e, _)| !matches!(e, Event::Request(_))));
+}
+
+#[test]
+fn expect_continue_is_answered_and_one_byte_at_a_time_is_the_same_request() {
+    let mut y = yard();
+    let client = y.client();
+    let body = br#"{"model":"m","messages":[{"role":"user","content":"hello you"}]}"#;
+    let length = body.len();
+    let head = format!(
+        "POST /v1/messages HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: {length}\r\n\r\n"
+    );
+    for b in head.as_bytes().iter().chain(body) {
+        assert!(!y.has_call());
+        y.bytes(client, &[*b]);
+    }
+    let whole = y.call();
+    assert!(whole.body["prompt"].as_str().unwrap().contains("hello you"));
+    assert!(y.raw(client).starts_with(b"HTTP/1.1 100 Continue\r\n\r\n"));
+}
+
+#[test]
+fn draining_answers_what_is_open_and_takes_nothing_new() {
+    let mut y = yard();
+    let idle = y.client();
+    let (client, pull) = pulling(&mut y, "report");
+    let mut out = Vec::new();
+    y.core.drain(y.now, &mut out);
+    assert_eq!(out, [Output::Close(idle)]);
+    let late = y.client();
+    assert_eq!(y.error(late), (503, "refused".into(), false));
+    y.begin_stream(pull.conn);
+    y.token(pull.conn, "a");
+    y.end_stream(pull.conn);
+    assert_eq!(y.answer(client).0, 200);
+    assert_eq!((y.core.open_requests(), y.core.open_clients()), (0, 0));
+}
+
+#[test]
+fn the_module_given_the_same_events_does_the_same() {
+    let mut y = yard();
+    for _ in 0..5 {
+        let (_, pull) = pulling(&mut y, "help");
+        y.begin_stream(pull.conn);
+        y.token(pull.conn, "a");
+        y.end_stream(pull.conn);
+        y.ask("report");
+        y.advance(ms(150));
+        y.calls.clear();
+    }
+    let heard = y.heard.lock().unwrap();
+    let mut again = Router::new(config().policy, 7);
+    assert!(heard.len() > 20);
+    for (now, event, actions) in heard.iter() {
+        let mut did: Vec<Action> = Vec::new();
+        again.handle(*now, event.clone(), &mut did);
+        assert_eq!(did, *actions);
+    }
+}
