--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -49,7 +49,7 @@
     pub clients: usize,
     /// Open requests; one more is refused before the module sees it.
     pub open: usize,
-    /// Connections to one engine; at the bound an attempt ends as `NoConnection`.
+    /// Connections to one engine; at the bound an attempt ends as `NotSent`.
     pub engine_connections: usize,
     /// Idle ones of these that are kept.
     pub engine_idle: usize,
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -216,7 +216,8 @@
         let bytes = encode::request("POST", engine::COMPLETIONS, &host, &fields, &body);
         let due = give_up.map_or(job.request.deadline, |g| (now + g).min(job.request.deadline));
         let conn = self.call(&worker, Task::Attempt(id.clone(), no, Reply::None), bytes, 0);
-        let Some(conn) = conn else { return self.end_attempt(id, no, Outcome::NoConnection, 0) };
+        // Our own bound: it says nothing of the engine.
+        let Some(conn) = conn else { return self.end_attempt(id, no, Outcome::NotSent, 0) };
         let timer = self.timers.set(due, Due::Attempt(id.clone(), no));
         if let Some(attempt) = self.attempt_mut(id, no) {
             attempt.conn = Some(conn);
@@ -362,6 +363,16 @@
         }
     }
 
+    /// No connection could be begun for want of descriptors or ports of our own.
+    pub(super) fn unconnected(&mut self, conn: ConnId) {
+        let Some(link) = self.forget_link(conn) else { return };
+        match link.task {
+            Task::Attempt(id, no, _) => self.end_attempt(&id, no, Outcome::NotSent, 0),
+            Task::Watch(_) => self.register_lost(Some(conn)),
+            other => self.task_lost(other, link.worker),
+        }
+    }
+
     fn task_lost(&mut self, task: Task, worker: Option<WorkerId>) {
         match (task, worker) {
             (Task::Release(id, tries), Some(worker)) => self.release_again(id, worker, tries),
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -34,6 +34,8 @@
     Connected(ConnId),
     /// It does not, or is lost: nothing can be read or written any more.
     Lost(ConnId),
+    /// It could not even be begun, for want of something here: its engine is not to blame.
+    Unconnected(ConnId),
     /// Bytes came.
     Bytes(ConnId, &'a [u8]),
     /// The peer has closed its side.
@@ -180,6 +182,7 @@
             Input::Connected(conn) => self.connected(conn),
             Input::Lost(conn) if self.clients.contains_key(&conn) => self.client_lost(conn),
             Input::Lost(conn) => self.link_lost(conn),
+            Input::Unconnected(conn) => self.unconnected(conn),
             Input::Bytes(conn, bytes) if self.clients.contains_key(&conn) => self.client_bytes(conn, bytes),
             Input::Bytes(conn, bytes) => self.link_bytes(conn, bytes),
             Input::Eof(conn) if self.clients.contains_key(&conn) => self.client_eof(conn),
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -336,9 +336,10 @@
 
     fn connect(&mut self, id: ConnId, address: SocketAddr) {
         let added = TcpStream::connect(address).and_then(|s| self.add(id, s, State::Connecting));
-        if added.is_err() {
-            // Told in the next round: the core has not yet finished this one.
-            self.core.handle(self.clock.now(), Input::Lost(id), &mut self.outputs);
+        if let Err(e) = added {
+            let refused = e.kind() == io::ErrorKind::ConnectionRefused;
+            let input = if refused { Input::Lost(id) } else { Input::Unconnected(id) };
+            self.core.handle(self.clock.now(), input, &mut self.outputs);
         }
     }
 
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -129,6 +129,8 @@
     pub heard: Heard,
     /// Calls that reached engines, oldest first, until taken.
     pub calls: Vec<Call>,
+    /// No connection can be begun for want of descriptors.
+    pub unconnected: bool,
     /// Connections whose bytes the system does not take.
     pub stuck: BTreeSet<ConnId>,
     decoders: BTreeMap<ConnId, Decoder>,
@@ -157,6 +159,7 @@
             kept_list: None,
             heard,
             calls: Vec::new(),
+            unconnected: false,
             stuck: BTreeSet::new(),
             decoders: BTreeMap::new(),
             heads: BTreeMap::new(),
@@ -181,7 +184,9 @@
             match o {
                 Output::Connect(conn, address) => {
                     self.ports.insert(conn, address.port());
-                    if self.refused_ports.contains(&address.port()) {
+                    if self.unconnected {
+                        self.input(Input::Unconnected(conn));
+                    } else if self.refused_ports.contains(&address.port()) {
                         self.input(Input::Lost(conn));
                     } else if !self.stuck.contains(&conn) {
                         self.input(Input::Connected(conn));
--- a/crates/router/tests/flow.rs
+++ b/crates/router/tests/flow.rs
@@ -474,3 +474,22 @@
         assert_eq!(did, *actions);
     }
 }
+
+#[test]
+fn want_of_descriptors_here_is_not_held_against_the_engine() {
+    let mut y = yard();
+    let client = y.client();
+    y.ask_with(client, "report", None, true, 4_000);
+    let read = y.call();
+    // The writer's connection can't even be begun.
+    y.unconnected = true;
+    y.parsed(&read);
+    assert!(!y.has_call());
+    assert!(y.outcomes().iter().skip(1).all(|o| *o == Outcome::NotSent), "{:?}", y.outcomes());
+    y.advance(ms(10));
+    assert_eq!(y.error(client), (503, "refused".into(), false));
+    // Once there is room again, nobody is benched.
+    y.unconnected = false;
+    let (_, pull) = pulling(&mut y, "report");
+    assert!(pull.port > 1);
+}
