--- a/crates/api/src/client.rs
+++ b/crates/api/src/client.rs
@@ -1,6 +1,7 @@
 //! The messages call: `POST /v1/messages`, its events and its errors.
 
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::tokens;
 
@@ -118,12 +119,12 @@
 }
 
 /// A checked call.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub struct MessagesRequest {
     /// The model's name.
     pub model: String,
-    /// The whole prompt as one text, as engines get it.
-    pub prompt: String,
+    /// The whole prompt as one text, as engines get it: a JSON string, made once for all attempts.
+    pub prompt: Box<RawValue>,
     /// The shared beginning's hash and tokens, where there is a system text.
     pub prefix: Option<(String, u64)>,
     /// Tokens of the whole prompt, estimated.
@@ -222,6 +223,8 @@
             let reason = format!("about {prompt_tokens} prompt tokens, over {}", bounds.prompt_tokens);
             return Err(Refusal { status: 413, field: "messages".into(), reason });
         }
+        let prompt =
+            serde_json::value::to_raw_value(&prompt).map_err(|e| Refusal::new("messages", e.to_string()))?;
         Ok(Self {
             model: raw.model,
             prompt,
@@ -395,7 +398,7 @@
             "messages":[{"role":"user","content":[{"type":"text","text":"Hello"}]}],
             "metadata":{"class":"help","session":"s1","deadline_ms":900,"retry":true}}"#;
         let r = MessagesRequest::parse(body.as_bytes(), &Bounds::default()).unwrap();
-        assert!(r.prompt.starts_with("You help.\n\nuser: Hello\n"));
+        assert!(r.prompt.get().starts_with(r#""You help.\n\nuser: Hello\n"#));
         assert_eq!((r.max_tokens, r.stream, r.retry, r.deadline_ms), (9, true, true, Some(900)));
         assert_eq!(r.prefix.unwrap().1, 3);
         assert!(r.prompt_tokens > 4);
--- a/crates/api/src/engine.rs
+++ b/crates/api/src/engine.rs
@@ -42,7 +42,7 @@
 #[derive(Serialize)]
 struct Completion<'a> {
     model: &'a str,
-    prompt: &'a str,
+    prompt: &'a RawValue,
     max_tokens: u64,
     stream: bool,
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/api/src/tokens.rs
+++ b/crates/api/src/tokens.rs
@@ -11,15 +11,17 @@
 /// Tokens of a text by the module's measure.
 pub fn estimate(text: &str) -> u64 {
     let (mut tokens, mut run) = (0_u64, 0_u64);
-    for c in text.chars() {
-        if c.is_ascii_alphanumeric() {
+    // By bytes, since every prompt passes here: what continues a character beyond ASCII counts nothing.
+    for b in text.bytes() {
+        if b.is_ascii_alphanumeric() {
+            tokens += u64::from(run % BYTES_A_TOKEN == 0);
             run += 1;
-            continue;
+        } else {
+            run = 0;
+            tokens += u64::from(!b.is_ascii_whitespace() && !(0x80..0xc0).contains(&b));
         }
-        tokens += run.div_ceil(BYTES_A_TOKEN) + u64::from(!c.is_ascii_whitespace());
-        run = 0;
     }
-    tokens + run.div_ceil(BYTES_A_TOKEN)
+    tokens
 }
 
 #[cfg(test)]
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -22,6 +22,9 @@
 
 impl Sink for Log {
     fn finished(&mut self, r: &Finished) {
+        if !tracing::enabled!(target: "request", tracing::Level::INFO) {
+            return;
+        }
         let attempts = serde_json::to_string(&r.attempts).unwrap_or_default();
         let ended = serde_json::to_string(&r.ended).unwrap_or_default();
         info!(
--- a/crates/proto/src/encode.rs
+++ b/crates/proto/src/encode.rs
@@ -4,6 +4,9 @@
 
 fn text(out: &mut Vec<u8>, value: &str) {
     // No value can end its line: a header can't be smuggled in through an echoed name.
+    if !value.bytes().any(|b| b < b' ' || b == 0x7f) {
+        return out.extend_from_slice(value.as_bytes());
+    }
     out.extend(value.bytes().map(|b| if b < b' ' || b == 0x7f { b'_' } else { b }));
 }
 
--- a/crates/proto/src/sse.rs
+++ b/crates/proto/src/sse.rs
@@ -1,7 +1,5 @@
 //! Server-sent events, read and written.
 
-use std::io::Write;
-
 use crate::{Error, Reason};
 
 /// One event of a stream.
@@ -42,16 +40,24 @@
 
     /// Takes bytes and appends the events that they end.
     pub fn push(&mut self, bytes: &[u8], out: &mut Vec<Event>) -> Result<(), Error> {
-        for b in bytes.iter().copied() {
-            let after_cr = std::mem::replace(&mut self.after_cr, b == b'\r');
-            match b {
-                b'\n' if after_cr => {}
-                b'\n' | b'\r' => self.end_line(out)?,
-                _ if self.line.len() >= self.most => return Err(Reason::EventTooLong.into()),
-                _ => self.line.push(b),
+        let mut rest = bytes;
+        loop {
+            if std::mem::take(&mut self.after_cr) {
+                rest = rest.strip_prefix(b"\n").unwrap_or(rest);
+                // The LF may come with the next bytes.
+                self.after_cr = rest.is_empty() && !bytes.ends_with(b"\n");
+            }
+            let end = rest.iter().position(|b| matches!(b, b'\n' | b'\r'));
+            let (line, after) = rest.split_at(end.unwrap_or(rest.len()));
+            if self.line.len() + line.len() > self.most {
+                return Err(Reason::EventTooLong.into());
             }
+            self.line.extend_from_slice(line);
+            let Some((stop, after)) = after.split_first() else { return Ok(()) };
+            self.after_cr = *stop == b'\r';
+            rest = after;
+            self.end_line(out)?;
         }
-        Ok(())
     }
 
     /// Whether an event has begun and not ended.
@@ -60,8 +66,15 @@
     }
 
     fn end_line(&mut self, out: &mut Vec<Event>) -> Result<(), Error> {
-        let bytes = std::mem::take(&mut self.line);
-        let text = std::str::from_utf8(&bytes).map_err(|_| Reason::Malformed)?;
+        let mut bytes = std::mem::take(&mut self.line);
+        let ended = self.line_text(&bytes, out);
+        bytes.clear();
+        self.line = bytes;
+        ended
+    }
+
+    fn line_text(&mut self, bytes: &[u8], out: &mut Vec<Event>) -> Result<(), Error> {
+        let text = std::str::from_utf8(bytes).map_err(|_| Reason::Malformed)?;
         let text = if std::mem::take(&mut self.first) { text.trim_start_matches('\u{feff}') } else { text };
         if text.is_empty() {
             let event = std::mem::take(&mut self.event);
@@ -93,14 +106,19 @@
 
 /// Appends one event; a line end within `data` becomes a further data line.
 pub fn write(out: &mut Vec<u8>, name: &str, id: Option<u64>, data: &str) {
+    let mut field = |name: &[u8], value: &[u8]| {
+        out.extend_from_slice(name);
+        out.extend_from_slice(value);
+        out.push(b'\n');
+    };
     if !name.is_empty() {
-        let _ = writeln!(out, "event: {name}");
+        field(b"event: ", name.as_bytes());
     }
     if let Some(id) = id {
-        let _ = writeln!(out, "id: {id}");
+        field(b"id: ", id.to_string().as_bytes());
     }
     for line in data.split('\n') {
-        let _ = writeln!(out, "data: {line}");
+        field(b"data: ", line.as_bytes());
     }
     out.push(b'\n');
 }
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -20,6 +20,8 @@
 /// Bytes read at once, and so many such reads from one connection before others have their turn.
 const READ_BYTES: usize = 16 * 1024;
 const READS_A_TURN: usize = 8;
+/// Written bytes at the front of a buffer that are dropped together.
+const COMPACT_BYTES: usize = 64 * 1024;
 /// Connections taken at once before others have their turn.
 const ACCEPTS_A_TURN: usize = 64;
 /// A connection that is closed has this long to take what is left, and to close its side.
@@ -112,8 +114,8 @@
 struct Sock {
     id: ConnId,
     stream: TcpStream,
-    out: VecDeque<Vec<u8>>,
-    /// Bytes of the first piece already written.
+    /// Bytes to write, of which the first `done` are written: what is said in one turn goes out at once.
+    out: Vec<u8>,
     done: usize,
     state: State,
     paused: bool,
@@ -293,7 +295,11 @@
             Output::Write(id, bytes) => {
                 if let Some(key) = self.by_id.get(&id).copied() {
                     if let Some(sock) = self.socks.get_mut(key) {
-                        sock.out.push_back(bytes);
+                        if sock.out.is_empty() {
+                            sock.out = bytes;
+                        } else {
+                            sock.out.extend_from_slice(&bytes);
+                        }
                         if sock.state != State::Connecting {
                             self.dirty.insert(key);
                         }
@@ -323,7 +329,7 @@
         entry.insert(Sock {
             id,
             stream,
-            out: VecDeque::new(),
+            out: Vec::new(),
             done: 0,
             state,
             paused: false,
@@ -466,36 +472,42 @@
     }
 
     fn write(&mut self, key: usize) {
-        loop {
-            let Some(sock) = self.socks.get_mut(key) else { return };
-            let Some(piece) = sock.out.front() else { break };
-            let id = sock.id;
-            let rest = piece.get(sock.done..).unwrap_or_default();
-            match sock.stream.write(rest) {
-                Ok(n) => {
-                    sock.done += n;
-                    if sock.done >= piece.len() {
-                        sock.out.pop_front();
-                        sock.done = 0;
-                    }
-                    if sock.state != State::Closing {
-                        self.core.handle(self.clock.now(), Input::Wrote(id, n), &mut self.outputs);
-                    }
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+        let Some(sock) = self.socks.get_mut(key) else { return };
+        let (id, before) = (sock.id, sock.done);
+        let mut failed = false;
+        while sock.done < sock.out.len() {
+            match sock.stream.write(sock.out.get(sock.done..).unwrap_or_default()) {
+                Ok(n) => sock.done += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return self.lost(key),
+                Err(_) => {
+                    failed = true;
+                    break;
+                }
             }
         }
-        if let Some(sock) = self.socks.get_mut(key) {
-            sock.out.shrink_to(4);
-            if sock.state == State::Closing && !sock.shut {
-                sock.shut = true;
-                let _ = sock.stream.shutdown(Shutdown::Write);
-                // The peer may have closed before: then nothing more will be told of it.
-                self.again.push_back(key);
-                sock.paused = false;
-            }
+        let wrote = sock.done - before;
+        if sock.done >= sock.out.len() {
+            // An idle connection keeps no buffer.
+            sock.out = Vec::new();
+            sock.done = 0;
+        } else if sock.done > COMPACT_BYTES {
+            sock.out.drain(..sock.done);
+            sock.done = 0;
+        }
+        let (written, closing) = (sock.out.is_empty(), sock.state == State::Closing);
+        if written && closing && !sock.shut {
+            sock.shut = true;
+            let _ = sock.stream.shutdown(Shutdown::Write);
+            // The peer may have closed before: then nothing more will be told of it.
+            sock.paused = false;
+            self.again.push_back(key);
+        }
+        if wrote > 0 && !closing {
+            self.core.handle(self.clock.now(), Input::Wrote(id, wrote), &mut self.outputs);
+        }
+        if failed {
+            self.lost(key);
         }
     }
 
