--- a/crates/api/src/tokens.rs
+++ b/crates/api/src/tokens.rs
@@ -8,17 +8,40 @@
 /// Bytes of ASCII letters and digits in a token.
 const BYTES_A_TOKEN: u64 = 4;
 
+/// What a byte counts: nothing (white space, or it continues a character), one, or as part of a run.
+const NOTHING: u8 = 0;
+const ONE: u8 = 1;
+const RUN: u8 = 2;
+
+/// By a table, since every byte of every prompt passes here.
+static CLASS: [u8; 256] = {
+    let mut class = [ONE; 256];
+    let mut b = 0_u8;
+    loop {
+        if b.is_ascii_alphanumeric() {
+            class[b as usize] = RUN;
+        } else if b.is_ascii_whitespace() || (b >= 0x80 && b < 0xc0) {
+            class[b as usize] = NOTHING;
+        }
+        if b == u8::MAX {
+            break;
+        }
+        b += 1;
+    }
+    class
+};
+
 /// Tokens of a text by the module's measure.
 pub fn estimate(text: &str) -> u64 {
     let (mut tokens, mut run) = (0_u64, 0_u64);
-    // By bytes, since every prompt passes here: what continues a character beyond ASCII counts nothing.
     for b in text.bytes() {
-        if b.is_ascii_alphanumeric() {
+        let class = CLASS.get(usize::from(b)).copied().unwrap_or(ONE);
+        if class == RUN {
             tokens += u64::from(run % BYTES_A_TOKEN == 0);
             run += 1;
         } else {
+            tokens += u64::from(class);
             run = 0;
-            tokens += u64::from(!b.is_ascii_whitespace() && !(0x80..0xc0).contains(&b));
         }
     }
     tokens
--- a/crates/load/src/clients.rs
+++ b/crates/load/src/clients.rs
@@ -137,7 +137,7 @@
             break;
         }
         // What is due is sent on an idle connection; what finds none waits, and its wait counts.
-        while now < end {
+        while Instant::now() < end {
             let due = plan.rate.map(|r| start + Duration::from_secs_f64(sent as f64 / r));
             if due.is_some_and(|at| at > now) {
                 break;
--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -100,6 +100,9 @@
     /// Cold starts, and when the process was gone again, with whether it fell.
     starts: Vec<(&'a str, u64, u64, bool)>,
     engines: BTreeMap<&'a str, (u64, f64)>,
+    /// Spans without a process, of engines that write.
+    downs: Vec<(&'a str, u64, u64)>,
+    readers: BTreeSet<&'a str>,
     end: u64,
 }
 
@@ -140,6 +143,8 @@
             told: BTreeMap::new(),
             starts: Vec::new(),
             engines: BTreeMap::new(),
+            downs: Vec::new(),
+            readers: BTreeSet::new(),
             end: lines.last().map_or(0, |l| l.t),
         };
         for line in lines {
@@ -152,15 +157,24 @@
         let t = line.t;
         match &line.seen {
             Seen::Day { .. } | Seen::Fault { .. } => {}
-            Seen::Engine { engine, cell, capacity_per_s, .. } => {
+            Seen::Engine { engine, role, cell, capacity_per_s } => {
+                if role == "reader" {
+                    self.readers.insert(engine);
+                }
                 self.engines.insert(engine, (*cell, *capacity_per_s));
             }
             Seen::Start { engine, cold } => {
                 if *cold {
                     self.starts.push((engine, t, u64::MAX, false));
                 }
+                if let Some(down) = self.downs.iter_mut().rfind(|d| d.0 == engine && d.2 == u64::MAX) {
+                    down.2 = t;
+                }
             }
             Seen::Down { engine, fell } => {
+                if !self.readers.contains(engine.as_str()) {
+                    self.downs.push((engine, t, u64::MAX));
+                }
                 if let Some(start) = self.starts.iter_mut().rfind(|s| s.0 == engine && s.2 == u64::MAX) {
                     (start.2, start.3) = (t, *fell);
                 }
@@ -418,18 +432,33 @@
                 .collect();
             spans.sort_unstable();
             let (mut at, mut longest) = (h.from, 0);
+            spans.push((until, until));
             for (from, to) in spans {
                 if from > at && from <= until {
-                    longest = longest.max(from - at);
+                    let unseen = self.last_unseen(router.unwrap_or(""), at, from);
+                    longest = longest.max(from - unseen.unwrap_or(at));
                 }
                 at = at.max(to.min(until));
             }
-            longest = longest.max(until.saturating_sub(at));
             let broken = (longest > most).then(|| format!("{} at {}: {longest} µs", h.request, h.engine));
             tally.case(broken);
         }
     }
 
+    /// The last moment of a span at which a router can have tried an engine whose process was gone: nobody sees
+    /// such an attempt, and its outcome starts the time for letting go again. Only while it was not told.
+    fn last_unseen(&self, router: &str, from: u64, to: u64) -> Option<u64> {
+        let moments = self.downs.iter().filter_map(|(engine, gone, back)| {
+            let told = self.told.get(&(router, *engine))?;
+            let out =
+                told.iter().find(|(t, state, _)| t >= gone && *state != "in").map_or(u64::MAX, |(t, ..)| *t);
+            let known = told.iter().rfind(|(t, ..)| t < gone).is_some_and(|(_, state, _)| *state == "in");
+            let (first, last) = (from.max(*gone), to.min(*back).min(out));
+            (known && first < last).then_some(last)
+        });
+        moments.max()
+    }
+
     /// Worth answered in time over worth asked; a request is one identity, from its first try.
     fn goodput(&self) -> (u64, f64) {
         let mut asked: BTreeMap<&str, (u64, f64, f64)> = BTreeMap::new();
--- a/crates/rehearsal/tests/doctored.rs
+++ b/crates/rehearsal/tests/doctored.rs
@@ -115,6 +115,16 @@
     assert_eq!(doctored(free, ""), ["pinned"]);
     let released = r#"{"t":2200000,"k":"free","engine":"read","request":"q1","how":"released"}"#;
     assert_eq!(doctored(free, released), Vec::<&str>::new(), "in time, counted from the last attempt");
+    // Nobody sees an attempt at a dead writer, which starts the time again; once the router is told, there is none
+    // (and what goes to that writer later breaks the drain rule in both).
+    let late = r#"{"t":4900000,"k":"free","engine":"read","request":"q1","how":"released"}"#;
+    assert_eq!(doctored(free, late), ["pinned"]);
+    let dead = r#"{"t":1400000,"k":"down","engine":"write","fell":false}"#;
+    let told = |t: u64| {
+        format!(r#"{{"t":{t},"k":"told","router":"r1","engine":"write","state":"out","started":0}}"#)
+    };
+    assert_eq!(doctored(free, &format!("{late}\n{dead}\n{}", told(3_900_000))), ["drain"]);
+    assert_eq!(doctored(free, &format!("{late}\n{dead}\n{}", told(1_500_000))), ["drain", "pinned"]);
 }
 
 #[test]
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -77,6 +77,8 @@
     held: Option<(WorkerId, Box<RawValue>)>,
     /// The writer at which a place may be held.
     pub seat: Option<WorkerId>,
+    /// When an answer is overdue.
+    pub backstop: Option<Key>,
     answer: Answer,
     first_token: Option<Micros>,
     /// The attempt whose answer goes to the client.
@@ -106,6 +108,7 @@
             attempts: Vec::new(),
             held: None,
             seat: None,
+            backstop: None,
             answer: Answer::Owed,
             first_token: None,
             winner: None,
@@ -789,6 +792,9 @@
             return;
         }
         let Some(job) = self.jobs.remove(id) else { return };
+        if let Some(key) = job.backstop {
+            self.timers.cancel(key);
+        }
         let Answer::Given { ended, phase, reason, at } = job.answer else { return };
         let name = |i: usize| self.config.tenants.get(i).map(|t| t.name.clone());
         let attempts = job.attempts.iter().map(|a| AttemptRecord {
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -177,7 +177,7 @@
         self.answer_error(conn, status, &body);
     }
 
-    fn take(&mut self, conn: ConnId, job: Job) {
+    fn take(&mut self, conn: ConnId, mut job: Job) {
         let id = job.request.id.clone();
         let request = job.request.clone();
         if let Some(client) = self.clients.get_mut(&conn) {
@@ -187,7 +187,7 @@
             }
         }
         let last_call = job.request.deadline + self.config.policy.answer_slack;
-        self.timers.set(last_call, Due::Overdue(id.clone()));
+        job.backstop = Some(self.timers.set(last_call, Due::Overdue(id.clone())));
         self.jobs.insert(id, job);
         self.events.push_back(Event::Request(request));
     }
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -217,11 +217,10 @@
                 match event.token() {
                     LISTENER => self.accept_at = Some(Instant::now()),
                     WAKER => {}
-                    Token(token) => self.ready(
-                        token - FIRST,
-                        event.is_readable() || event.is_error(),
-                        event.is_writable(),
-                    ),
+                    Token(token) => {
+                        let ends = event.is_read_closed() || event.is_error();
+                        self.ready(token - FIRST, event.is_readable() || ends, event.is_writable(), ends);
+                    }
                 }
             }
             if self.accept_at.is_some_and(|at| at <= Instant::now()) {
@@ -229,7 +228,7 @@
             }
             for _ in 0..self.again.len() {
                 if let Some(key) = self.again.pop_front() {
-                    self.read(key);
+                    self.read(key, true);
                 }
             }
             self.feed(Input::Tick);
@@ -396,7 +395,7 @@
         }
     }
 
-    fn ready(&mut self, key: usize, readable: bool, writable: bool) {
+    fn ready(&mut self, key: usize, readable: bool, writable: bool, ends: bool) {
         let Some(sock) = self.socks.get_mut(key) else { return };
         if sock.state == State::Connecting {
             if !writable && !readable {
@@ -423,11 +422,13 @@
             if let Some(sock) = self.socks.get_mut(key) {
                 sock.readable = true;
             }
-            self.read(key);
+            self.read(key, ends);
         }
     }
 
-    fn read(&mut self, key: usize) {
+    /// Reads what is there. A read that doesn't fill the buffer has emptied the socket, as epoll(7) says, and
+    /// saves the call that would only say so; unless the peer has closed too, which must be heard.
+    fn read(&mut self, key: usize, to_the_end: bool) {
         for _ in 0..READS_A_TURN {
             let Some(sock) = self.socks.get_mut(key) else { return };
             if sock.paused || sock.state == State::Connecting {
@@ -456,6 +457,12 @@
                     let buffer = std::mem::take(&mut self.buffer);
                     self.feed(Input::Bytes(id, buffer.get(..n).unwrap_or_default()));
                     self.buffer = buffer;
+                    if n < READ_BYTES && !to_the_end {
+                        if let Some(sock) = self.socks.get_mut(key) {
+                            sock.readable = false;
+                        }
+                        return;
+                    }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     sock.readable = false;
