--- a/crates/api/src/client.rs
+++ b/crates/api/src/client.rs
@@ -217,14 +217,12 @@
             let hex = hash.finalize().to_hex();
             (hex.get(..32).unwrap_or_default().to_owned(), tokens::estimate(s))
         });
-        let prompt = prompt(raw.system.as_deref(), &raw.messages);
-        let prompt_tokens = tokens::estimate(&prompt);
+        let (prompt, prompt_tokens) = prompt(raw.system.as_deref(), &raw.messages)
+            .map_err(|e| Refusal::new("messages", e.to_string()))?;
         if prompt_tokens > bounds.prompt_tokens {
             let reason = format!("about {prompt_tokens} prompt tokens, over {}", bounds.prompt_tokens);
             return Err(Refusal { status: 413, field: "messages".into(), reason });
         }
-        let prompt =
-            serde_json::value::to_raw_value(&prompt).map_err(|e| Refusal::new("messages", e.to_string()))?;
         Ok(Self {
             model: raw.model,
             prompt,
@@ -242,28 +240,53 @@
     }
 }
 
+/// The prompt as a JSON string, made piece by piece, and its tokens.
+struct Prompt {
+    json: String,
+    tokens: u64,
+}
+
+impl Prompt {
+    /// Adds text of ours, which needs no escaping, and the client's. Most text needs none either.
+    fn add(&mut self, ours: &str, text: &str) -> Result<(), serde_json::Error> {
+        self.json.push_str(ours);
+        let plain = !text.bytes().fold(false, |found, b| found | (b < b' ') | (b == b'"') | (b == b'\\'));
+        if plain {
+            self.json.push_str(text);
+        } else {
+            let quoted = serde_json::to_string(text)?;
+            self.json.push_str(quoted.get(1..quoted.len() - 1).unwrap_or_default());
+        }
+        self.tokens += tokens::estimate(text);
+        Ok(())
+    }
+}
+
 /// System text first, then the messages in order: a session's next prompt begins with this one, and
 /// sessions with one system text share its beginning.
-fn prompt(system: Option<&str>, messages: &[RawMessage]) -> String {
-    let mut out = String::new();
+fn prompt(system: Option<&str>, messages: &[RawMessage]) -> Result<(Box<RawValue>, u64), serde_json::Error> {
+    let mut prompt = Prompt { json: String::from('"'), tokens: 0 };
     if let Some(s) = system {
-        out.push_str(s);
-        out.push_str("\n\n");
+        prompt.add("", s)?;
+        prompt.json.push_str("\\n\\n");
     }
     for m in messages {
-        out.push_str(if m.role == Speaker::User { "user: " } else { "assistant: " });
+        let speaker = if m.role == Speaker::User { "user: " } else { "assistant: " };
+        prompt.tokens += tokens::estimate(speaker);
         match &m.content {
-            Content::Plain(text) => out.push_str(text),
+            Content::Plain(text) => prompt.add(speaker, text)?,
             Content::Blocks(blocks) => {
+                prompt.json.push_str(speaker);
                 for Block::Text { text } in blocks {
-                    out.push_str(text);
+                    prompt.add("", text)?;
                 }
             }
         }
-        out.push('\n');
+        prompt.json.push_str("\\n");
     }
-    out.push_str("assistant: ");
-    out
+    prompt.json.push_str("assistant: \"");
+    prompt.tokens += tokens::estimate("assistant: ");
+    Ok((RawValue::from_string(prompt.json)?, prompt.tokens))
 }
 
 /// What a request has used, in tokens, by the engines' own count.
@@ -404,6 +427,18 @@
         assert!(r.prompt_tokens > 4);
     }
 
+    #[test]
+    fn whatever_is_said_reaches_the_engine_as_it_was_said() {
+        let said = "\"quoted\" \\ back\nline\u{1}\u{7f} Grüezi \u{2028}";
+        let body = serde_json::json!({"model": "m", "system": said, "messages": [
+            {"role": "user", "content": [{"type": "text", "text": said}, {"type": "text", "text": "b"}]},
+            {"role": "assistant", "content": said}, {"role": "user", "content": "plain"}]});
+        let r = MessagesRequest::parse(body.to_string().as_bytes(), &Bounds::default()).unwrap();
+        let prompt: String = serde_json::from_str(r.prompt.get()).unwrap();
+        assert_eq!(prompt, format!("{said}\n\nuser: {said}b\nassistant: {said}\nuser: plain\nassistant: "));
+        assert_eq!(r.prompt_tokens, tokens::estimate(&prompt), "piece by piece as at once");
+    }
+
     #[test]
     fn refusals_name_the_field_and_the_reason() {
         let user = r#"[{"role":"user","content":"x"}]"#;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -14,6 +14,10 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 
+/// A request makes and drops some hundred small pieces of memory on one thread.
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 /// A router for language-model serving whose prompts are read and answers written on different engines.
 #[derive(Debug, Parser)]
 #[command(version)]
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -168,7 +168,7 @@
 
     pub(super) fn send(&mut self, id: &RequestId, worker: WorkerId, give_up: Option<Micros>) {
         let (now, most) = (self.now, self.config.policy.max_attempts as usize);
-        let via = self.via();
+        let via = self.via.clone();
         let host = self.host(&worker);
         let role = self.engines.get(&worker).filter(|e| e.listed).map(|e| e.role);
         let Some(job) = self.jobs.get_mut(id) else { return };
@@ -284,7 +284,7 @@
 
     fn release(&mut self, id: RequestId, worker: WorkerId, tries: u32) {
         let fields =
-            [("content-type", "application/json"), ("via", &*self.via()), (engine::REQUEST_ID, &*id.0)];
+            [("content-type", "application/json"), ("via", &*self.via), (engine::REQUEST_ID, &*id.0)];
         let body = engine::naming(&id.0);
         let bytes = encode::request("POST", engine::RELEASE, &self.host(&worker), &fields, &body);
         // Beyond the bound by a few, so that letting go is not held up by what fills the engine.
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use chalkyard_policy as p;
 use chalkyard_policy::{Action, Event, Micros};
@@ -98,6 +99,8 @@
 /// One router's flow. All maps are ordered; the same inputs give the same outputs.
 pub struct Core {
     config: Config,
+    /// How this router names itself to engines and the register.
+    via: Arc<str>,
     module: p::Router,
     now: Micros,
     out: Vec<Output>,
@@ -125,8 +128,10 @@
     pub fn new(config: Config, seed: u64, now: Micros) -> Self {
         let module = p::Router::new(config.policy.clone(), seed);
         let identities = Identities::new(config.bounds.identities);
+        let via = format!("1.1 {}", config.name).into();
         Self {
             config,
+            via,
             module,
             now,
             out: Vec::new(),
--- a/crates/router/src/core/pool.rs
+++ b/crates/router/src/core/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to engines: kept alive, reused, bounded.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use chalkyard_policy as p;
 use chalkyard_policy::Micros;
@@ -14,6 +15,8 @@
 #[derive(Debug)]
 pub(super) struct Engine {
     pub address: SocketAddr,
+    /// The address as the Host of calls.
+    pub host: Arc<str>,
     pub role: p::Role,
     pub listed: bool,
     /// Last used last: the most recent one is the least likely to be closed by the engine.
@@ -193,7 +196,7 @@
         }
     }
 
-    pub(super) fn host(&self, worker: &p::WorkerId) -> String {
-        self.engines.get(worker).map(|e| e.address.to_string()).unwrap_or_default()
+    pub(super) fn host(&self, worker: &p::WorkerId) -> Arc<str> {
+        self.engines.get(worker).map(|e| e.host.clone()).unwrap_or_default()
     }
 }
--- a/crates/router/src/core/sources.rs
+++ b/crates/router/src/core/sources.rs
@@ -38,12 +38,15 @@
         let mut moved = Vec::new();
         for (worker, address) in &named {
             let listed = worker.lifecycle != p::Lifecycle::Out;
-            let fresh = Engine { address: *address, role: worker.role, listed, idle: Vec::new(), open: 0 };
+            let host = address.to_string().into();
+            let fresh =
+                Engine { address: *address, host, role: worker.role, listed, idle: Vec::new(), open: 0 };
             let engine = self.engines.entry(worker.id.clone()).or_insert(fresh);
             engine.role = worker.role;
             engine.listed = listed;
             if engine.address != *address {
                 engine.address = *address;
+                engine.host = address.to_string().into();
                 moved.push(worker.id.clone());
             }
         }
@@ -57,15 +60,10 @@
 
     fn register_call(&mut self, target: &str, task: Task) -> Option<ConnId> {
         let address = self.config.register?;
-        let bytes = encode::request("GET", target, &address.to_string(), &[("via", &self.via())], &[]);
+        let bytes = encode::request("GET", target, &address.to_string(), &[("via", &self.via)], &[]);
         Some(self.connect(None, address, task, bytes))
     }
 
-    /// How this router names itself to engines and the register.
-    pub(super) fn via(&self) -> String {
-        format!("1.1 {}", self.config.name)
-    }
-
     pub(super) fn watch_register(&mut self) {
         if let Some(old) = self.register.take() {
             self.abort_link(old);
@@ -179,7 +177,7 @@
     }
 
     pub(super) fn probe(&mut self, worker: p::WorkerId) {
-        let bytes = encode::request("GET", engine::HEALTH, &self.host(&worker), &[("via", &self.via())], &[]);
+        let bytes = encode::request("GET", engine::HEALTH, &self.host(&worker), &[("via", &self.via)], &[]);
         match self.call(&worker, Task::Probe(self.now), bytes, 1) {
             Some(conn) => self.limit(conn),
             None => self.probed(worker, false, Micros(0), None),
@@ -198,7 +196,7 @@
 
     pub(super) fn book(&mut self, id: &p::RequestId, worker: p::WorkerId) {
         let fields =
-            [("content-type", "application/json"), ("via", &*self.via()), (engine::REQUEST_ID, &*id.0)];
+            [("content-type", "application/json"), ("via", &*self.via), (engine::REQUEST_ID, &*id.0)];
         let body = engine::naming(&id.0);
         let bytes = encode::request("POST", engine::SEATS, &self.host(&worker), &fields, &body);
         if let Some(conn) = self.call(&worker, Task::Seat(id.clone()), bytes, 1) {
