A client that asks on and takes no answers is held up, then cut: its answers had no bound

Need: found in the read-through: refused calls were answered as fast as they came, also where nothing was taken.

Change: past `client-buffer` such a client is not read until half of it is taken, and cut after `slow-client`. A property test that the decoder keeps no more than a head that is not whole, whatever comes.

--- a/crates/proto/tests/messages.rs
+++ b/crates/proto/tests/messages.rs
@@ -187,3 +187,23 @@
         prop_assert_eq!(events, got);
     }
 }
+
+proptest! {
+    #[test]
+    fn no_input_is_held_past_the_bound(
+        pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..3_000), 0..40),
+        start in prop_oneof![Just(&b""[..]), Just(&b"GET / HTTP/1.1\r\nHost: "[..]),
+            Just(&b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"[..]),
+            Just(&b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n"[..])],
+    ) {
+        let limits = Limits::default();
+        let mut d = Decoder::new(Side::Request, limits);
+        d.push(start);
+        for piece in &pieces {
+            d.push(piece);
+            while let Ok(Some(_)) = d.next_part() {}
+            // Asked for all that it has, it keeps at most a head that is not whole.
+            prop_assert!(d.buffered() <= limits.head_bytes);
+        }
+    }
+}
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -32,6 +32,8 @@
     last: bool,
     /// The connection's own error, answered after the present request.
     wrong: Option<chalkyard_proto::Error>,
+    /// So much waits for it that nothing more is read from it.
+    held_up: bool,
 }
 
 impl Client {
@@ -66,6 +68,7 @@
             stuck_since: self.now,
             last: false,
             wrong: None,
+            held_up: false,
         };
         self.clients.insert(conn, client);
         self.arm_client(conn, self.config.waits.idle);
@@ -126,10 +129,18 @@
     /// Reads on until a request is whole or more bytes are needed.
     pub(super) fn drive_client(&mut self, conn: ConnId) {
         loop {
+            let full = self.is_full(conn);
             let Some(client) = self.clients.get_mut(&conn) else { return };
             if matches!(client.phase, Phase::Serving(_)) {
                 return;
             }
+            // One that asks on and takes no answers is not heard until it does.
+            if full {
+                if !std::mem::replace(&mut client.held_up, true) && client.wrong.is_none() {
+                    self.out.push(Output::Pause(conn));
+                }
+                return self.watch_slow(conn);
+            }
             let part = match client.wrong {
                 Some(e) => Err(e),
                 None => client.decoder.next_part(),
@@ -370,8 +381,15 @@
 
     /// Bytes were taken: a paused engine may be read again.
     pub(super) fn client_drained(&mut self, conn: ConnId) {
-        let Some(client) = self.clients.get(&conn) else { return };
+        let Some(client) = self.clients.get_mut(&conn) else { return };
         let low = client.pending <= self.config.bounds.client_buffer as u64 / 2;
+        if low && std::mem::take(&mut client.held_up) {
+            if client.wrong.is_none() {
+                self.out.push(Output::Resume(conn));
+            }
+            self.arm_client(conn, self.config.waits.head);
+            return self.ready.push_back(conn);
+        }
         if let (Phase::Serving(id), true) = (&client.phase, low) {
             let id = id.clone();
             self.resume_engine(&id);
@@ -387,6 +405,13 @@
         let (wait, margin) = (self.config.waits.slow_client, self.is_full(conn));
         let Some(client) = self.clients.get_mut(&conn) else { return };
         client.timer = None;
+        if client.held_up {
+            if client.stuck_since + wait > self.now {
+                return self.watch_slow(conn);
+            }
+            self.drop_client(conn);
+            return self.out.push(Output::Abort(conn));
+        }
         match &client.phase {
             Phase::Serving(id) => {
                 let (id, stuck) = (id.clone(), client.stuck_since + wait <= self.now);
--- a/crates/router/tests/flow.rs
+++ b/crates/router/tests/flow.rs
@@ -493,3 +493,26 @@
     let (_, pull) = pulling(&mut y, "report");
     assert!(pull.port > 1);
 }
+
+#[test]
+fn a_client_that_asks_on_and_takes_no_answer_is_held_up_and_then_cut() {
+    let mut y = yard();
+    let client = y.client();
+    y.stuck.insert(client);
+    let bad = b"GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n".repeat(100);
+    let mut sent = 0;
+    while !y.paused.contains(&client) {
+        y.bytes(client, &bad);
+        sent += 1;
+        assert!(sent < 100, "its answers pile up without bound");
+    }
+    // It takes them after all: it is heard again, and answered for what waited.
+    y.input(Input::Wrote(client, 60_000));
+    assert!(!y.paused.contains(&client));
+    while !y.paused.contains(&client) {
+        y.bytes(client, &bad);
+    }
+    y.advance(ms(11_000));
+    assert!(y.closed.contains(&client));
+    assert_eq!(y.core.open_clients(), 0);
+}
