Read-through: no copy of the model's name for each event, an unused question of the reader gone

Need: the read-through found a string copied for every relayed event that only the first one uses, and a public method of the event reader that nothing calls.

Change: the name is copied for the first event only; the method is removed.

Measured: 8 tests of proto and 27 of router pass; the gain was not measured.

--- a/crates/proto/src/sse.rs
+++ b/crates/proto/src/sse.rs
@@ -60,11 +60,6 @@
         }
     }
 
-    /// Whether an event has begun and not ended.
-    pub fn is_mid_event(&self) -> bool {
-        self.has_data || !self.line.is_empty()
-    }
-
     fn end_line(&mut self, out: &mut Vec<Event>) -> Result<(), Error> {
         let mut bytes = std::mem::take(&mut self.line);
         let ended = self.line_text(&bytes, out);
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -560,7 +560,8 @@
             job.held = None;
             job.seat = None;
         }
-        let (client, model) = (job.client, job.call.model.clone());
+        let client = job.client;
+        let model = if first { job.call.model.clone() } else { String::new() };
         if !stream {
             job.text.push_str(&chunk.text);
             if job.text.len() > most {
