Budgets: reservations, leases between routers and ledgers, as decisions without IO

Need: portals are to be held to token budgets over routers that can't talk to each other, and billed to the token.

Change: crate budget (calendar periods, rates, reservations, signed numbered leases, settlement rounds, bills) and crate ledger (framed, numbered, checksummed records; torn tails, damage, full disks). Neither is wired into the router yet.

Ledgers cut or flipped at every byte give back all that the fault did not touch.

--- /dev/null
+++ b/crates/budget/src/rate.rs
@@ -0,0 +1,95 @@
+//! Tokens a second: a bucket that may go into debt, filled by whole units.
+
+use crate::units::{Time, Units};
+
+/// A token bucket at one router. A request is taken if the bucket holds its worst case, or is full; what
+/// was not used comes back at its settlement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Bucket {
+    per_second: u64,
+    burst: i64,
+    level: i64,
+    /// Filled up to there; the rest of a unit stays in time.
+    at: Time,
+}
+
+const SECOND: u128 = 1_000_000;
+
+impl Bucket {
+    pub fn new(per_second: Units, burst: Units, now: Time) -> Self {
+        let burst = i64::try_from(burst.0).unwrap_or(i64::MAX).max(1);
+        Self { per_second: per_second.0.max(1), burst, level: burst, at: now }
+    }
+
+    /// Keeps its level within new limits.
+    pub fn change(&mut self, per_second: Units, burst: Units) {
+        self.per_second = per_second.0.max(1);
+        self.burst = i64::try_from(burst.0).unwrap_or(i64::MAX).max(1);
+        self.level = self.level.min(self.burst);
+    }
+
+    fn fill(&mut self, now: Time) {
+        let passed = u128::from(now.since(self.at));
+        let units = passed * u128::from(self.per_second) / SECOND;
+        if units == 0 {
+            return;
+        }
+        let micros = (units * SECOND).div_ceil(u128::from(self.per_second));
+        self.at = self.at.after(u64::try_from(micros).unwrap_or(u64::MAX)).min(now);
+        self.level = self.level.saturating_add(i64::try_from(units).unwrap_or(i64::MAX)).min(self.burst);
+    }
+
+    /// Whether so much may be taken now; if not, in how many µs.
+    pub fn room(&mut self, now: Time, units: Units) -> Result<(), u64> {
+        self.fill(now);
+        let wanted = i64::try_from(units.0).unwrap_or(i64::MAX).min(self.burst);
+        let short = wanted.saturating_sub(self.level);
+        if short <= 0 {
+            return Ok(());
+        }
+        let wait = (u128::from(short.unsigned_abs()) * SECOND).div_ceil(u128::from(self.per_second));
+        Err(u64::try_from(wait).unwrap_or(u64::MAX))
+    }
+
+    pub fn take(&mut self, units: Units) {
+        self.level = self.level.saturating_sub(i64::try_from(units.0).unwrap_or(i64::MAX));
+    }
+
+    pub fn give_back(&mut self, units: Units) {
+        let level = self.level.saturating_add(i64::try_from(units.0).unwrap_or(i64::MAX));
+        self.level = level.min(self.burst);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_rate_holds_over_time_whatever_the_steps() {
+        for step in [1_u64, 7, 999, 250_000] {
+            let mut bucket = Bucket::new(Units(3_000), Units(6_000), Time(0));
+            let (mut taken, mut now) = (0, 0);
+            while now < 2_000_000 {
+                now += step;
+                while bucket.room(Time(now), Units(500)).is_ok() {
+                    bucket.take(Units(500));
+                    taken += 500;
+                }
+            }
+            assert!(taken <= 6_000 + 3_000 * now / 1_000_000, "step {step}: {taken}");
+            assert!(taken >= 6_000 + 3_000 * now / 1_000_000 - 1_500, "step {step}: {taken}");
+        }
+    }
+
+    #[test]
+    fn what_is_larger_than_the_burst_waits_for_a_full_bucket_and_leaves_debt() {
+        let mut bucket = Bucket::new(Units(1_000), Units(2_000), Time(0));
+        assert_eq!(bucket.room(Time(0), Units(5_000)), Ok(()));
+        bucket.take(Units(5_000));
+        assert_eq!(bucket.room(Time(0), Units(1)), Err(3_001_000));
+        bucket.give_back(Units(4_000));
+        assert_eq!(bucket.room(Time(0), Units(1_000)), Ok(()));
+        assert_eq!(bucket.room(Time(u64::MAX), Units(2_000)), Ok(()), "no overflow at the end of time");
+    }
+}
--- /dev/null
+++ b/crates/budget/src/units.rs
@@ -0,0 +1,132 @@
+//! What budgets are counted in.
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds since 1970.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// So many µs later.
+    #[must_use]
+    pub fn after(self, micros: u64) -> Self {
+        Self(self.0.saturating_add(micros))
+    }
+
+    /// µs since an earlier time; 0 if it is later.
+    pub fn since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+/// Thousandths of a budget token: a token of weight 1 is 1,000 units. All sums are whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+pub struct Units(pub u64);
+
+impl Units {
+    /// Units in a token of weight 1.
+    pub const A_TOKEN: u64 = 1_000;
+
+    /// So many tokens of weight 1.
+    pub fn tokens(tokens: u64) -> Self {
+        Self(tokens.saturating_mul(Self::A_TOKEN))
+    }
+
+    /// Whole tokens, rounded up.
+    pub fn in_tokens(self) -> u64 {
+        self.0.div_ceil(Self::A_TOKEN)
+    }
+
+    /// The sum, held at the largest.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+
+    /// The difference, held at 0.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
+    /// This times `part` of `whole`, rounded down; 0 of nothing.
+    #[must_use]
+    pub fn share(self, part: u64, whole: u64) -> Self {
+        if whole == 0 {
+            return Self(0);
+        }
+        let value = u128::from(self.0) * u128::from(part) / u128::from(whole);
+        Self(u64::try_from(value).unwrap_or(u64::MAX))
+    }
+}
+
+impl std::iter::Sum for Units {
+    fn sum<I: Iterator<Item = Self>>(iter: I) -> Self {
+        iter.fold(Self(0), Self::plus)
+    }
+}
+
+/// Tokens of a request as an engine counted them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Usage {
+    /// Of the prompt, kept ones included.
+    pub prompt: u64,
+    /// Of these, found kept and not read again.
+    pub kept: u64,
+    /// Of the answer.
+    pub output: u64,
+}
+
+impl Usage {
+    /// Sums of each.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            prompt: self.prompt.saturating_add(other.prompt),
+            kept: self.kept.saturating_add(other.kept),
+            output: self.output.saturating_add(other.output),
+        }
+    }
+
+    /// Tokens altogether, unweighted.
+    pub fn total(self) -> u64 {
+        self.prompt.saturating_add(self.output)
+    }
+}
+
+/// What a token counts, in units.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Weights {
+    /// A prompt token that was read.
+    pub prompt: u32,
+    /// A prompt token that was kept.
+    pub kept: u32,
+    /// A token of the answer.
+    pub output: u32,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self { prompt: 1_000, kept: 1_000, output: 1_000 }
+    }
+}
+
+impl Weights {
+    /// What a usage costs.
+    pub fn cost(&self, usage: Usage) -> Units {
+        let kept = usage.kept.min(usage.prompt);
+        let of = |tokens: u64, weight: u32| tokens.saturating_mul(u64::from(weight));
+        let read = of(usage.prompt - kept, self.prompt);
+        Units(read.saturating_add(of(kept, self.kept)).saturating_add(of(usage.output, self.output)))
+    }
+
+    /// The most that a request can cost: nothing is kept, or all, whichever is dearer.
+    pub fn worst(&self, prompt: u64, output: u64) -> Units {
+        let dearer = self.prompt.max(self.kept);
+        Units(
+            prompt
+                .saturating_mul(u64::from(dearer))
+                .saturating_add(output.saturating_mul(self.output.into())),
+        )
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/reader.rs
@@ -0,0 +1,114 @@
+//! Reading ledgers: all of one, or from its last checkpoint on.
+
+use serde::de::DeserializeOwned;
+
+use crate::frame::{decode, Damage, Frames, HEAD};
+use crate::volume::{segment_number, Volume};
+use crate::Error;
+
+/// How the newest segment ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tail {
+    /// With a whole record, or it has none.
+    Whole,
+    /// So many bytes after the last whole record are none: cut short by a crash.
+    Torn(usize),
+}
+
+/// What was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Segments read, by name.
+    pub segments: Vec<String>,
+    /// Records read.
+    pub records: u64,
+    /// The number that the next record gets.
+    pub next: u64,
+    /// Length of the newest segment's good part.
+    pub good: usize,
+    /// The newest segment's end.
+    pub tail: Tail,
+    /// Damage stepped over, by segment. Of records that could not be decoded the numbers are named.
+    pub damage: Vec<(String, Damage)>,
+}
+
+/// The segments from the newest that begins with a checkpoint on; all, if none does.
+///
+/// # Errors
+/// If the volume can't be read.
+pub fn last_segments<T: DeserializeOwned>(
+    volume: &impl Volume,
+    is_checkpoint: impl Fn(&T) -> bool,
+) -> Result<Vec<String>, Error> {
+    let all = segments(volume)?;
+    for (i, name) in all.iter().enumerate().rev() {
+        let bytes = volume.read(name).map_err(|e| Error::Io(name.clone(), e))?;
+        let Ok(mut frames) = Frames::new(&bytes) else { continue };
+        let first = frames.next().filter(|_| frames.damage.is_empty()).and_then(|(_, p)| decode(p));
+        if first.is_some_and(|record| is_checkpoint(&record)) {
+            return Ok(all.get(i..).unwrap_or_default().to_vec());
+        }
+    }
+    Ok(all)
+}
+
+pub(crate) fn segments(volume: &impl Volume) -> Result<Vec<String>, Error> {
+    let names = volume.list().map_err(|e| Error::Io("ledger".into(), e))?;
+    let mut numbered: Vec<(u64, String)> =
+        names.into_iter().filter_map(|n| segment_number(&n).map(|i| (i, n))).collect();
+    numbered.sort();
+    Ok(numbered.into_iter().map(|(_, n)| n).collect())
+}
+
+/// Reads segments in order and gives each record with its number.
+///
+/// # Errors
+/// If a segment can't be read or is none. One whose head alone was cut by a crash, as the newest, is empty.
+pub fn read<T: DeserializeOwned>(
+    volume: &impl Volume,
+    names: &[String],
+    mut take: impl FnMut(u64, T),
+) -> Result<Report, Error> {
+    let mut report = Report {
+        segments: names.to_vec(),
+        records: 0,
+        next: 1,
+        good: 0,
+        tail: Tail::Whole,
+        damage: Vec::new(),
+    };
+    for (i, name) in names.iter().enumerate() {
+        let newest = i + 1 == names.len();
+        let bytes = volume.read(name).map_err(|e| Error::Io(name.clone(), e))?;
+        let mut frames = match Frames::new(&bytes) {
+            Ok(frames) => frames,
+            Err(_) if newest && bytes.len() <= HEAD => {
+                report.good = 0;
+                report.tail = Tail::Torn(bytes.len());
+                continue;
+            }
+            Err(why) => return Err(Error::Foreign(name.clone(), why)),
+        };
+        while let Some((number, payload)) = frames.next() {
+            match decode(payload) {
+                Some(record) => take(number, record),
+                None => {
+                    let at = frames.good();
+                    let lost = (number, number + 1);
+                    report.damage.push((name.clone(), Damage { from: at - payload.len(), to: at, lost }));
+                }
+            }
+            report.records += 1;
+        }
+        report.damage.extend(std::mem::take(&mut frames.damage).into_iter().map(|d| (name.clone(), d)));
+        report.next = report.next.max(frames.next_number());
+        report.good = frames.good();
+        let rest = bytes.len() - frames.good();
+        report.tail = if rest == 0 { Tail::Whole } else { Tail::Torn(rest) };
+        if rest > 0 && !newest {
+            let lost = (frames.next_number(), frames.next_number());
+            report.damage.push((name.clone(), Damage { from: frames.good(), to: bytes.len(), lost }));
+        }
+    }
+    Ok(report)
+}
--- /dev/null
+++ b/crates/ledger/src/volume.rs
@@ -0,0 +1,172 @@
+//! Where segments are kept: a folder, or a stand-in with faults in tests.
+
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
+use std::sync::Arc;
+
+/// The name of a segment by its number.
+pub fn segment_name(number: u64) -> String {
+    format!("{number:012}.ledger")
+}
+
+/// The number of a segment by its name.
+pub fn segment_number(name: &str) -> Option<u64> {
+    let digits = name.strip_suffix(".ledger")?;
+    (digits.len() == 12).then(|| digits.parse().ok()).flatten()
+}
+
+/// Keeps segments; one of them, the newest, is written.
+pub trait Volume {
+    /// Names of files.
+    fn list(&self) -> io::Result<Vec<String>>;
+    /// All of a file.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    /// Makes a file, which must not be there, the one that is written.
+    fn create(&mut self, name: &str) -> io::Result<()>;
+    /// Makes a file that is there the one that is written, cut to a length.
+    fn open(&mut self, name: &str, length: u64) -> io::Result<()>;
+    /// Appends to it; how many bytes were taken.
+    fn append(&mut self, bytes: &[u8]) -> io::Result<usize>;
+    /// Cuts it.
+    fn cut(&mut self, length: u64) -> io::Result<()>;
+    /// Has all written so far brought to the disk; it need not be there on return.
+    fn sync(&mut self) -> io::Result<()>;
+    /// Keeps so much space aside under a name.
+    fn set_aside(&mut self, name: &str, bytes: usize) -> io::Result<()>;
+    /// Removes a file.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+}
+
+/// A folder of the file system. Syncing happens on a thread of its own; if it fails, that is told at the
+/// next call.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    file: Option<File>,
+    syncer: SyncSender<File>,
+    failed: Arc<AtomicBool>,
+    _lock: Option<File>,
+}
+
+impl Folder {
+    /// For reading only.
+    pub fn reader(path: &Path) -> Self {
+        let (syncer, _) = sync_channel(0);
+        Self { path: path.into(), file: None, syncer, failed: Arc::default(), _lock: None }
+    }
+
+    /// For writing: the folder is made if need be, and locked.
+    ///
+    /// # Errors
+    /// If it can't be made, or another process writes there (`WouldBlock`).
+    pub fn writer(path: &Path) -> io::Result<Self> {
+        std::fs::create_dir_all(path)?;
+        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join("lock"))?;
+        lock.try_lock().map_err(|e| match e {
+            std::fs::TryLockError::WouldBlock => io::Error::from(io::ErrorKind::WouldBlock),
+            std::fs::TryLockError::Error(e) => e,
+        })?;
+        // One wait at the disk covers all that was written before it: more need not queue.
+        let (syncer, wanted) = sync_channel::<File>(1);
+        let failed = Arc::new(AtomicBool::new(false));
+        let flag = failed.clone();
+        std::thread::Builder::new().name("ledger-sync".into()).spawn(move || {
+            for file in wanted {
+                if file.sync_data().is_err() {
+                    flag.store(true, Ordering::SeqCst);
+                }
+            }
+        })?;
+        Ok(Self { path: path.into(), file: None, syncer, failed, _lock: Some(lock) })
+    }
+
+    /// The folder.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+
+    fn current(&mut self) -> io::Result<&mut File> {
+        self.file.as_mut().ok_or_else(|| io::Error::from(io::ErrorKind::NotFound))
+    }
+}
+
+impl Volume for Folder {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in std::fs::read_dir(&self.path)? {
+            if let Ok(name) = entry?.file_name().into_string() {
+                names.push(name);
+            }
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        File::open(self.path.join(name))?.read_to_end(&mut bytes)?;
+        Ok(bytes)
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        let file = OpenOptions::new().append(true).create_new(true).open(self.path.join(name))?;
+        if let Some(old) = self.file.replace(file) {
+            old.sync_data()?;
+        }
+        self.sync_folder()
+    }
+
+    fn open(&mut self, name: &str, length: u64) -> io::Result<()> {
+        let file = OpenOptions::new().append(true).open(self.path.join(name))?;
+        file.set_len(length)?;
+        file.sync_all()?;
+        self.file = Some(file);
+        Ok(())
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.current()?.write(bytes)
+    }
+
+    fn cut(&mut self, length: u64) -> io::Result<()> {
+        self.current()?.set_len(length)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        if self.failed.swap(false, Ordering::SeqCst) {
+            return Err(io::Error::other("syncing to the disk failed"));
+        }
+        let file = self.current()?.try_clone()?;
+        match self.syncer.try_send(file) {
+            Ok(()) | Err(TrySendError::Full(_)) => Ok(()),
+            Err(TrySendError::Disconnected(_)) => Err(io::Error::other("no thread syncs to the disk")),
+        }
+    }
+
+    fn set_aside(&mut self, name: &str, bytes: usize) -> io::Result<()> {
+        let path = self.path.join(name);
+        if std::fs::metadata(&path).is_ok_and(|m| m.len() == bytes as u64) {
+            return Ok(());
+        }
+        // Written, since a hole takes no space.
+        let filled = File::create(&path).and_then(|mut f| {
+            f.write_all(&vec![0x5a; bytes])?;
+            f.sync_data()
+        });
+        if filled.is_err() {
+            let _ = std::fs::remove_file(&path);
+        }
+        filled
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        std::fs::remove_file(self.path.join(name))
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/writer.rs
@@ -0,0 +1,225 @@
+//! Writing a ledger: groups, rotation, a full disk.
+
+use std::io;
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::frame::{encode, head};
+use crate::reader::{read, segments, Report, Tail};
+use crate::volume::{segment_name, segment_number, Volume};
+use crate::{last_segments, Error};
+
+/// Bounds.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// A segment of this many bytes is followed by a new one.
+    pub segment: usize,
+    /// Bytes kept aside for the time when the disk is full: what is open then can still be settled.
+    pub ballast: usize,
+    /// Bytes of records that wait for the disk; from then on the ledger counts as unwritable.
+    pub waiting: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { segment: 64 * 1024 * 1024, ballast: 4 * 1024 * 1024, waiting: 4 * 1024 * 1024 }
+    }
+}
+
+const BALLAST: &str = "ballast";
+
+/// Appends to a ledger.
+#[derive(Debug)]
+pub struct Writer<V> {
+    volume: V,
+    limits: Limits,
+    /// The segment that is written, and its length.
+    segment: u64,
+    length: u64,
+    next: u64,
+    waiting: Vec<u8>,
+    /// Records in `waiting`, for the number of a segment that begins there.
+    unsynced: bool,
+    full: bool,
+}
+
+/// An opened ledger and what was found in it.
+#[derive(Debug)]
+pub struct Opened<V> {
+    /// To go on writing.
+    pub writer: Writer<V>,
+    /// What reading it found.
+    pub report: Report,
+}
+
+impl<V: Volume> Writer<V> {
+    /// Opens a ledger, gives its records from the last checkpoint on, and cuts a torn tail.
+    ///
+    /// # Errors
+    /// If it can't be read or made ready.
+    pub fn open<T: DeserializeOwned>(
+        mut volume: V,
+        limits: Limits,
+        is_checkpoint: impl Fn(&T) -> bool,
+        take: impl FnMut(u64, T),
+    ) -> Result<Opened<V>, Error> {
+        let names = last_segments(&volume, is_checkpoint)?;
+        let report = read(&volume, &names, take)?;
+        let wrong = |what: &str| {
+            let what = what.to_owned();
+            move |e| Error::Io(what, e)
+        };
+        let newest = segments(&volume)?.last().cloned();
+        let (segment, length) = match &newest {
+            // A head that was cut: the segment is made anew.
+            Some(name) if report.good == 0 => {
+                volume.remove(name).map_err(wrong(name))?;
+                (segment_number(name).unwrap_or(1), None)
+            }
+            Some(name) => {
+                volume.open(name, report.good as u64).map_err(wrong(name))?;
+                (segment_number(name).unwrap_or(1), Some(report.good as u64))
+            }
+            None => (1, None),
+        };
+        let length = match length {
+            Some(length) => length,
+            None => begin(&mut volume, segment, report.next).map_err(wrong(&segment_name(segment)))?,
+        };
+        let full = volume.set_aside(BALLAST, limits.ballast).is_err();
+        let next = report.next;
+        let writer =
+            Self { volume, limits, segment, length, next, waiting: Vec::new(), unsynced: false, full };
+        Ok(Opened { writer, report })
+    }
+
+    /// The number of the next record.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Where it is kept.
+    pub fn volume(&mut self) -> &mut V {
+        &mut self.volume
+    }
+
+    /// Whether new work may rely on it: there is room and nothing waits for long.
+    pub fn is_writable(&self) -> bool {
+        !self.full && self.waiting.len() < self.limits.waiting
+    }
+
+    /// Whether a new segment should begin, with a checkpoint at its head.
+    pub fn wants_rotation(&self) -> bool {
+        self.length as usize + self.waiting.len() >= self.limits.segment && !self.full
+    }
+
+    /// Takes a record, to be written by the next [`Writer::flush`].
+    ///
+    /// # Errors
+    /// If it is too large for a frame.
+    pub fn append(&mut self, record: &impl Serialize) -> Result<u64, Error> {
+        encode(self.next, record, &mut self.waiting).map_err(Error::TooLarge)?;
+        self.next += 1;
+        Ok(self.next - 1)
+    }
+
+    /// Gives all that waits to the system. On an error it still waits, nothing half-written is left, and
+    /// what was kept aside is let go, so that a second call may get through.
+    ///
+    /// # Errors
+    /// The file system's.
+    pub fn flush(&mut self) -> io::Result<()> {
+        let mut done = self.write();
+        if done.is_err() && !std::mem::replace(&mut self.full, true) {
+            let _ = self.volume.remove(BALLAST);
+            done = self.write();
+        }
+        done
+    }
+
+    fn write(&mut self) -> io::Result<()> {
+        let mut done = 0;
+        while let Some(rest) = self.waiting.get(done..).filter(|r| !r.is_empty()) {
+            match self.volume.append(rest) {
+                Ok(0) => return self.undo(io::ErrorKind::WriteZero.into()),
+                Ok(n) => done += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return self.undo(e),
+            }
+        }
+        if done > 0 {
+            self.length += done as u64;
+            self.waiting.clear();
+            self.unsynced = true;
+        }
+        Ok(())
+    }
+
+    /// A group is written whole or not at all: half a group is cut again.
+    fn undo(&mut self, error: io::Error) -> io::Result<()> {
+        self.volume.cut(self.length)?;
+        Err(error)
+    }
+
+    /// Has what was written brought to the disk; called at the stated interval.
+    ///
+    /// # Errors
+    /// If an earlier call failed in the meantime, or this one can't begin.
+    pub fn sync(&mut self) -> io::Result<()> {
+        if std::mem::take(&mut self.unsynced) {
+            self.volume.sync()?;
+        }
+        Ok(())
+    }
+
+    /// Tries whether there is room again: if what is kept aside can be kept aside anew.
+    pub fn heal(&mut self) {
+        if self.full && self.flush().is_ok() && self.volume.set_aside(BALLAST, self.limits.ballast).is_ok() {
+            self.full = false;
+        }
+    }
+
+    /// Begins a new segment whose first record is the checkpoint.
+    ///
+    /// # Errors
+    /// The file system's; the old segment goes on then.
+    pub fn rotate(&mut self, checkpoint: &impl Serialize) -> Result<(), Error> {
+        self.flush().map_err(|e| Error::Io(segment_name(self.segment), e))?;
+        let name = segment_name(self.segment + 1);
+        let length =
+            begin(&mut self.volume, self.segment + 1, self.next).map_err(|e| Error::Io(name.clone(), e))?;
+        (self.segment, self.length) = (self.segment + 1, length);
+        self.append(checkpoint)?;
+        self.flush().map_err(|e| Error::Io(name, e))
+    }
+}
+
+fn begin(volume: &mut impl Volume, segment: u64, first: u64) -> io::Result<u64> {
+    volume.create(&segment_name(segment))?;
+    let head = head(first);
+    match volume.append(&head) {
+        Ok(n) if n == head.len() => Ok(n as u64),
+        other => {
+            let _ = volume.remove(&segment_name(segment));
+            Err(other.err().unwrap_or_else(|| io::ErrorKind::WriteZero.into()))
+        }
+    }
+}
+
+impl Report {
+    /// In words, for the log; none: nothing is wrong.
+    pub fn trouble(&self) -> Option<String> {
+        let mut out = Vec::new();
+        if let (Tail::Torn(bytes), Some(name)) = (self.tail, self.segments.last()) {
+            out.push(format!("{name}: a torn tail of {bytes} bytes after byte {} was cut", self.good));
+        }
+        for (name, d) in &self.damage {
+            out.push(format!(
+                "{name}: bytes {}..{} are damaged; records {}..{} are lost",
+                d.from, d.to, d.lost.0, d.lost.1
+            ));
+        }
+        (!out.is_empty()).then(|| out.join("; "))
+    }
+}
