--- a/crates/api/src/engine.rs
+++ b/crates/api/src/engine.rs
@@ -20,6 +20,8 @@
 pub const HEALTH: &str = "/health";
 /// The request's id, the same in all calls for it.
 pub const REQUEST_ID: &str = "x-request-id";
+/// The attempt's number within its request, so that an engine's record of tokens can be joined with a bill.
+pub const ATTEMPT: &str = "x-attempt";
 /// The load report's header.
 pub const LOAD: &str = "endpoint-load-metrics";
 
--- a/crates/budget/src/calendar.rs
+++ b/crates/budget/src/calendar.rs
@@ -52,6 +52,13 @@
 /// budget never becomes endless.
 const FALLBACK: u64 = 86_400_000_000;
 
+impl Default for Calendar {
+    /// UTC.
+    fn default() -> Self {
+        Self { zone: TimeZone::UTC }
+    }
+}
+
 /// The calendar of one zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Calendar {
--- a/crates/budget/src/lease_test.rs
+++ b/crates/budget/src/lease_test.rs
@@ -330,7 +330,7 @@
             let steps = kinds.values().nth(rng.next_u32() as usize % kinds.len()).unwrap();
             let mut step = steps[rng.next_u32() as usize % steps.len()];
             if let Step::Deliver(r, j, _) = step {
-                if rng.next_u32() % 4 > 0 {
+                if !rng.next_u32().is_multiple_of(4) {
                     step = Step::Deliver(r, j, world.journals[j].len() - 1);
                 }
             }
--- a/crates/budget/src/settler.rs
+++ b/crates/budget/src/settler.rs
@@ -90,7 +90,7 @@
     routers: BTreeMap<Box<str>, Seen>,
     head: u64,
     /// By account and period, then router.
-    outstanding: BTreeMap<(AccountKey, Time), BTreeMap<Box<str>, Outstanding>>,
+    outstanding: BTreeMap<(AccountKey, Time), BTreeMap<Box<str>, Vec<Outstanding>>>,
 }
 
 impl Settler {
@@ -118,7 +118,8 @@
             self.outstanding.clear();
             for out in &round.outstanding {
                 let place = (out.key.clone(), out.span.start);
-                self.outstanding.entry(place).or_default().insert(out.router.clone(), out.clone());
+                let of_place = self.outstanding.entry(place).or_default();
+                of_place.entry(out.router.clone()).or_default().push(out.clone());
             }
         }
     }
@@ -146,13 +147,14 @@
     fn committed(&self, router: &str, seen: &Seen, place: &(AccountKey, Time)) -> Units {
         let held = seen.state.held.get(place).copied().unwrap_or_default();
         let leased = held.ceiling.filter(|_| !self.over(seen, seen.state.lease.1)).unwrap_or_default();
-        let out = self.unanswered(router, seen, place).map_or(Units(0), |o| o.ceiling);
+        let out = self.unanswered(router, seen, place).unwrap_or_default();
         out.max(leased).max(held.used())
     }
 
-    /// What is out to a router for an account and may still be taken.
-    fn unanswered(&self, router: &str, seen: &Seen, place: &(AccountKey, Time)) -> Option<&Outstanding> {
-        self.outstanding.get(place)?.get(router).filter(|o| self.counts(seen, o))
+    /// The highest ceiling that is out to a router for an account and may still be taken.
+    fn unanswered(&self, router: &str, seen: &Seen, place: &(AccountKey, Time)) -> Option<Units> {
+        let out = self.outstanding.get(place)?.get(router)?;
+        out.iter().filter(|o| self.counts(seen, o)).map(|o| o.ceiling).max()
     }
 
     /// Whether something outstanding may still be taken.
@@ -277,47 +279,42 @@
         until: Time,
         now: Time,
     ) -> Vec<Outstanding> {
-        let mut all: BTreeMap<(Box<str>, AccountKey, Time), Outstanding> = BTreeMap::new();
         let ended = |span: Span| now > span.end.after(self.terms.clock_error);
-        for out in self.outstanding.values().flat_map(BTreeMap::values) {
-            let counts = self.routers.get(&out.router).is_none_or(|seen| self.counts(seen, out));
-            if counts && !ended(out.span) {
-                all.insert((out.router.clone(), out.key.clone(), out.span.start), out.clone());
-            }
-        }
+        let mut fresh: BTreeMap<(&AccountKey, Time, &str), Outstanding> = BTreeMap::new();
         for (router, allowances) in grants {
+            let out = |key: &AccountKey, span: Span, ceiling: Units| Outstanding {
+                router: router.clone(),
+                key: key.clone(),
+                span,
+                ceiling,
+                number,
+                until,
+            };
             for a in allowances {
-                let fresh = Outstanding {
-                    router: router.clone(),
-                    key: a.key.clone(),
-                    span: a.span,
-                    ceiling: a.ceiling,
-                    number,
-                    until,
-                };
-                let entry =
-                    all.entry((router.clone(), a.key.clone(), a.span.start)).or_insert_with(|| fresh.clone());
-                entry.ceiling = entry.ceiling.max(a.ceiling);
-                (entry.number, entry.until) = (number, entry.until.max(until));
+                fresh.insert((&a.key, a.span.start, router), out(&a.key, a.span, a.ceiling));
             }
             // A lease that names nothing new still lengthens the life of what is held under the one before.
-            let seen = self.routers.get(router);
-            for ((key, start), held) in seen.iter().flat_map(|s| &s.state.held) {
-                let (Some(ceiling), Some(seen)) = (held.ceiling, seen) else { continue };
+            let Some(seen) = self.routers.get(router).filter(|s| !self.over(s, s.state.lease.1)) else {
+                continue;
+            };
+            for ((key, start), held) in &seen.state.held {
                 let span = Span { start: *start, end: self.plan.calendar.span(key.kind, *start).end };
-                if self.over(seen, seen.state.lease.1) || ended(span) {
-                    continue;
-                }
-                let fresh =
-                    Outstanding { router: router.clone(), key: key.clone(), span, ceiling, number, until };
-                let entry = all.entry((router.clone(), key.clone(), *start)).or_insert_with(|| fresh.clone());
-                if entry.number < number {
-                    (entry.number, entry.until) = (number, entry.until.max(until));
-                    entry.ceiling = entry.ceiling.max(ceiling);
+                if let Some(ceiling) = held.ceiling.filter(|_| !ended(span)) {
+                    fresh.entry((key, *start, router)).or_insert_with(|| out(key, span, ceiling));
                 }
             }
         }
-        all.into_values().collect()
+        let mut all: Vec<Outstanding> = Vec::new();
+        for old in self.outstanding.values().flat_map(BTreeMap::values).flatten() {
+            let counts = self.routers.get(&old.router).is_none_or(|seen| self.counts(seen, old));
+            // A newer one that is as high lives longer and says it all.
+            let newer = fresh.get(&(&old.key, old.span.start, &*old.router));
+            if counts && !ended(old.span) && newer.is_none_or(|n| n.ceiling < old.ceiling) {
+                all.push(old.clone());
+            }
+        }
+        all.extend(fresh.into_values());
+        all
     }
 
     #[cfg(test)]
--- /dev/null
+++ b/crates/budget/tests/budgets.rs
@@ -0,0 +1,610 @@
+//! Hard cases of budgets and bills, at the decisions: no clock, no files, no sockets.
+#![allow(clippy::unwrap_used, clippy::indexing_slicing, clippy::panic, missing_docs)]
+
+use std::collections::BTreeMap;
+
+use chalkyard_budget::bill::{BillLine, Biller, Cause, EngineLine, Work};
+use chalkyard_budget::*;
+
+const S: u64 = 1_000_000;
+
+fn at(text: &str) -> Time {
+    let zoned: jiff::ZonedDateTime = text.parse().unwrap();
+    Time(zoned.timestamp().as_microsecond().try_into().unwrap())
+}
+
+fn noon() -> Time {
+    at("2026-12-01T12:00[Europe/Zurich]")
+}
+
+fn key(kind: Kind) -> AccountKey {
+    AccountKey { tenant: "nord".into(), class: None, kind }
+}
+
+fn limit(tokens: u64) -> Limit {
+    Limit {
+        hard: Units::tokens(tokens),
+        soft: 1_000,
+        at_soft: AtSoft::Warn,
+        at_hard: AtHard::Refuse,
+        marks: vec![],
+    }
+}
+
+fn plan(limits: Vec<(AccountKey, Limit)>, mode: Mode) -> Plan {
+    Plan {
+        calendar: Calendar::new("Europe/Zurich").unwrap(),
+        weights: Weights { prompt: 1_000, kept: 100, output: 4_000 },
+        limits: limits.into_iter().collect(),
+        rates: BTreeMap::new(),
+        margin: 0,
+        mode,
+        prices: vec![
+            Price { from: "2026-01-01".into(), currency: "Rp".into(), prompt: 300, kept: 30, output: 1_500 },
+            Price { from: "2026-12-01".into(), currency: "Rp".into(), prompt: 400, kept: 30, output: 1_500 },
+        ],
+    }
+}
+
+fn one(limits: Vec<(AccountKey, Limit)>) -> Keeper {
+    Keeper::new("r1", plan(limits, Mode::Shares(1)), State::default(), noon())
+}
+
+fn ask(id: &str, prompt: u64, output: u64) -> Ask<'_> {
+    Ask { id, tenant: "nord", class: "help", identity: None, prompt, output }
+}
+
+fn served(k: &mut Keeper, now: Time, id: &str, prompt: u64, kept: u64, output: u64) -> bool {
+    k.settle(now, id, Ending::Served, Usage { prompt, kept, output }, (None, Some(0)))
+}
+
+fn records(k: &mut Keeper) -> Vec<(u64, Record)> {
+    let mut out = Vec::new();
+    k.take_records(&mut out);
+    out
+}
+
+#[test]
+fn a_request_reserves_its_worst_case_and_settles_once_on_what_was_done() {
+    let mut k = one(vec![(key(Kind::Day), limit(1_000))]);
+    k.admit(noon(), ask("a", 200, 100)).unwrap();
+    let place = (key(Kind::Day), at("2026-12-01T00:00[Europe/Zurich]"));
+    assert_eq!(k.state().held[&place].reserved, Units::tokens(600));
+    let refusal = k.admit(noon(), ask("b", 300, 50)).unwrap_err();
+    assert_eq!((refusal.why, refusal.account), (Why::Budget, Some(key(Kind::Day))));
+    assert_eq!(refusal.retry_after, 12 * 3_600 * S, "come back at midnight");
+    assert!(served(&mut k, noon(), "a", 210, 110, 10));
+    assert_eq!(k.state().held[&place].spent, Units(100 * 1_000 + 110 * 100 + 10 * 4_000));
+    assert!(!served(&mut k, noon(), "a", 210, 110, 10), "a second settlement changes nothing");
+    assert!(!served(&mut k, noon(), "never", 1, 0, 1));
+    assert!(k.admit(noon(), ask("b", 300, 50)).is_ok());
+    k.settle(noon(), "b", Ending::Failed, Usage { prompt: 300, kept: 0, output: 9 }, (None, None));
+    assert_eq!(k.state().held[&place].used(), Units(151_000), "what failed costs nothing");
+    assert_eq!(records(&mut k).len(), 1 + 4);
+}
+
+#[test]
+fn soft_limits_warn_clamp_and_lower_and_hard_ones_can_clamp() {
+    let soft = |at_soft| Limit { soft: 500, at_soft, marks: vec![500, 900], ..limit(1_000) };
+    let mut k = one(vec![(key(Kind::Day), soft(AtSoft::Clamp(20)))]);
+    let first = k.admit(noon(), ask("a", 100, 100)).unwrap();
+    assert_eq!((first.output, &first.marks[..]), (100, &[(key(Kind::Day), 500)][..]));
+    assert_eq!(k.admit(noon(), ask("b", 100, 100)).unwrap().output, 20);
+
+    let mut k = one(vec![(key(Kind::Day), soft(AtSoft::Lower("later".into())))]);
+    assert_eq!(k.admit(noon(), ask("a", 100, 100)).unwrap().lower_to, None);
+    assert_eq!(k.admit(noon(), ask("b", 100, 10)).unwrap().lower_to.as_deref(), Some("later"));
+
+    let mut k = one(vec![(key(Kind::Day), Limit { at_hard: AtHard::Clamp(16), ..limit(1_000) })]);
+    assert_eq!(k.admit(noon(), ask("a", 200, 100)).unwrap().output, 100);
+    assert_eq!(k.admit(noon(), ask("b", 200, 100)).unwrap().output, 50, "what is left");
+    assert_eq!(k.admit(noon(), ask("c", 1, 16)).unwrap_err().why, Why::Budget);
+}
+
+#[test]
+fn a_class_has_its_own_budget_beside_the_tenants() {
+    let of_class = AccountKey { class: Some("report".into()), ..key(Kind::Hour) };
+    let mut k = one(vec![(key(Kind::Day), limit(1_000)), (of_class.clone(), limit(100))]);
+    let report = |id| Ask { class: "report", ..ask(id, 50, 10) };
+    assert!(k.admit(noon(), report("a")).is_ok());
+    let refusal = k.admit(noon(), report("b")).unwrap_err();
+    assert_eq!((refusal.account, refusal.retry_after), (Some(of_class), 3_600 * S));
+    assert!(k.admit(noon(), ask("b", 50, 10)).is_ok(), "another class");
+    let stranger = Ask { tenant: "ost", ..ask("c", 1_000_000, 1_000_000) };
+    assert!(k.admit(noon(), stranger).is_ok(), "no budget agreed: taken, and recorded for the bill");
+}
+
+#[test]
+fn rates_hold_beside_budgets_and_give_back_what_was_not_used() {
+    let mut p = plan(vec![], Mode::Shares(2));
+    let rate = RateLimit { per_second: Units::tokens(200), burst: Units::tokens(2_000) };
+    p.rates.insert("nord".into(), rate);
+    let mut k = Keeper::new("r1", p, State::default(), noon());
+    assert!(k.admit(noon(), ask("a", 200, 200)).is_ok());
+    let refusal = k.admit(noon(), ask("b", 0, 100)).unwrap_err();
+    assert_eq!((refusal.why, refusal.retry_after), (Why::Rate, 4 * S));
+    assert_eq!(k.state().open.len(), 1, "a refusal reserves nothing");
+    served(&mut k, noon(), "a", 200, 0, 50);
+    assert!(k.admit(noon(), ask("b", 0, 100)).is_ok());
+}
+
+#[test]
+fn a_stream_over_the_periods_change_is_charged_to_the_period_that_took_it() {
+    let mut k = one(vec![(key(Kind::Day), limit(500))]);
+    let before = at("2026-12-01T23:59:59[Europe/Zurich]");
+    k.admit(before, ask("a", 100, 100)).unwrap();
+    let after = before.after(5 * S);
+    k.admit(after, ask("b", 100, 100)).unwrap();
+    served(&mut k, after, "a", 100, 0, 100);
+    let used = |day: &str| k.state().held[&(key(Kind::Day), at(day))];
+    let (first, second) = (used("2026-12-01T00:00[Europe/Zurich]"), used("2026-12-02T00:00[Europe/Zurich]"));
+    assert_eq!((first.spent, first.reserved), (Units::tokens(500), Units(0)));
+    assert_eq!((second.spent, second.reserved), (Units(0), Units::tokens(500)));
+}
+
+#[test]
+fn the_hour_that_is_shown_twice_has_two_budgets_and_its_day_one() {
+    let mut k = one(vec![(key(Kind::Hour), limit(500)), (key(Kind::Day), limit(1_000))]);
+    let once = at("2026-10-25T02:30+02:00[Europe/Zurich]");
+    // The ledger's last time holds back an older clock, so a router of that day is needed.
+    let fresh = plan(vec![(key(Kind::Hour), limit(500)), (key(Kind::Day), limit(1_000))], Mode::Shares(1));
+    let mut of_then = Keeper::new("r1", fresh, State::default(), once);
+    assert!(of_then.admit(once, ask("a", 100, 100)).is_ok());
+    assert_eq!(of_then.admit(once, ask("b", 100, 100)).unwrap_err().account, Some(key(Kind::Hour)));
+    let twice = once.after(3_600 * S);
+    assert!(of_then.admit(twice, ask("b", 100, 100)).is_ok());
+    let refusal = of_then.admit(twice.after(3_600 * S), ask("c", 100, 100)).unwrap_err();
+    assert_eq!(refusal.account, Some(key(Kind::Day)));
+    assert!(k.admit(once, ask("a", 100, 100)).is_ok());
+    let now = at("2026-12-01T12:00[Europe/Zurich]");
+    assert_eq!(k.reservation("a").unwrap().1[0].1, now, "a clock that stepped back opens no old period");
+}
+
+fn leased(now: Time) -> Keeper {
+    let mode = Mode::Leases { epoch: S, routers: 2 };
+    Keeper::new("r1", plan(vec![(key(Kind::Day), limit(1_000))], mode), State::default(), now)
+}
+
+fn grant(number: u64, until: Time, tokens: u64) -> Grant {
+    let span = Calendar::new("Europe/Zurich").unwrap().span(Kind::Day, noon());
+    let allowance = Allowance {
+        key: key(Kind::Day),
+        span,
+        ceiling: Units::tokens(tokens),
+        limit: Units::tokens(1_000),
+        elsewhere: Units(0),
+    };
+    Grant { router: "r1".into(), number, until, allowances: vec![allowance] }
+}
+
+#[test]
+fn leases_are_numbered_end_and_never_come_back() {
+    let mut k = leased(noon());
+    assert_eq!(k.admit(noon(), ask("a", 1, 1)).unwrap_err().why, Why::Lease);
+    let until = noon().after(10 * S);
+    k.adopt(noon(), &grant(5, until, 300)).unwrap();
+    assert!(k.admit(noon(), ask("a", 100, 10)).is_ok());
+    let refusal = k.admit(noon(), ask("b", 200, 10)).unwrap_err();
+    assert_eq!((refusal.why, refusal.retry_after), (Why::Part, S), "more may be granted next epoch");
+    assert_eq!(k.adopt(noon(), &grant(5, until, 900)), Err(NotAdopted::Old));
+    assert_eq!(k.adopt(noon(), &grant(4, until, 900)), Err(NotAdopted::Old));
+    assert_eq!(k.adopt(until, &grant(6, until, 900)), Err(NotAdopted::Expired));
+    let other = Grant { router: "r2".into(), ..grant(7, until, 900) };
+    assert_eq!(k.adopt(noon(), &other), Err(NotAdopted::NotOurs));
+    // A ceiling under what is used already: what is used is told.
+    k.adopt(noon(), &grant(6, until, 10)).unwrap();
+    let Some((_, Record::Adopted(adopted))) = records(&mut k).pop() else { panic!() };
+    assert_eq!(adopted.ceilings[0].2, Units::tokens(140));
+    assert_eq!(adopted.wanted[0].1, Units::tokens(240));
+    k.adopt(noon(), &grant(7, until, 1_000)).unwrap();
+    assert!(k.admit(noon().after(9 * S), ask("c", 10, 1)).is_ok());
+    assert_eq!(k.admit(until, ask("d", 10, 1)).unwrap_err().why, Why::Lease);
+    // A clock that steps back does not lengthen it.
+    assert!(served(&mut k, until.after(S), "a", 100, 0, 1));
+    assert_eq!(k.admit(noon(), ask("d", 10, 1)).unwrap_err().why, Why::Lease);
+    // Nor does a restart.
+    let mut again =
+        Keeper::new("r1", plan(vec![], Mode::Leases { epoch: S, routers: 2 }), k.state().clone(), noon());
+    assert_eq!(again.adopt(noon(), &grant(7, until.after(60 * S), 900)), Err(NotAdopted::Old));
+}
+
+#[test]
+fn grants_under_another_key_or_changed_are_not_taken() {
+    let k = Key::new(&"ab".repeat(32)).unwrap();
+    let g = grant(3, noon(), 10);
+    let bytes = k.sign_grant(&g);
+    assert_eq!(k.open_grant(&bytes), Ok(g));
+    assert_eq!(Key::new(&"ac".repeat(32)).unwrap().open_grant(&bytes), Err(NotGenuine::WrongMac));
+    assert!(k.open_round(&bytes).is_err(), "a grant is no round");
+    for at in 0..bytes.len() {
+        let mut changed = bytes.clone();
+        changed[at] ^= 1;
+        assert!(k.open_grant(&changed).is_err(), "byte {at}");
+        assert!(k.open_grant(&bytes[..at]).is_err(), "cut at {at}");
+    }
+    assert!(Key::new("short").is_err());
+}
+
+#[test]
+fn a_tenant_removed_while_it_streams_is_settled_and_billed() {
+    let mut k = one(vec![(key(Kind::Day), limit(1_000))]);
+    k.admit(noon(), ask("a", 100, 100)).unwrap();
+    k.replan(plan(vec![], Mode::Shares(1)));
+    assert!(served(&mut k, noon(), "a", 100, 0, 40));
+    let place = (key(Kind::Day), at("2026-12-01T00:00[Europe/Zurich]"));
+    assert_eq!(k.state().held[&place].spent, Units::tokens(260));
+    // Put back, it finds what it had spent.
+    k.replan(plan(vec![(key(Kind::Day), limit(300))], Mode::Shares(1)));
+    assert_eq!(k.admit(noon(), ask("b", 50, 0)).unwrap_err().why, Why::Budget);
+    assert!(k.admit(noon(), ask("b", 40, 0)).is_ok());
+}
+
+#[test]
+fn nothing_is_taken_that_can_not_be_recorded() {
+    let mut k = one(vec![]);
+    k.admit(noon(), ask("a", 10, 10)).unwrap();
+    k.set_writable(false);
+    assert_eq!(k.admit(noon(), ask("b", 10, 10)).unwrap_err().why, Why::Ledger);
+    assert!(served(&mut k, noon(), "a", 10, 0, 10), "what is open still ends");
+    k.set_writable(true);
+    assert!(k.admit(noon(), ask("b", 10, 10)).is_ok());
+}
+
+/// The sums after a crash at any record are those of the records, and nothing is left reserved.
+#[test]
+fn recovery_gives_the_sums_that_the_records_say() {
+    let mut k = one(vec![(key(Kind::Day), limit(100_000))]);
+    for i in 0..20_u64 {
+        k.admit(noon().after(i), ask(&format!("q{i}"), 10 + i, 5)).unwrap();
+        if i % 3 > 0 {
+            served(&mut k, noon().after(i), &format!("q{i}"), 10 + i, i, 2);
+        }
+        if i == 10 {
+            k.checkpoint();
+        }
+    }
+    let all = records(&mut k);
+    for cut in 0..=all.len() {
+        let mut state = State::default();
+        for (n, r) in &all[..cut] {
+            state.take(*n, r);
+            assert!(!state.take(*n, r) || matches!(r, Record::Started(_)), "fed twice it changes nothing");
+        }
+        let spent = |s: &State| s.held.values().map(|h| h.spent).sum::<Units>();
+        let before = spent(&state);
+        let later = Keeper::new("r1", plan(vec![], Mode::Shares(1)), state, noon());
+        assert_eq!(spent(later.state()), before, "orphans cost nothing");
+        assert!(later.state().open.is_empty());
+        assert!(later.state().held.values().all(|h| h.reserved == Units(0)));
+    }
+    let mut from_checkpoint = State::default();
+    let start = all.iter().position(|(_, r)| matches!(r, Record::State(_))).unwrap();
+    for (n, r) in &all[start..] {
+        from_checkpoint.take(*n, r);
+    }
+    assert_eq!(&from_checkpoint, k.state());
+}
+
+// ---- Over routers.
+
+struct Yard {
+    keepers: Vec<Keeper>,
+    settler: Settler,
+    now: Time,
+    n: u64,
+}
+
+impl Yard {
+    fn new(routers: usize, tokens: u64, leases: bool) -> Self {
+        let names: Vec<String> = (0..routers).map(|r| format!("r{r}")).collect();
+        let mode = if leases {
+            Mode::Leases { epoch: S, routers: routers as u32 }
+        } else {
+            Mode::Shares(routers as u32)
+        };
+        let plan = plan(vec![(key(Kind::Day), limit(tokens))], mode);
+        let keeper = |n: &String| Keeper::new(n, plan.clone(), State::default(), noon());
+        let terms = Terms { epoch: S, lease: 5 * S, clock_error: 100_000, even: 4 };
+        let refs: Vec<&str> = names.iter().map(String::as_str).collect();
+        let keepers = names.iter().map(keeper).collect();
+        Self { keepers, settler: Settler::new(plan, terms, &refs), now: noon(), n: 0 }
+    }
+
+    fn round(&mut self) {
+        self.now = self.now.after(S);
+        for (i, k) in self.keepers.iter().enumerate() {
+            self.settler.observe(&format!("r{i}"), self.now, k.state());
+        }
+        let round = self.settler.next(self.now).unwrap();
+        self.settler.learn(&round);
+        for grant in &round.grants {
+            let i: usize = grant.router[1..].parse().unwrap();
+            self.keepers[i].adopt(self.now, grant).unwrap();
+        }
+    }
+
+    /// A request that needs 250 to 290 tokens.
+    fn ask(&mut self, router: usize) -> bool {
+        self.n += 1;
+        let id = format!("q{}", self.n);
+        let prompt = 50 + self.n % 41;
+        let taken = self.keepers[router].admit(self.now, ask(&id, prompt, 50)).is_ok();
+        if taken {
+            served(&mut self.keepers[router], self.now, &id, prompt, 0, 20 + self.n % 31);
+        }
+        taken
+    }
+
+    fn used(&self) -> u64 {
+        self.keepers.iter().flat_map(|k| k.state().held.values()).map(|h| h.used()).sum::<Units>().in_tokens()
+    }
+}
+
+#[test]
+fn a_burst_over_sixteen_routers_at_once_stays_within_the_budget() {
+    let mut yard = Yard::new(16, 20_000, true);
+    yard.round();
+    // In the same instant, far more than the whole budget at each router.
+    for n in 0..16 * 200 {
+        yard.n += 1;
+        let id = format!("q{n}");
+        let _ = yard.keepers[n % 16].admit(yard.now, ask(&id, 50, 50));
+        assert!(yard.used() <= 20_000);
+    }
+    for _ in 0..10 {
+        yard.round();
+        for n in 0..16 * 20 {
+            yard.ask(n % 16);
+        }
+        assert!(yard.used() <= 20_000);
+    }
+    assert!(yard.used() >= 18_000, "{}", yard.used());
+}
+
+fn skewed(leases: bool) -> u64 {
+    let mut yard = Yard::new(16, 400_000, leases);
+    for _ in 0..120 {
+        yard.round();
+        for router in 0..16 {
+            // One router gets ten times what the others get.
+            for _ in 0..if router == 0 { 40 } else { 4 } {
+                yard.ask(router);
+            }
+        }
+    }
+    assert!(yard.used() <= 400_000);
+    yard.used()
+}
+
+#[test]
+fn traffic_that_falls_ten_to_one_still_reaches_the_budget() {
+    let used = skewed(true);
+    assert!(used >= 380_000, "{used}");
+}
+
+#[test]
+fn all_traffic_at_one_router_reaches_it_too_where_equal_shares_strand_it() {
+    let mut used = [0, 0];
+    for (leases, used) in [true, false].into_iter().zip(&mut used) {
+        let mut yard = Yard::new(16, 100_000, leases);
+        for _ in 0..60 {
+            yard.round_or_wait(leases);
+            for _ in 0..40 {
+                yard.ask(3);
+            }
+        }
+        *used = yard.used();
+    }
+    assert!(used[0] >= 90_000 && used[1] <= 100_000 / 16, "{used:?}");
+}
+
+impl Yard {
+    fn round_or_wait(&mut self, leases: bool) {
+        if leases {
+            self.round();
+        } else {
+            self.now = self.now.after(S);
+        }
+    }
+}
+
+/// What a dead router had not used is used by others once its lease is over.
+#[test]
+fn a_dead_routers_part_comes_back() {
+    let mut yard = Yard::new(4, 50_000, true);
+    for _ in 0..3 {
+        yard.round();
+        for r in 0..4 {
+            yard.ask(r);
+        }
+    }
+    let dead = yard.keepers[2].clone();
+    for _ in 0..80 {
+        yard.now = yard.now.after(S);
+        for (i, k) in yard.keepers.iter().enumerate() {
+            yard.settler.observe(&format!("r{i}"), yard.now, k.state());
+        }
+        let round = yard.settler.next(yard.now).unwrap();
+        yard.settler.learn(&round);
+        for grant in round.grants.iter().filter(|g| &*g.router != "r2") {
+            let i: usize = grant.router[1..].parse().unwrap();
+            yard.keepers[i].adopt(yard.now, grant).unwrap();
+        }
+        for n in 0..30 {
+            yard.ask([0, 1, 3][n % 3]);
+        }
+    }
+    assert!(yard.used() >= 47_500 && yard.used() <= 50_000, "{}", yard.used());
+    // Back from the dead with its old lease, it takes nothing.
+    yard.keepers[2] = dead;
+    assert!(!yard.ask(2));
+}
+
+// ---- Bills.
+
+fn charge(id: &str, identity: Option<&str>, class: &str, when: Time) -> Record {
+    Record::Reserved(Charge {
+        id: id.into(),
+        tenant: "nord".into(),
+        class: class.into(),
+        identity: identity.map(Into::into),
+        at: when,
+        amount: Units::tokens(1),
+        slots: vec![],
+    })
+}
+
+fn end(id: &str, ending: Ending, usage: (u64, u64, u64), attempts: (Option<u32>, Option<u32>)) -> Record {
+    let usage = Usage { prompt: usage.0, kept: usage.1, output: usage.2 };
+    let (read, write) = attempts;
+    Record::Settled(Settled { id: id.into(), at: noon(), ending, usage, cost: Units(0), read, write })
+}
+
+fn work(id: &str, attempt: u32, work: Work, usage: (u64, u64, u64)) -> EngineLine {
+    EngineLine {
+        engine: "e".into(),
+        request: id.into(),
+        attempt,
+        work,
+        prompt: usage.0,
+        kept: usage.1,
+        output: usage.2,
+        at: noon(),
+    }
+}
+
+struct Books {
+    biller: Biller,
+    n: u64,
+}
+
+impl Books {
+    fn new() -> Self {
+        Self { biller: Biller::default(), n: 0 }
+    }
+    fn put(&mut self, router: &str, records: impl IntoIterator<Item = Record>) {
+        for r in records {
+            self.n += 1;
+            self.biller.record(router, self.n, &r);
+        }
+    }
+    fn bill(self) -> bill::Bill {
+        let plan = plan(vec![], Mode::Shares(1));
+        let (_, december) = plan.calendar.named("2026-12").unwrap();
+        self.biller.bill(&plan, december)
+    }
+}
+
+fn causes(bill: &bill::Bill) -> Vec<(&str, Cause, u64)> {
+    bill.differences.iter().map(|d| (&*d.request, d.cause, d.tokens)).collect()
+}
+
+#[test]
+fn a_bill_agrees_with_the_engines_to_the_token() {
+    let mut b = Books::new();
+    let two = (Some(0), Some(1));
+    b.put("r1", [charge("a", None, "help", noon()), end("a", Ending::Served, (100, 20, 30), two)]);
+    b.biller.work(work("a", 0, Work::Read, (100, 20, 1)));
+    b.biller.work(work("a", 1, Work::Pull, (100, 100, 30)));
+    b.put("r2", [charge("b", None, "help", noon()), end("b", Ending::Served, (50, 0, 5), (None, Some(0)))]);
+    b.biller.work(work("b", 0, Work::Whole, (50, 0, 5)));
+    let bill = b.bill();
+    assert_eq!((bill.engine_tokens, bill.billed_tokens), (185, 185));
+    assert_eq!((bill.explained_tokens, bill.unexplained_tokens, bill.differences.len()), (0, 0, 0));
+    let line = &bill.lines[&("nord".into(), "help".into(), "2026-12-01".into())];
+    let price = 130 * 400 + 20 * 30 + 35 * 1_500;
+    let usage = Usage { prompt: 150, kept: 20, output: 35 };
+    let expected =
+        BillLine { requests: 2, usage, price_millionths: Some(price), currency: Some("Rp".into()) };
+    assert_eq!(line, &expected);
+    assert_eq!(bill::whole(499_999) + bill::whole(500_000), 1);
+}
+
+#[test]
+fn each_rule_of_what_costs_and_what_does_not() {
+    let mut b = Books::new();
+    let whole = (None, Some(0));
+    let none = (None, None);
+    let both = |id: &str, identity, ending, usage, attempts| {
+        [charge(id, identity, "help", noon()), end(id, ending, usage, attempts)]
+    };
+    b.put("r1", both("broken", None, Ending::Broken, (0, 0, 0), none));
+    b.biller.work(work("broken", 0, Work::Whole, (10, 0, 7)));
+    // The client left after the router had counted 3 tokens; the engine had written 5.
+    b.put("r1", both("left", None, Ending::Left, (11, 0, 3), whole));
+    b.biller.work(work("left", 0, Work::Whole, (12, 2, 5)));
+    b.put("r1", both("early", None, Ending::LeftEarly, (0, 0, 0), none));
+    b.biller.work(work("early", 0, Work::Read, (13, 0, 1)));
+    b.put("r1", both("failed", None, Ending::Failed, (0, 0, 0), none));
+    b.biller.work(work("failed", 0, Work::Whole, (14, 0, 0)));
+    // Kept text was lost, so the prompt was read again by a second attempt.
+    b.put("r1", both("again", None, Ending::Served, (15, 0, 2), (Some(2), Some(3))));
+    b.biller.work(work("again", 0, Work::Read, (15, 8, 1)));
+    b.biller.work(work("again", 2, Work::Read, (15, 0, 1)));
+    b.biller.work(work("again", 3, Work::Pull, (15, 15, 2)));
+    // The router died between the answer's end and its settlement.
+    b.put("r1", both("orphan", None, Ending::Orphaned, (0, 0, 0), none));
+    b.biller.work(work("orphan", 0, Work::Whole, (16, 0, 9)));
+    // The same identity at two routers.
+    b.put("r1", both("first", Some("k"), Ending::Served, (17, 0, 1), whole));
+    b.put("r2", both("second", Some("k"), Ending::Served, (17, 0, 1), whole));
+    b.biller.work(work("first", 0, Work::Whole, (17, 0, 1)));
+    b.biller.work(work("second", 0, Work::Whole, (17, 0, 1)));
+    b.put("r2", both("refused", None, Ending::Refused, (0, 0, 0), none));
+    let bill = b.bill();
+    let mut got = causes(&bill);
+    got.sort();
+    let expected = [
+        ("again", Cause::AttemptLost, 15),
+        ("broken", Cause::Broken, 17),
+        ("early", Cause::LeftEarly, 13),
+        ("failed", Cause::Failed, 14),
+        ("orphan", Cause::Orphaned, 25),
+        ("second", Cause::Repeated, 18),
+    ];
+    assert_eq!(got, expected);
+    assert_eq!(bill.billed_tokens, 17 + 17 + 18);
+    assert_eq!((bill.unexplained_tokens, bill.explained_tokens), (0, 102));
+    assert_eq!(bill.engine_tokens, bill.billed_tokens + bill.explained_tokens);
+    assert_eq!(bill.lines.values().map(|l| l.requests).sum::<u64>(), 3);
+}
+
+#[test]
+fn what_is_missing_or_wrong_is_not_explained_away() {
+    let mut b = Books::new();
+    let whole = (None, Some(0));
+    b.put("r1", [charge("gone", None, "help", noon()), end("gone", Ending::Served, (10, 0, 1), whole)]);
+    b.put("r1", [charge("off", None, "help", noon()), end("off", Ending::Served, (10, 0, 4), whole)]);
+    b.biller.work(work("off", 0, Work::Whole, (10, 0, 1)));
+    b.biller.work(work("unknown", 0, Work::Whole, (7, 0, 1)));
+    let bill = b.bill();
+    let expected = [
+        ("gone", Cause::NoEngineRecord, 11),
+        ("off", Cause::Mismatch, 3),
+        ("unknown", Cause::NoReservation, 8),
+    ];
+    assert_eq!(causes(&bill), expected);
+    assert_eq!(bill.unexplained_tokens, 22);
+}
+
+#[test]
+fn ledgers_and_engine_records_fed_twice_or_in_any_order_bill_once() {
+    let mut b = Books::new();
+    let records = [charge("a", None, "help", noon()), end("a", Ending::Served, (10, 0, 1), (None, Some(0)))];
+    for _ in 0..2 {
+        b.biller.record("r1", 2, &records[1]);
+        b.biller.record("r1", 1, &records[0]);
+        b.biller.work(work("a", 0, Work::Whole, (10, 0, 1)));
+    }
+    // What was taken in November is in November's bill, and what is still open in none.
+    let november = at("2026-11-30T23:59:59[Europe/Zurich]");
+    b.put(
+        "r3",
+        [charge("old", None, "help", november), end("old", Ending::Served, (5, 0, 1), (None, Some(0)))],
+    );
+    b.biller.work(work("old", 0, Work::Whole, (5, 0, 1)));
+    b.put("r3", [charge("open", None, "help", noon())]);
+    let bill = b.bill();
+    assert_eq!((bill.billed_tokens, bill.unexplained_tokens, bill.open), (11, 0, 1));
+    assert_eq!(causes(&bill), [("old", Cause::OtherPeriod, 6)]);
+}
--- /dev/null
+++ b/crates/daemon/src/budgets.rs
@@ -0,0 +1,218 @@
+//! `chalkyard budget`: what operators see and change by hand.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use chalkyard_budget::{AccountKey, Kind};
+use clap::{Args, Subcommand, ValueEnum};
+
+use crate::budget_settings::{Budgets, Settlement};
+use crate::keeping::now;
+use crate::settle::{add_adjustment, parts, read_adjustments, settler, Adjustment, Change, Journal, Sums};
+use crate::{Format, Trouble};
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub enum Period {
+    Hour,
+    Day,
+    Month,
+}
+
+impl From<Period> for Kind {
+    fn from(p: Period) -> Self {
+        match p {
+            Period::Hour => Self::Hour,
+            Period::Day => Self::Day,
+            Period::Month => Self::Month,
+        }
+    }
+}
+
+/// Which budget.
+#[derive(Debug, Args)]
+pub struct Which {
+    /// Settings, as XML, with <budgets> and <settlement>.
+    file: PathBuf,
+    /// Tenant.
+    #[arg(long)]
+    tenant: String,
+    /// Class, where the budget is of one.
+    #[arg(long)]
+    class: Option<String>,
+    /// The budget's periods.
+    #[arg(long, value_enum)]
+    period: Period,
+}
+
+/// Who does it and why: kept in the audit trail.
+#[derive(Debug, Args)]
+pub struct Who {
+    /// Who does it.
+    #[arg(long)]
+    by: String,
+    /// Why.
+    #[arg(long)]
+    why: String,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Show what is spent, reserved and stranded of each budget in its present period, and the audit trail.
+    Show {
+        /// Settings, as XML, with <budgets> and <settlement>.
+        file: PathBuf,
+        /// How to print it.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Set a budget, from the present period on, whatever the settings say.
+    Set {
+        #[command(flatten)]
+        which: Which,
+        /// Tokens a period; none: as the settings say again.
+        #[arg(long)]
+        tokens: Option<u64>,
+        #[command(flatten)]
+        who: Who,
+    },
+    /// Grant tokens for the present period alone; less than 0 takes some back.
+    Grant {
+        #[command(flatten)]
+        which: Which,
+        /// Tokens.
+        #[arg(long, allow_negative_numbers = true)]
+        tokens: i64,
+        #[command(flatten)]
+        who: Who,
+    },
+    /// Put an amount on a bill, or (less than 0) take it off.
+    Adjust {
+        /// Settings, as XML, with <budgets> and <settlement>.
+        file: PathBuf,
+        /// Tenant.
+        #[arg(long)]
+        tenant: String,
+        /// Class.
+        #[arg(long)]
+        class: String,
+        /// The bill's day, such as 2026-12-01.
+        #[arg(long)]
+        day: String,
+        /// In the currency's smallest unit.
+        #[arg(long, allow_negative_numbers = true)]
+        amount: i64,
+        #[command(flatten)]
+        who: Who,
+    },
+}
+
+fn load(file: &PathBuf) -> Result<Budgets, Trouble> {
+    let none = || Trouble::BadInput(format!("{}: no <budgets>", file.display()));
+    crate::load(file)?.budgets.ok_or_else(none)
+}
+
+fn settlement(budgets: &Budgets) -> Result<&Settlement, Trouble> {
+    let none = || Trouble::BadInput("the settings' <budgets> has no <settlement>".into());
+    budgets.settlement.as_ref().ok_or_else(none)
+}
+
+fn account(which: &Which, budgets: &Budgets) -> Result<AccountKey, Trouble> {
+    let class = which.class.as_deref().map(Into::into);
+    let key = AccountKey { tenant: which.tenant.as_str().into(), class, kind: which.period.into() };
+    if budgets.plan.limits.contains_key(&key) {
+        return Ok(key);
+    }
+    let known: Vec<String> = budgets.plan.limits.keys().map(ToString::to_string).collect();
+    Err(Trouble::BadInput(format!("no budget {key} in the settings, which have: {}", known.join(", "))))
+}
+
+fn add(budgets: &Budgets, who: Who, what: Change) -> Result<ExitCode, Trouble> {
+    for (name, text) in [("--by", &who.by), ("--why", &who.why)] {
+        if text.trim().is_empty() || text.len() > 1_000 {
+            return Err(Trouble::BadInput(format!("{name} must be 1 to 1000 bytes of text")));
+        }
+    }
+    let adjustment = Adjustment { at: now(), by: who.by, why: who.why, what };
+    let number = add_adjustment(settlement(budgets)?, &adjustment)?;
+    println!("adjustment {number} recorded");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Carries out a command.
+pub fn command(command: Command) -> Result<ExitCode, Trouble> {
+    match command {
+        Command::Show { file, format } => show(&load(&file)?, format),
+        Command::Set { which, tokens, who } => {
+            let budgets = load(&which.file)?;
+            let key = account(&which, &budgets)?;
+            if tokens == Some(0) {
+                return Err(Trouble::BadInput("--tokens must be at least 1".into()));
+            }
+            let start = budgets.plan.calendar.span(key.kind, now()).start;
+            add(&budgets, who, Change::Set(key, start, tokens))
+        }
+        Command::Grant { which, tokens, who } => {
+            let budgets = load(&which.file)?;
+            let key = account(&which, &budgets)?;
+            let start = budgets.plan.calendar.span(key.kind, now()).start;
+            add(&budgets, who, Change::Grant(key, start, tokens))
+        }
+        Command::Adjust { file, tenant, class, day, amount, who } => {
+            let settings = crate::load(&file)?;
+            let known = settings.config.tenants.iter().any(|t| t.name == tenant);
+            if !known || !settings.config.classes.iter().any(|c| c.name == class) {
+                return Err(Trouble::BadInput(format!(
+                    "no tenant `{tenant}` or no class `{class}` in the settings"
+                )));
+            }
+            let budgets = load(&file)?;
+            match budgets.plan.calendar.named(&day) {
+                Ok((Kind::Day, _)) => {}
+                Ok(_) => return Err(Trouble::BadInput(format!("--day: `{day}` is no day"))),
+                Err(why) => return Err(Trouble::BadInput(format!("--day: {why}"))),
+            }
+            add(&budgets, who, Change::Bill { tenant, class, day, amount })
+        }
+    }
+}
+
+fn show(budgets: &Budgets, format: Format) -> Result<ExitCode, Trouble> {
+    let (settlement, key) = parts(budgets)?;
+    let mut settler = settler(&budgets.plan, settlement)?;
+    let journal = Journal::open(&settlement.journal, key)
+        .map_err(|e| Trouble::CouldNotRun(format!("{}: {e}", settlement.journal.display())))?;
+    if let Some(newest) = journal.newest().map_err(Trouble::CouldNotRun)? {
+        settler.learn(&newest);
+    }
+    Sums::new(settlement).read(&mut settler);
+    let standings = settler.standings(now());
+    let changes = read_adjustments(settlement)?;
+    match format {
+        Format::Json => {
+            let trail: Vec<serde_json::Value> =
+                changes.iter().map(|(n, a)| serde_json::json!({"number": n, "adjustment": a})).collect();
+            println!(
+                "{}",
+                serde_json::json!({"round": settler.head(), "budgets": standings, "adjustments": trail})
+            );
+        }
+        Format::Text => {
+            println!("round {}; tokens of the present periods", settler.head());
+            for s in standings {
+                println!(
+                    "{}: {} of {} spent, {} reserved, {} leased and not used",
+                    s.account,
+                    s.spent.in_tokens(),
+                    s.limit.in_tokens(),
+                    s.reserved.in_tokens(),
+                    s.stranded.in_tokens()
+                );
+            }
+            for (n, a) in changes {
+                let what = serde_json::to_string(&a.what).unwrap_or_default();
+                println!("adjustment {n} at {} by {}: {what} ({})", a.at.0, a.by, a.why);
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/daemon/src/keeping.rs
@@ -0,0 +1,257 @@
+//! Budgets kept by a running router: recovery, the ledger behind the loop, leases and reloads beside it.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::time::{Duration, Instant};
+
+use chalkyard_budget::{Figures, Grant, Keeper, Key, Plan, Record, State, Time};
+use chalkyard_ledger::{Folder, Limits, Writer};
+use chalkyard_router::shell::{News, Sink};
+use chalkyard_router::Finished;
+use tracing::{info, warn};
+
+use crate::budget_settings::Budgets;
+use crate::logs::Log;
+use crate::Trouble;
+
+/// A grant is looked for so often.
+const LOOK: Duration = Duration::from_millis(50);
+/// Bytes of a grant's file that are read.
+const GRANT_BYTES: u64 = 64 * 1024 * 1024;
+/// Grants and plans that wait for the loop; a newer one follows anyway.
+const WAITING: usize = 4;
+
+/// Whether a record holds all state so far.
+pub fn is_checkpoint(record: &Record) -> bool {
+    matches!(record, Record::State(_))
+}
+
+/// Reads a file, at most so much of it.
+pub fn read_some(path: &Path, most: u64) -> std::io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    std::fs::File::open(path)?.take(most).read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
+
+/// Reads the key under which leases are signed.
+pub fn read_key(path: &Path) -> Result<Key, Trouble> {
+    let text =
+        std::fs::read_to_string(path).map_err(|e| Trouble::BadInput(format!("{}: {e}", path.display())))?;
+    Key::new(&text).map_err(|why| Trouble::BadInput(format!("{}: {why}", path.display())))
+}
+
+/// The ledger of a running router.
+pub struct Ledger {
+    writer: Writer<Folder>,
+    sync: Duration,
+    told: bool,
+    news: Receiver<News>,
+    failing: bool,
+}
+
+/// What recovery gave.
+pub struct Recovered {
+    /// The decisions, with all that the ledger told.
+    pub keeper: Keeper,
+    /// To go on writing.
+    pub ledger: Ledger,
+    /// Where plans for the loop are put.
+    pub plans: SyncSender<News>,
+}
+
+/// Opens the ledger and restores the budgets' state from it; before the first request is taken.
+pub fn recover(budgets: &Budgets, router: &str, now: Time) -> Result<Recovered, Trouble> {
+    let at = budgets.ledger.display();
+    let folder = Folder::writer(&budgets.ledger).map_err(|e| match e.kind() {
+        std::io::ErrorKind::WouldBlock => {
+            Trouble::CouldNotRun(format!("ledger {at}: another process writes this ledger"))
+        }
+        _ => Trouble::CouldNotRun(format!("ledger {at}: {e}")),
+    })?;
+    let limits = Limits { segment: budgets.segment, ..Limits::default() };
+    let (mut state, start) = (State::default(), Instant::now());
+    let opened = Writer::open(folder, limits, is_checkpoint, |number, record| {
+        state.take(number, &record);
+    });
+    let opened = opened.map_err(|e| Trouble::CouldNotRun(format!("ledger {at}: {e}")))?;
+    if let Some(trouble) = opened.report.trouble() {
+        warn!(target: "ledger", "{trouble}");
+    }
+    // Numbers of records that were damaged are not given again.
+    state.sequence = opened.report.next - 1;
+    let records = opened.report.records;
+    info!(target: "ledger", records, open = state.open.len(), took_us = start.elapsed().as_micros() as u64, "recovered");
+    let (plans, news) = sync_channel(WAITING);
+    if let (Some(file), Some(key)) = (&budgets.grants, &budgets.key_file) {
+        let (file, key, news) = (file.clone(), read_key(key)?, plans.clone());
+        let watch = move || watch(&file, &key, &news);
+        let thread = std::thread::Builder::new().name("grants".into()).spawn(watch);
+        thread.map_err(|e| Trouble::CouldNotRun(format!("starting: {e}")))?;
+    }
+    let keeper = Keeper::new(router, budgets.plan.clone(), state, now);
+    let ledger = Ledger { writer: opened.writer, sync: budgets.sync, told: true, news, failing: false };
+    Ok(Recovered { keeper, ledger, plans })
+}
+
+/// Looks for new grants until the loop is gone.
+fn watch(file: &PathBuf, key: &Key, news: &SyncSender<News>) {
+    let mut last = Vec::new();
+    loop {
+        std::thread::sleep(LOOK);
+        let Ok(bytes) = read_some(file, GRANT_BYTES) else { continue };
+        if bytes == last {
+            continue;
+        }
+        match key.open_grant(&bytes) {
+            Ok(grant) => {
+                if news.send(News::Grant(grant)).is_err() {
+                    return;
+                }
+            }
+            Err(why) => warn!(target: "budget", "{}: {why}", file.display()),
+        }
+        last = bytes;
+    }
+}
+
+impl Ledger {
+    fn housekeep(&mut self) -> Vec<News> {
+        let mut out: Vec<News> = self.news.try_iter().take(WAITING).collect();
+        if let Err(e) = self.writer.sync() {
+            warn!(target: "ledger", "syncing: {e}");
+        }
+        self.writer.heal();
+        if self.told != self.writer.is_writable() {
+            self.told = self.writer.is_writable();
+            out.push(News::Writable(self.told));
+        }
+        if self.writer.wants_rotation() {
+            out.push(News::Checkpoint);
+        }
+        out
+    }
+
+    fn record(&mut self, number: u64, record: &Record) {
+        let done = match record {
+            Record::State(_) => self.writer.rotate(record),
+            _ => self.writer.append(record).map(drop),
+        };
+        if let Err(e) = done {
+            warn!(target: "ledger", number, "{e}");
+        }
+    }
+
+    fn flush(&mut self) -> bool {
+        let done = self.writer.flush();
+        if let Err(e) = &done {
+            if !std::mem::replace(&mut self.failing, true) {
+                warn!(target: "ledger", "writing: {e}");
+            }
+        } else {
+            self.failing = false;
+        }
+        self.told = self.writer.is_writable();
+        self.told
+    }
+}
+
+/// Tells the log, and keeps the ledger.
+pub struct Keeping {
+    /// The log.
+    pub log: Log,
+    /// The ledger, where budgets are kept.
+    pub ledger: Option<Ledger>,
+}
+
+impl Sink for Keeping {
+    fn finished(&mut self, record: &Finished) {
+        self.log.finished(record);
+    }
+
+    fn note(&mut self, what: &str, text: &str) {
+        self.log.note(what, text);
+    }
+
+    fn keep_list(&mut self, text: &str) {
+        self.log.keep_list(text);
+    }
+
+    fn record(&mut self, number: u64, record: &Record) {
+        if let Some(ledger) = &mut self.ledger {
+            ledger.record(number, record);
+        }
+    }
+
+    fn flush(&mut self) -> bool {
+        self.ledger.as_mut().is_none_or(Ledger::flush)
+    }
+
+    fn period(&self) -> Option<Duration> {
+        self.ledger.as_ref().map(|l| l.sync)
+    }
+
+    fn housekeep(&mut self) -> Vec<News> {
+        self.ledger.as_mut().map(Ledger::housekeep).unwrap_or_default()
+    }
+
+    fn figures(&mut self, figures: &BTreeMap<Box<str>, Figures>) {
+        for (tenant, f) in figures {
+            info!(
+                target: "budget",
+                tenant = &**tenant,
+                spent_units = f.spent,
+                reserved_units = f.reserved,
+                stranded_units = f.stranded,
+                refused = f.refused,
+                "figures"
+            );
+        }
+    }
+}
+
+/// Reads the settings again and gives the loop its budgets; what else changed waits for a restart.
+pub fn reload(file: &Path, old: &Budgets, plans: &SyncSender<News>) {
+    let fresh = match crate::load(&file.to_path_buf()) {
+        Ok(settings) => settings,
+        Err(Trouble::BadInput(why) | Trouble::CouldNotRun(why)) => {
+            warn!(target: "budget", "not reloaded, all stays as it was: {why}");
+            return;
+        }
+    };
+    let Some(budgets) = fresh.budgets else {
+        warn!(target: "budget", "not reloaded: {} has no <budgets> any more; that needs a restart", file.display());
+        return;
+    };
+    let moved =
+        budgets.ledger != old.ledger || budgets.grants != old.grants || budgets.key_file != old.key_file;
+    if moved || budgets.plan.mode != old.plan.mode {
+        warn!(target: "budget", "not reloaded: another ledger, key or way of sharing needs a restart");
+        return;
+    }
+    let plan: Plan = budgets.plan;
+    if plans.try_send(News::Replan(Box::new(plan))).is_err() {
+        warn!(target: "budget", "not reloaded: the loop is busy; signal again");
+    }
+}
+
+/// The time of day.
+pub fn now() -> Time {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    Time(since.as_micros() as u64)
+}
+
+/// Writes a file beside its place and renames it: readers see the old one or the new one.
+pub fn replace(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let fresh = path.with_extension(format!("new-{}", std::process::id()));
+    let mut file = std::fs::File::create(&fresh)?;
+    std::io::Write::write_all(&mut file, bytes)?;
+    file.sync_data()?;
+    std::fs::rename(&fresh, path)
+}
+
+/// A grant as it is written to its file.
+pub fn deliver(folder: &Path, key: &Key, grant: &Grant) -> std::io::Result<()> {
+    replace(&folder.join(format!("{}.grant", grant.router)), &key.sign_grant(grant))
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,10 +3,15 @@
 //! Exit codes: 0 done (of a rehearsal or audit: all rules held), 1 could not run, 2 usage or bad input,
 //! 3 a rule was broken.
 
+mod bill;
+mod budget_settings;
+mod budgets;
+mod keeping;
 mod logs;
 mod replay;
 mod run;
 mod settings;
+mod settle;
 mod xml;
 
 use std::path::PathBuf;
@@ -77,6 +82,45 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Run the settlement job: leases of the token budgets for all routers, from their ledgers.
+    Settle {
+        /// Settings, as XML, with <budgets> and <settlement>.
+        file: PathBuf,
+        /// Stop after so many rounds.
+        #[arg(long)]
+        rounds: Option<u64>,
+    },
+    /// Show token budgets, or change them by hand, with an audit trail.
+    #[command(subcommand)]
+    Budget(budgets::Command),
+    /// Make bills from ledgers and engines' records of tokens; exit code 3 if they don't agree.
+    Bill {
+        /// Settings, as XML, with <budgets>.
+        file: PathBuf,
+        /// Month, day or hour, such as 2026-12, 2026-12-01 or 2026-12-01T14, in the budgets' zone.
+        #[arg(long)]
+        period: String,
+        /// Routers' ledgers; those of the settings' settlement, if not given.
+        #[arg(long, num_args = 1..)]
+        ledger: Vec<PathBuf>,
+        /// Engines' records of tokens, as JSON lines.
+        #[arg(long, num_args = 1..)]
+        engines: Vec<PathBuf>,
+        /// How to print it.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Keep the sums of a ledger's old periods and drop their records.
+    Compact {
+        /// Settings, as XML, with <budgets>.
+        file: PathBuf,
+        /// The router's ledger.
+        #[arg(long)]
+        ledger: PathBuf,
+        /// Records before this month or day go, such as 2026-11.
+        #[arg(long)]
+        before: String,
+    },
     /// Judge the five rules from recorded traffic alone.
     Audit {
         /// Recorded traffic, as JSON lines.
@@ -106,6 +150,10 @@
     })
 }
 
+fn with_budgets(file: &PathBuf) -> Result<budget_settings::Budgets, Trouble> {
+    load(file)?.budgets.ok_or_else(|| Trouble::BadInput(format!("{}: no <budgets>", file.display())))
+}
+
 fn judge(report: chalkyard_rehearsal::Report, format: Format) -> ExitCode {
     match format {
         Format::Text => print!("{}", report.text()),
@@ -120,7 +168,15 @@
 
 fn command(command: Command) -> Result<ExitCode, Trouble> {
     match command {
-        Command::Run { file, seed, decisions } => run::run(load(&file)?, seed, decisions),
+        Command::Run { file, seed, decisions } => run::run(&file, seed, decisions),
+        Command::Settle { file, rounds } => settle::settle(&file, rounds),
+        Command::Budget(command) => budgets::command(command),
+        Command::Bill { file, period, ledger, engines, format } => {
+            let budgets = with_budgets(&file)?;
+            let sources = bill::Sources { budgets: &budgets, ledgers: ledger, engines };
+            bill::bill(&sources, &period, format)
+        }
+        Command::Compact { file, ledger, before } => bill::compact(&with_budgets(&file)?, &ledger, &before),
         Command::Check { file } => {
             let s = load(&file)?;
             let c = &s.config;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -5,13 +5,14 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use chalkyard_budget::Time;
 use chalkyard_router::shell::{granularity, listen, Clock, Shell};
 use chalkyard_router::Core;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tracing::info;
 
-use crate::settings::Settings;
+use crate::keeping::{self, Keeping};
 use crate::{logs, Trouble};
 
 /// The first line of a decisions file: what the module was started with.
@@ -35,8 +36,9 @@
 }
 
 /// Runs a router. SIGTERM or SIGINT drains it, a second one stops it at once.
-pub fn run(settings: Settings, seed: Option<u64>, decisions: Option<PathBuf>) -> Result<ExitCode, Trouble> {
+pub fn run(file: &PathBuf, seed: Option<u64>, decisions: Option<PathBuf>) -> Result<ExitCode, Trouble> {
     logs::start();
+    let settings = crate::load(file)?;
     let could_not = |what: &str, e: std::io::Error| Trouble::CouldNotRun(format!("{what}: {e}"));
     let clock = Clock::new();
     let seed = seed.unwrap_or(clock.now().0);
@@ -48,6 +50,14 @@
     let started = Started { settings: config.policy.clone(), seed };
     let name = config.name.clone();
     let mut core = Core::new(config, seed, clock.now());
+    // All that was spent is known before the first request is taken.
+    let (mut ledger, mut plans) = (None, None);
+    if let Some(budgets) = &settings.budgets {
+        let recovered = keeping::recover(budgets, &name, Time(clock.now().0))?;
+        core.keep_budgets(recovered.keeper);
+        ledger = Some(recovered.ledger);
+        plans = Some((recovered.plans, budgets.clone()));
+    }
     if let Some(file) = decisions {
         let out = File::create(&file).map_err(|e| could_not(&file.display().to_string(), e))?;
         let mut out = BufWriter::new(out);
@@ -62,19 +72,29 @@
         (Some(file), None) => std::fs::read_to_string(file).ok(),
         (None, None) => None,
     };
-    let log = logs::Log { list_file: settings.list_file };
+    let log = Keeping { log: logs::Log { list_file: settings.list_file }, ledger };
     let mut shell =
         Shell::new(core, log, clock, listener, settings.drain_for).map_err(|e| could_not("starting", e))?;
     let handle = shell.handle();
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| could_not("signals", e))?;
+    let file = file.clone();
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| could_not("signals", e))?;
     std::thread::spawn(move || {
-        for (n, signal) in signals.forever().enumerate() {
+        let mut n = 0;
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                match &plans {
+                    Some((plans, budgets)) => keeping::reload(&file, budgets, plans),
+                    None => info!(target: "router", "no budgets are kept here: nothing to reload"),
+                }
+                continue;
+            }
             info!(target: "router", signal, "told to {}", if n == 0 { "drain" } else { "stop" });
             if n == 0 {
                 handle.drain();
             } else {
                 handle.stop();
             }
+            n += 1;
         }
     });
     info!(target: "router", name, seed, %at, "ready");
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -10,6 +10,7 @@
 use chalkyard_policy::Micros;
 use chalkyard_router::{Bounds, ClassEntry, Config, KindEntry, TenantEntry, Waits};
 
+use crate::budget_settings::{self, Budgets};
 use crate::xml::{parse, Element, Errors, Value, Wrong};
 
 /// The namespace of settings of this version.
@@ -30,13 +31,15 @@
     pub engines: Option<String>,
     /// How long a drain waits for open requests.
     pub drain_for: Duration,
+    /// Token budgets, a ledger and bills.
+    pub budgets: Option<Budgets>,
 }
 
-struct Text(String);
-struct Span(Micros);
+pub struct Text(pub String);
+pub struct Span(pub Micros);
 struct Share(f64);
 struct Positive(f64);
-struct Name(String);
+pub struct Name(pub String);
 
 impl Value for Text {
     fn read(text: &str) -> Result<Self, String> {
@@ -323,8 +326,8 @@
         return Err(errors.0);
     }
     root.done(e);
-    const PARTS: [&str; 9] =
-        ["router", "rules", "bounds", "waits", "zones", "kinds", "classes", "tenants", "engines"];
+    const PARTS: [&str; 10] =
+        ["router", "rules", "bounds", "waits", "zones", "kinds", "classes", "tenants", "budgets", "engines"];
     let mut parts: BTreeMap<&str, Element<'_, '_>> = BTreeMap::new();
     for child in root.children(&PARTS, e) {
         if let Some(second) = parts.insert(child.tag(), child) {
@@ -424,6 +427,15 @@
         list.done(e);
     }
 
+    let budgets = parts.remove("budgets").map(|mut b| {
+        let known = budget_settings::Known {
+            tenants: tenants.iter().map(|t| t.name.as_str()).collect(),
+            classes: classes.iter().map(|c| c.name.as_str()).zip(&policy.classes).collect(),
+            routers: policy.routers,
+        };
+        budget_settings::read(&mut b, &known, e)
+    });
+
     let mut engines = None;
     let register = router.maybe::<SocketAddr>("register", e);
     if let Some(list) = parts.remove("engines") {
@@ -462,6 +474,7 @@
         list_file: router.maybe::<Text>("list-file", e).map(|t| t.0.into()),
         drain_for: Duration::from_micros(router.or("drain", Span(Micros(20_000_000)), e).0 .0),
         engines,
+        budgets,
         config: Config {
             name: router.must("name", Name("-".into()), e).0,
             policy,
--- /dev/null
+++ b/crates/daemon/src/settle.rs
@@ -0,0 +1,312 @@
+//! `chalkyard settle`: the settlement job. Reads all ledgers, grants leases, delivers them.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use chalkyard_budget::{AccountKey, Key, Plan, Round, Settler, State, Time};
+use chalkyard_ledger::{Folder, Follower, Item, Limits, Writer};
+use serde::{Deserialize, Serialize};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use tracing::{info, warn};
+
+use crate::budget_settings::{Budgets, Settlement};
+use crate::keeping::{deliver, is_checkpoint, now, read_key, read_some};
+use crate::{logs, Trouble};
+
+/// Rounds kept in the journal, for whoever wants to look.
+const KEPT: u64 = 64;
+const ROUND_BYTES: u64 = 1024 * 1024 * 1024;
+
+/// What an operator changed by hand; the audit trail of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Adjustment {
+    /// When, by the clock of who did it.
+    pub at: Time,
+    /// Who.
+    pub by: String,
+    /// Why.
+    pub why: String,
+    /// What.
+    pub what: Change,
+}
+
+/// A change by hand.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// Another budget from this period on, in tokens; none: as the settings say.
+    Set(AccountKey, Time, Option<u64>),
+    /// So many tokens more (or less) for the one period that begins then.
+    Grant(AccountKey, Time, i64),
+    /// An amount in the currency's smallest unit on (or off) the bill of a tenant's class on a day.
+    Bill {
+        /// Tenant.
+        tenant: String,
+        /// Class.
+        class: String,
+        /// Day.
+        day: String,
+        /// Amount.
+        amount: i64,
+    },
+}
+
+/// The folder of adjustments.
+pub fn adjustments(settlement: &Settlement) -> PathBuf {
+    settlement.journal.join("adjustments")
+}
+
+/// All adjustments with their numbers, oldest first.
+pub fn read_adjustments(settlement: &Settlement) -> Result<Vec<(u64, Adjustment)>, Trouble> {
+    let folder = adjustments(settlement);
+    if !folder.exists() {
+        return Ok(Vec::new());
+    }
+    let volume = Folder::reader(&folder);
+    let wrong = |e| Trouble::CouldNotRun(format!("{}: {e}", folder.display()));
+    let names = chalkyard_ledger::last_segments(&volume, |_: &Adjustment| false).map_err(wrong)?;
+    let mut out = Vec::new();
+    let report = chalkyard_ledger::read(&volume, &names, |n, a| out.push((n, a))).map_err(wrong)?;
+    if let Some(trouble) = report.trouble() {
+        return Err(Trouble::CouldNotRun(format!("{}: {trouble}", folder.display())));
+    }
+    Ok(out)
+}
+
+/// Adds one. It holds from the next round on.
+pub fn add_adjustment(settlement: &Settlement, adjustment: &Adjustment) -> Result<u64, Trouble> {
+    let folder = adjustments(settlement);
+    let wrong = |e: String| Trouble::CouldNotRun(format!("{}: {e}", folder.display()));
+    let volume = Folder::writer(&folder).map_err(|e| wrong(e.to_string()))?;
+    let limits = Limits { ballast: 0, ..Limits::default() };
+    let opened =
+        Writer::open(volume, limits, |_: &Adjustment| false, |_, _| {}).map_err(|e| wrong(e.to_string()))?;
+    let mut writer = opened.writer;
+    let number = writer.append(adjustment).map_err(|e| wrong(e.to_string()))?;
+    writer.flush().map_err(|e| wrong(e.to_string()))?;
+    // On the disk before the command says so.
+    std::fs::File::open(folder.join(chalkyard_ledger::segment_name(1)))
+        .and_then(|f| f.sync_all())
+        .map_err(|e| wrong(e.to_string()))?;
+    Ok(number)
+}
+
+/// The plan with what was set by hand, and what was granted beyond it by period.
+pub fn adjusted(plan: &Plan, changes: &[(u64, Adjustment)]) -> (Plan, BTreeMap<(AccountKey, Time), i64>) {
+    let mut plan = plan.clone();
+    let mut extra: BTreeMap<(AccountKey, Time), i64> = BTreeMap::new();
+    for (_, change) in changes {
+        match &change.what {
+            Change::Set(key, _, tokens) => {
+                if let (Some(limit), Some(tokens)) = (plan.limits.get_mut(key), tokens) {
+                    limit.hard = chalkyard_budget::Units::tokens(*tokens);
+                }
+            }
+            Change::Grant(key, start, tokens) => {
+                let sum = extra.entry((key.clone(), *start)).or_default();
+                *sum = sum.saturating_add(tokens.saturating_mul(1_000));
+            }
+            Change::Bill { .. } => {}
+        }
+    }
+    (plan, extra)
+}
+
+/// The journal's folder, with one file a round.
+pub struct Journal {
+    folder: PathBuf,
+    key: Key,
+}
+
+fn round_file(number: u64) -> String {
+    format!("round-{number:012}")
+}
+
+impl Journal {
+    /// Opens it; made if need be.
+    pub fn open(folder: &Path, key: Key) -> std::io::Result<Self> {
+        std::fs::create_dir_all(folder.join("grants"))?;
+        Ok(Self { folder: folder.into(), key })
+    }
+
+    fn numbers(&self) -> std::io::Result<Vec<u64>> {
+        let mut out = Vec::new();
+        for entry in std::fs::read_dir(&self.folder)? {
+            let name = entry?.file_name();
+            let number: Option<u64> =
+                name.to_str().and_then(|n| n.strip_prefix("round-")).and_then(|n| n.parse().ok());
+            out.extend(number);
+        }
+        out.sort_unstable();
+        Ok(out)
+    }
+
+    /// The newest round; none: the journal is empty.
+    pub fn newest(&self) -> Result<Option<Round>, String> {
+        let wrong = |e: std::io::Error| format!("{}: {e}", self.folder.display());
+        let Some(number) = self.numbers().map_err(wrong)?.pop() else { return Ok(None) };
+        let path = self.folder.join(round_file(number));
+        let bytes = read_some(&path, ROUND_BYTES).map_err(|e| format!("{}: {e}", path.display()))?;
+        let round = self.key.open_round(&bytes).map_err(|e| format!("{}: {e}", path.display()))?;
+        if round.number != number {
+            return Err(format!("{}: holds round {}", path.display(), round.number));
+        }
+        Ok(Some(round))
+    }
+
+    /// Makes a round stand under its number; false: another job was first. It stands whole or not at all:
+    /// it is written beside and linked, which fails if the name is taken.
+    pub fn stand(&self, round: &Round) -> std::io::Result<bool> {
+        let fresh = self.folder.join(format!("new-{}-{}", std::process::id(), round.number));
+        let mut file = std::fs::File::create(&fresh)?;
+        std::io::Write::write_all(&mut file, &self.key.sign_round(round))?;
+        file.sync_all()?;
+        let linked = std::fs::hard_link(&fresh, self.folder.join(round_file(round.number)));
+        std::fs::remove_file(&fresh)?;
+        match linked {
+            Ok(()) => std::fs::File::open(&self.folder)?.sync_all().map(|()| true),
+            Err(e) if e.kind() == std::io::ErrorKind::AlreadyExists => Ok(false),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Delivers a round's grants.
+    pub fn deliver(&self, round: &Round) {
+        let folder = self.folder.join("grants");
+        for grant in &round.grants {
+            if let Err(e) = deliver(&folder, &self.key, grant) {
+                warn!(target: "settle", router = &*grant.router, "not delivered, the next round follows: {e}");
+            }
+        }
+    }
+
+    fn tidy(&self, newest: u64) {
+        for old in self.numbers().unwrap_or_default().into_iter().filter(|n| n + KEPT < newest) {
+            let _ = std::fs::remove_file(self.folder.join(round_file(old)));
+        }
+    }
+}
+
+/// Follows all ledgers and keeps their sums.
+pub struct Sums {
+    ledgers: Vec<(String, Follower, State)>,
+}
+
+impl Sums {
+    /// Of these routers.
+    pub fn new(settlement: &Settlement) -> Self {
+        let each =
+            |(name, folder): &(String, PathBuf)| (name.clone(), Follower::new(folder), State::default());
+        Self { ledgers: settlement.routers.iter().map(each).collect() }
+    }
+
+    /// Reads on. A ledger that can't be read stays as it was last seen: its leases go on counting.
+    pub fn read(&mut self, settler: &mut Settler) {
+        for (name, follower, state) in &mut self.ledgers {
+            let read_at = now();
+            let told = follower.poll(is_checkpoint, |item| match item {
+                Item::Again => *state = State::default(),
+                Item::Record(number, record) => {
+                    state.take(number, &record);
+                }
+            });
+            match told {
+                Ok(trouble) => {
+                    if let Some(trouble) = trouble {
+                        warn!(target: "settle", router = name, "{trouble}");
+                    }
+                    settler.observe(name, read_at, state);
+                }
+                Err(e) => warn!(target: "settle", router = name, "its ledger can't be read: {e}"),
+            }
+        }
+    }
+}
+
+/// What a settlement needs of the settings.
+pub fn parts(budgets: &Budgets) -> Result<(&Settlement, Key), Trouble> {
+    let missing = |what: &str| Trouble::BadInput(format!("the settings' <budgets> has no {what}"));
+    let settlement = budgets.settlement.as_ref().ok_or_else(|| missing("<settlement>"))?;
+    let key = budgets.key_file.as_ref().ok_or_else(|| missing("`key-file`"))?;
+    Ok((settlement, read_key(key)?))
+}
+
+/// A settler for these settings, with what was changed by hand.
+pub fn settler(plan: &Plan, settlement: &Settlement) -> Result<Settler, Trouble> {
+    let names: Vec<&str> = settlement.routers.iter().map(|(n, _)| n.as_str()).collect();
+    let mut settler = Settler::new(plan.clone(), settlement.terms, &names);
+    let (plan, extra) = adjusted(plan, &read_adjustments(settlement)?);
+    settler.replan(plan, extra);
+    Ok(settler)
+}
+
+/// Runs rounds until it is told to stop; SIGHUP reads the settings again.
+pub fn settle(file: &PathBuf, rounds: Option<u64>) -> Result<ExitCode, Trouble> {
+    logs::start();
+    let none = || Trouble::BadInput(format!("{}: no <budgets>", file.display()));
+    let mut budgets = crate::load(file)?.budgets.ok_or_else(none)?;
+    let (settlement, key) = parts(&budgets)?;
+    let settlement = settlement.clone();
+    let journal = Journal::open(&settlement.journal, key)
+        .map_err(|e| Trouble::CouldNotRun(format!("{}: {e}", settlement.journal.display())))?;
+    let mut settler = settler(&budgets.plan, &settlement)?;
+    let mut sums = Sums::new(&settlement);
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| Trouble::CouldNotRun(e.to_string()))?;
+    info!(target: "settle", routers = settlement.routers.len(), "ready");
+    let epoch = Duration::from_micros(settlement.terms.epoch);
+    let (mut next, mut done) = (Instant::now(), 0);
+    while rounds.is_none_or(|most| done < most) {
+        while Instant::now() < next {
+            std::thread::sleep(next.saturating_duration_since(Instant::now()).min(Duration::from_millis(20)));
+            for signal in signals.pending() {
+                if signal != SIGHUP {
+                    info!(target: "settle", signal, "stopped");
+                    return Ok(ExitCode::SUCCESS);
+                }
+                match crate::load(file).map(|s| s.budgets) {
+                    Ok(Some(fresh)) => budgets.plan = fresh.plan,
+                    Ok(None) => warn!(target: "settle", "not reloaded: no <budgets> any more"),
+                    Err(Trouble::BadInput(why) | Trouble::CouldNotRun(why)) => {
+                        warn!(target: "settle", "not reloaded, all stays as it was: {why}");
+                    }
+                }
+            }
+        }
+        next = Instant::now() + epoch;
+        done += 1;
+        match read_adjustments(&settlement) {
+            Ok(changes) => {
+                let (plan, extra) = adjusted(&budgets.plan, &changes);
+                settler.replan(plan, extra);
+            }
+            Err(Trouble::BadInput(why) | Trouble::CouldNotRun(why)) => warn!(target: "settle", "{why}"),
+        }
+        one_round(&mut settler, &mut sums, &journal)?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// One round: read, decide, let it stand, deliver. Should another job be first under the number, its round is
+/// learnt and the next one tried at the next epoch.
+fn one_round(settler: &mut Settler, sums: &mut Sums, journal: &Journal) -> Result<(), Trouble> {
+    match journal.newest() {
+        Ok(Some(newest)) => settler.learn(&newest),
+        Ok(None) => {}
+        Err(why) => return Err(Trouble::CouldNotRun(why)),
+    }
+    sums.read(settler);
+    let round = settler.next(now()).map_err(|fork| Trouble::CouldNotRun(fork.to_string()))?;
+    match journal.stand(&round) {
+        Ok(true) => {
+            settler.learn(&round);
+            journal.deliver(&round);
+            journal.tidy(round.number);
+        }
+        Ok(false) => info!(target: "settle", number = round.number, "another job was first"),
+        Err(e) => warn!(target: "settle", number = round.number, "the round can't stand: {e}"),
+    }
+    Ok(())
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -5,11 +5,13 @@
 //! process is killed), and syncing to the disk goes on beside it (the window of loss at power loss). A torn
 //! tail is cut and told of; damage elsewhere is stepped over and told of.
 
+mod follow;
 mod frame;
 mod reader;
 mod volume;
 mod writer;
 
+pub use follow::{Follower, Item};
 pub use frame::{decode, encode, Damage, Frames, FRAME_BYTES};
 pub use reader::{last_segments, read, Report, Tail};
 pub use volume::{segment_name, segment_number, Folder, Volume};
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -231,6 +231,57 @@
     assert_eq!(numbers, (1..61 + rotations).collect::<Vec<u64>>());
 }
 
+/// A follower gives each record once, over rotations, and begins again when the ledger has lost some.
+#[test]
+fn a_ledger_is_followed_while_it_is_written() {
+    let dir = tempfile::tempdir().unwrap();
+    let limits = Limits { segment: 300, ..LIMITS };
+    let checkpoint = |r: &Rec| r.0 == u32::MAX;
+    let reopen =
+        || Writer::open(Folder::writer(dir.path()).unwrap(), limits, checkpoint, |_, _| {}).unwrap().writer;
+    let mut w = reopen();
+    let mut follower = Follower::new(dir.path());
+    let (mut got, mut again) = (Vec::new(), 0);
+    let mut poll = |got: &mut Vec<u64>| {
+        let mut again = 0;
+        let told = follower.poll(checkpoint, |item| match item {
+            Item::Again => {
+                got.clear();
+                again += 1;
+            }
+            Item::Record(n, _) => got.push(n),
+        });
+        assert_eq!(told.unwrap(), None);
+        again
+    };
+    for i in 0..100_u32 {
+        w.append(&rec(i)).unwrap();
+        w.flush().unwrap();
+        if w.wants_rotation() {
+            w.rotate(&(u32::MAX, String::new())).unwrap();
+        }
+        if i % 7 == 0 {
+            again += poll(&mut got);
+        }
+    }
+    again += poll(&mut got);
+    assert_eq!((got.clone(), again), ((1..w.next()).collect::<Vec<u64>>(), 1));
+    // A tail is lost, and other records take its numbers.
+    drop(w);
+    let newest = std::fs::read_dir(dir.path()).unwrap().map(|e| e.unwrap().path());
+    let newest = newest.filter(|p| p.extension().is_some_and(|e| e == "ledger")).max().unwrap();
+    let length = std::fs::metadata(&newest).unwrap().len();
+    std::fs::File::options().write(true).open(&newest).unwrap().set_len(length - 3).unwrap();
+    let mut w = reopen();
+    for i in 0..5 {
+        w.append(&rec(500 + i)).unwrap();
+    }
+    w.flush().unwrap();
+    assert_eq!(poll(&mut got), 1, "read again from the checkpoint on");
+    assert_eq!(got.last(), Some(&(w.next() - 1)));
+    assert!(got.windows(2).all(|p| p[1] == p[0] + 1));
+}
+
 #[test]
 fn a_folder_is_written_by_one_process_and_read_by_others() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -4,6 +4,7 @@
     ErrorBody, ErrorKind, Event as ClientEvent, MessagesRequest, Usage, WholeAnswer,
 };
 use chalkyard_api::engine::{self, Chunk, Stage, StreamItem};
+use chalkyard_budget::Usage as Tokens;
 use chalkyard_policy as p;
 use chalkyard_policy::{AttemptNo, Event, Micros, Outcome, RequestId, WorkerId};
 use chalkyard_proto::{encode, sse, Part, Start};
@@ -84,6 +85,8 @@
     /// The attempt whose answer goes to the client.
     winner: Option<usize>,
     paused: bool,
+    /// Pieces of the answer that came; a piece is a token, where the engine's own count does not come.
+    pieces: u64,
     text: String,
     stop_reason: Option<String>,
     usage: Usage,
@@ -113,6 +116,7 @@
             first_token: None,
             winner: None,
             paused: false,
+            pieces: 0,
             text: String::new(),
             stop_reason: None,
             usage: Usage::default(),
@@ -134,6 +138,39 @@
         self.attempts.iter().any(ran)
     }
 
+    /// The client's own part of its identity.
+    pub fn identity_key(&self) -> Option<&str> {
+        self.identity.as_ref().map(|(_, key)| key.as_str())
+    }
+
+    /// No answer is longer than so many tokens.
+    pub fn cut_answer(&mut self, tokens: u64) {
+        self.call.max_tokens = self.call.max_tokens.min(tokens);
+        self.request.max_output = self.request.max_output.min(tokens);
+    }
+
+    /// Whether the client has got some of its answer.
+    pub fn has_begun(&self) -> bool {
+        matches!(self.answer, Answer::Begun)
+    }
+
+    /// Tokens by the engine's count; by ours, where it did not say or the answer was cut off.
+    pub fn counted(&self, cut: bool) -> Tokens {
+        let u = self.usage;
+        let prompt = if u.prompt_tokens == 0 { self.request.prompt_tokens } else { u.prompt_tokens };
+        let output = if cut || u.output_tokens == 0 { self.pieces } else { u.output_tokens };
+        Tokens { prompt, kept: u.kept_tokens.min(prompt), output }
+    }
+
+    /// The attempt that read the prompt for the one whose answer was given, and that one.
+    pub fn billed_attempts(&self) -> (Option<u32>, Option<u32>) {
+        let write = self.winner.and_then(|w| u32::try_from(w).ok());
+        let pulled = self.winner.and_then(|w| self.attempts.get(w)).is_some_and(|a| a.at == At::Pull);
+        let parsed = |a: &Attempt| a.at == At::Read && a.ended.is_some_and(|(o, _)| o == Outcome::Parsed);
+        let read = self.attempts.iter().rposition(parsed).filter(|_| pulled);
+        (read.and_then(|r| u32::try_from(r).ok()), write)
+    }
+
     fn phase(&self) -> &'static str {
         if matches!(self.answer, Answer::Begun) || self.winner.is_some() {
             return "streaming";
@@ -204,11 +241,13 @@
         };
         let body = engine::completion(&job.call, stage);
         let class = self.config.classes.get(job.request.class.0).map_or("", |c| c.name.as_str());
+        let number = no.0.to_string();
         let mut fields = vec![
             ("content-type", "application/json"),
             ("via", &*via),
             (engine::REQUEST_ID, &*id.0),
             ("x-class", class),
+            (engine::ATTEMPT, &number),
         ];
         let tenant = job.identity.as_ref().map(|(t, key)| (t.map_or("-".into(), |t| t.to_string()), key));
         // One tenant's key is no other's: engines know them together.
@@ -560,6 +599,7 @@
             job.held = None;
             job.seat = None;
         }
+        job.pieces += u64::from(!chunk.text.is_empty());
         let client = job.client;
         let model = if first { job.call.model.clone() } else { String::new() };
         if !stream {
@@ -653,6 +693,7 @@
             _ if winner => {
                 if let Some(job) = self.jobs.get_mut(id) {
                     job.winner = None;
+                    job.pieces = 0;
                     job.text.clear();
                 }
             }
@@ -726,6 +767,7 @@
     /// Notes that the final answer is given; the one place that does.
     fn give(&mut self, id: &RequestId, ended: Ended, reason: String) {
         let (now, remember) = (self.now, self.config.waits.identity);
+        self.settle_budget(id, ended);
         let Some(job) = self.jobs.get_mut(id) else { return };
         let phase = job.phase();
         let class = self.config.policy.classes.get(job.request.class.0);
--- /dev/null
+++ b/crates/router/src/core/budgets.rs
@@ -0,0 +1,125 @@
+//! Budgets in the flow: a reservation at a request's beginning, its settlement at the one final answer.
+
+use std::collections::BTreeMap;
+
+use chalkyard_api::client::{ErrorBody, ErrorKind};
+use chalkyard_budget::{Ask, Ending, Figures, Grant, Keeper, Plan, Time, Usage, Why};
+use chalkyard_policy as p;
+
+use super::attempts::Job;
+use super::record::Ended;
+use super::{Core, Output};
+
+impl Core {
+    /// Has budgets kept from now on; before the start.
+    pub fn keep_budgets(&mut self, keeper: Keeper) {
+        self.keeper = Some(keeper);
+    }
+
+    /// Tenants' budget figures, for metrics.
+    pub fn budget_figures(&self) -> BTreeMap<Box<str>, Figures> {
+        self.keeper.as_ref().map(|k| k.figures(self.time())).unwrap_or_default()
+    }
+
+    fn time(&self) -> Time {
+        Time(self.now.0)
+    }
+
+    /// Gives out the keeper's records: what follows in the outputs follows them.
+    pub(super) fn write_records(&mut self) {
+        let Some(keeper) = &mut self.keeper else { return };
+        let mut records = Vec::new();
+        keeper.take_records(&mut records);
+        self.out.extend(records.into_iter().map(|(number, record)| Output::Record(number, Box::new(record))));
+    }
+
+    /// Reserves for a request, and cuts or lowers it where that is agreed; or refuses it.
+    pub(super) fn reserve(&mut self, job: &mut Job) -> Result<(), (u16, ErrorBody)> {
+        let now = self.time();
+        let Some(keeper) = &mut self.keeper else { return Ok(()) };
+        let name = |list: Option<&str>| list.unwrap_or_default().to_owned();
+        let tenant = job.request.tenant.and_then(|t| self.config.tenants.get(t.0));
+        let class = name(self.config.classes.get(job.request.class.0).map(|c| c.name.as_str()));
+        let id = job.request.id.0.clone();
+        let ask = Ask {
+            id: &id,
+            tenant: tenant.map_or("", |t| t.name.as_str()),
+            class: &class,
+            identity: job.identity_key(),
+            prompt: job.request.prompt_tokens,
+            output: job.request.max_output,
+        };
+        let admission = keeper.admit(now, ask).map_err(|refusal| {
+            let status = if refusal.why == Why::Ledger { 503 } else { 429 };
+            let retry_after = Some(p::Micros(refusal.retry_after).as_secs_f64());
+            let reason = refusal.to_string();
+            (
+                status,
+                ErrorBody { kind: ErrorKind::Refused, reason, field: None, may_have_run: false, retry_after },
+            )
+        })?;
+        job.cut_answer(admission.output);
+        if let Some(lower) = admission.lower_to {
+            let place = self.config.classes.iter().position(|c| *c.name == *lower);
+            job.request.class = place.map_or(job.request.class, p::ClassId);
+        }
+        for (account, mark) in admission.marks {
+            let part = f64::from(mark) / 10.0;
+            self.note("budget", format!("{account}: {part} % of the period's budget is reserved or spent"));
+        }
+        self.write_records();
+        Ok(())
+    }
+
+    /// The final answer is given: what the request cost is known.
+    pub(super) fn settle_budget(&mut self, id: &p::RequestId, ended: Ended) {
+        let now = self.time();
+        let Some((keeper, job)) = self.keeper.as_mut().zip(self.jobs.get(id)) else { return };
+        let begun = job.has_begun();
+        let ending = match ended {
+            Ended::Served => Ending::Served,
+            Ended::Refused => Ending::Refused,
+            Ended::Failed | Ended::Overdue if !begun => Ending::Failed,
+            Ended::Failed | Ended::Overdue | Ended::Broken | Ended::Moved => Ending::Broken,
+            Ended::ClientGone | Ended::ClientSlow if begun => Ending::Left,
+            Ended::ClientGone | Ended::ClientSlow => Ending::LeftEarly,
+        };
+        let usage: Usage = job.counted(ending == Ending::Left);
+        keeper.settle(now, &id.0, ending, usage, job.billed_attempts());
+        self.write_records();
+    }
+
+    pub(super) fn granted(&mut self, grant: &Grant) {
+        let now = self.time();
+        let Some(keeper) = &mut self.keeper else { return };
+        match keeper.adopt(now, grant) {
+            Ok(()) => self.write_records(),
+            // The file is read again and again: an old one is no news.
+            Err(chalkyard_budget::NotAdopted::Old) => {}
+            Err(why) => self.note("budget", format!("lease {} is not taken: {why:?}", grant.number)),
+        }
+    }
+
+    pub(super) fn writable(&mut self, writable: bool) {
+        if let Some(keeper) = &mut self.keeper {
+            keeper.set_writable(writable);
+            let what =
+                if writable { "can be written again" } else { "can't be written: nothing new is taken" };
+            self.note("ledger", format!("the ledger {what}"));
+        }
+    }
+
+    pub(super) fn checkpoint(&mut self) {
+        if let Some(keeper) = &mut self.keeper {
+            keeper.checkpoint();
+            self.write_records();
+        }
+    }
+
+    pub(super) fn replan(&mut self, plan: Plan) {
+        if let Some(keeper) = &mut self.keeper {
+            keeper.replan(plan);
+            self.note("budget", "other budgets hold from now on; what is spent stays".into());
+        }
+    }
+}
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -249,7 +249,15 @@
                 Repeat::Full => (503, error(ErrorKind::Refused, "too many identities are remembered")),
             })?;
         }
-        Ok(self.job(conn, call, class, tenant, identity))
+        let mut job = self.job(conn, call, class, tenant, identity.clone());
+        if let Err(refusal) = self.reserve(&mut job) {
+            // Nothing ran: the identity may come again.
+            if let Some(i) = &identity {
+                self.identities.end(i, None);
+            }
+            return Err(refusal);
+        }
+        Ok(job)
     }
 
     fn tenant(&self, head: &Head) -> Result<Option<usize>, (u16, ErrorBody)> {
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The sans-IO core: inputs to outputs.
 
 mod attempts;
+mod budgets;
 mod clients;
 mod pool;
 pub(crate) mod record;
@@ -10,6 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use chalkyard_budget::{Grant, Keeper, Plan, Record};
 use chalkyard_policy as p;
 use chalkyard_policy::{Action, Event, Micros};
 
@@ -45,6 +47,14 @@
     Wrote(ConnId, usize),
     /// Time has passed.
     Tick,
+    /// A lease of the budgets; its signature was checked.
+    Granted(&'a Grant),
+    /// The ledger can, or can't, be written from now on.
+    Writable(bool),
+    /// The ledger wants all state, for the head of a new segment.
+    Checkpoint,
+    /// Other budgets, rates and prices.
+    Replan(Box<Plan>),
 }
 
 /// What a core wants done, in order.
@@ -64,6 +74,8 @@
     Resume(ConnId),
     /// Keep this list for the next start.
     KeepList(String),
+    /// Keep this in the ledger, under this number: before anything that follows it leaves the router.
+    Record(u64, Box<Record>),
     /// A request is over.
     Finished(Box<FinishedLine>),
     /// Something to tell an operator.
@@ -114,6 +126,7 @@
     engines: BTreeMap<p::WorkerId, Engine>,
     jobs: BTreeMap<p::RequestId, Job>,
     identities: Identities,
+    keeper: Option<Keeper>,
     held: register::Held,
     register: Option<ConnId>,
     next_link: u64,
@@ -143,6 +156,7 @@
             engines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             identities,
+            keeper: None,
             held: register::Held::default(),
             register: None,
             next_link: 1,
@@ -194,6 +208,10 @@
             Input::Eof(conn) => self.link_eof(conn),
             Input::Wrote(conn, bytes) => self.wrote(conn, bytes),
             Input::Tick => {}
+            Input::Granted(grant) => self.granted(grant),
+            Input::Writable(writable) => self.writable(writable),
+            Input::Checkpoint => self.checkpoint(),
+            Input::Replan(plan) => self.replan(*plan),
         }
         while let Some(due) = self.timers.pop(self.now) {
             self.due(due);
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use chalkyard_budget::{Figures, Grant, Plan, Record};
 use chalkyard_policy::Micros;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
@@ -28,6 +29,8 @@
 const LINGER: Duration = Duration::from_secs(2);
 /// So many at most may linger; more are cut.
 const LINGERING: usize = 1_024;
+/// Budget figures are told so often.
+const FIGURES: Duration = Duration::from_secs(60);
 /// Out of file descriptors, no connection is taken for this span.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -39,6 +42,35 @@
     fn note(&mut self, what: &str, text: &str);
     /// The list of workers to keep for the next start.
     fn keep_list(&mut self, text: &str);
+    /// A record for the ledger.
+    fn record(&mut self, _number: u64, _record: &Record) {}
+    /// Nothing more leaves before all records are written; false: they could not be.
+    fn flush(&mut self) -> bool {
+        true
+    }
+    /// How often [`Sink::housekeep`] wants to be called; none: never.
+    fn period(&self) -> Option<Duration> {
+        None
+    }
+    /// What happened beside the loop.
+    fn housekeep(&mut self) -> Vec<News> {
+        Vec::new()
+    }
+    /// Budget figures, at times.
+    fn figures(&mut self, _figures: &BTreeMap<Box<str>, Figures>) {}
+}
+
+/// What a [`Sink`] has for the core.
+#[derive(Debug)]
+pub enum News {
+    /// A lease.
+    Grant(Grant),
+    /// The ledger can, or can't, be written.
+    Writable(bool),
+    /// The ledger wants a checkpoint.
+    Checkpoint,
+    /// Other budgets.
+    Replan(Box<Plan>),
 }
 
 /// µs since 1970 by a clock that never goes back: the time of day at its start, monotonic from then on.
@@ -145,6 +177,11 @@
     drain_for: Duration,
     outputs: Vec<Output>,
     buffer: Vec<u8>,
+    /// Records wait for the ledger, and whether it could be written last.
+    unflushed: bool,
+    is_writable: bool,
+    housekeep_at: Instant,
+    figures_at: Instant,
 }
 
 /// A listening socket; with `shared`, several processes may listen on one address (`SO_REUSEPORT`).
@@ -193,6 +230,10 @@
             drain_for,
             outputs: Vec::new(),
             buffer: vec![0; READ_BYTES],
+            unflushed: false,
+            is_writable: true,
+            housekeep_at: Instant::now(),
+            figures_at: Instant::now() + FIGURES,
         })
     }
 
@@ -232,6 +273,7 @@
                 }
             }
             self.feed(Input::Tick);
+            self.housekeep();
             self.sweep();
             if self.handle.stop.load(Ordering::SeqCst) {
                 return Ok(self.core.open_requests());
@@ -263,7 +305,8 @@
         let accept = self.accept_at.map(|at| at.saturating_duration_since(from));
         let linger = (self.lingering > 0).then_some(Duration::from_millis(100));
         let drain = draining.map(|at| at.saturating_duration_since(from).min(Duration::from_millis(20)));
-        [core, accept, linger, drain].into_iter().flatten().min()
+        let house = self.sink.period().map(|_| self.housekeep_at.saturating_duration_since(from));
+        [core, accept, linger, drain, house].into_iter().flatten().min()
     }
 
     fn feed(&mut self, input: Input<'_>) {
@@ -272,12 +315,41 @@
         self.settle();
     }
 
+    fn writable(&mut self, now: bool) {
+        if std::mem::replace(&mut self.is_writable, now) != now {
+            self.core.handle(self.clock.now(), Input::Writable(now), &mut self.outputs);
+        }
+    }
+
+    fn housekeep(&mut self) {
+        let Some(period) = self.sink.period().filter(|_| self.housekeep_at <= Instant::now()) else { return };
+        self.housekeep_at = Instant::now() + period;
+        for news in self.sink.housekeep() {
+            match news {
+                News::Writable(now) => self.writable(now),
+                News::Grant(grant) => self.feed(Input::Granted(&grant)),
+                News::Checkpoint => self.feed(Input::Checkpoint),
+                News::Replan(plan) => self.feed(Input::Replan(plan)),
+            }
+        }
+        if self.figures_at <= Instant::now() {
+            self.figures_at = Instant::now() + FIGURES;
+            self.sink.figures(&self.core.budget_figures());
+        }
+        self.settle();
+    }
+
     /// Carries out outputs, and what writing causes, until nothing is left.
     fn settle(&mut self) {
         loop {
             for output in std::mem::take(&mut self.outputs) {
                 self.carry_out(output);
             }
+            if std::mem::take(&mut self.unflushed) {
+                let written = self.sink.flush();
+                self.writable(written);
+                continue;
+            }
             let Some(key) = self.dirty.pop_first() else {
                 if self.outputs.is_empty() {
                     return;
@@ -314,6 +386,10 @@
             Output::Pause(id) => self.pause(id, true),
             Output::Resume(id) => self.pause(id, false),
             Output::KeepList(text) => self.sink.keep_list(&text),
+            Output::Record(number, record) => {
+                self.sink.record(number, &record);
+                self.unflushed = true;
+            }
             Output::Finished(line) => self.sink.finished(&line.0),
             Output::Note(what, text) => self.sink.note(what, &text),
         }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -125,6 +125,8 @@
     pub paused: BTreeSet<ConnId>,
     pub finished: Vec<Finished>,
     pub notes: Vec<String>,
+    /// What the ledger was given.
+    pub records: Vec<(u64, chalkyard_budget::Record)>,
     pub kept_list: Option<String>,
     pub heard: Heard,
     /// Calls that reached engines, oldest first, until taken.
@@ -156,6 +158,7 @@
             paused: BTreeSet::new(),
             finished: Vec::new(),
             notes: Vec::new(),
+            records: Vec::new(),
             kept_list: None,
             heard,
             calls: Vec::new(),
@@ -212,6 +215,7 @@
                 Output::KeepList(text) => self.kept_list = Some(text),
                 Output::Finished(line) => self.finished.push(line.0),
                 Output::Note(_, text) => self.notes.push(text),
+                Output::Record(number, record) => self.records.push((number, *record)),
             }
         }
     }
