Rehearse budgets: sixteen router processes, kills, overrun and bills judged from the sockets

Need: the bound on overrun, the use of budgets under skew and bills to the token must be seen, not claimed.

--- a/crates/daemon/src/bill.rs
+++ b/crates/daemon/src/bill.rs
@@ -95,11 +95,12 @@
     Ok((biller.bill(&budgets.plan, period), troubles))
 }
 
+/// By tenant, class and day: an adjustment's number, its amount and why.
+type ByHand = BTreeMap<(String, String, String), Vec<(u64, i64, String)>>;
+
 /// Amounts put on or taken off by hand, by tenant, class and day.
-fn by_hand(
-    budgets: &Budgets,
-) -> Result<BTreeMap<(String, String, String), Vec<(u64, i64, String)>>, Trouble> {
-    let mut out: BTreeMap<_, Vec<_>> = BTreeMap::new();
+fn by_hand(budgets: &Budgets) -> Result<ByHand, Trouble> {
+    let mut out = ByHand::new();
     let Some(settlement) = &budgets.settlement else { return Ok(out) };
     for (number, a) in read_adjustments(settlement)? {
         if let Change::Bill { tenant, class, day, amount } = a.what {
@@ -141,8 +142,6 @@
     Ok(if reconciled && bill.unexplained_tokens > 0 { ExitCode::from(3) } else { ExitCode::SUCCESS })
 }
 
-type ByHand = BTreeMap<(String, String, String), Vec<(u64, i64, String)>>;
-
 fn print(bill: &Bill, period: &str, reconciled: bool, hand: &ByHand, troubles: &[String]) {
     println!("bill for {period}");
     let mut sums: BTreeMap<(&str, &str), u128> = BTreeMap::new();
--- a/crates/daemon/src/budget_settings.rs
+++ b/crates/daemon/src/budget_settings.rs
@@ -82,6 +82,25 @@
     }
 }
 
+/// How budgets are shared without leases. `unreserved` holds nothing back: only to measure against.
+#[derive(Clone, Copy, PartialEq)]
+enum Sharing {
+    Equal,
+    Unreserved,
+}
+
+impl Value for Sharing {
+    fn read(text: &str) -> Result<Self, String> {
+        match text {
+            "equal" => Ok(Self::Equal),
+            "unreserved" => Ok(Self::Unreserved),
+            _ => {
+                Err("must be equal or unreserved (which holds nothing back: only to measure against)".into())
+            }
+        }
+    }
+}
+
 struct Day(String);
 
 impl Value for Day {
@@ -282,9 +301,14 @@
         e.wrong(Some("grants"), "leases are signed: `key-file` must name the key", errors);
     }
     let epoch = settle.as_ref().map_or(1_000_000, |s: &Settlement| s.terms.epoch);
-    let mode = match grants {
-        Some(_) => Mode::Leases { epoch, routers: known.routers },
-        None => Mode::Shares(known.routers),
+    let sharing = e.maybe::<Sharing>("sharing", errors);
+    if sharing.is_some() && grants.is_some() {
+        e.wrong(Some("sharing"), "with `grants`, budgets are shared by leases", errors);
+    }
+    let mode = match (&grants, sharing) {
+        (Some(_), _) => Mode::Leases { epoch, routers: known.routers },
+        (None, Some(Sharing::Unreserved)) => Mode::Unreserved(known.routers),
+        (None, _) => Mode::Shares(known.routers),
     };
     let segment = e.or("segment-bytes", 64 * 1024 * 1024_u64, errors);
     if !(64 * 1024..=1024 * 1024 * 1024).contains(&segment) {
--- a/crates/daemon/src/keeping.rs
+++ b/crates/daemon/src/keeping.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::Read;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::time::{Duration, Instant};
 
@@ -96,7 +96,7 @@
 }
 
 /// Looks for new grants until the loop is gone.
-fn watch(file: &PathBuf, key: &Key, news: &SyncSender<News>) {
+fn watch(file: &Path, key: &Key, news: &SyncSender<News>) {
     let mut last = Vec::new();
     loop {
         std::thread::sleep(LOOK);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -67,7 +67,7 @@
     },
     /// Play a day on loopback against stand-ins and judge the five rules from the traffic.
     Rehearse {
-        /// The day: `bad-day`, `calm-day`, or a day file that the bench printed.
+        /// The day: `bad-day`, `calm-day`, `budgets` (token budgets over 16 routers), or a day file that the bench printed.
         day: String,
         /// Seed of the day.
         #[arg(long, default_value_t = 1)]
@@ -154,6 +154,13 @@
     load(file)?.budgets.ok_or_else(|| Trouble::BadInput(format!("{}: no <budgets>", file.display())))
 }
 
+fn trouble(e: chalkyard_rehearsal::Error) -> Trouble {
+    match e {
+        chalkyard_rehearsal::Error::BadInput(why) => Trouble::BadInput(why),
+        chalkyard_rehearsal::Error::CouldNotRun(why) => Trouble::CouldNotRun(why),
+    }
+}
+
 fn judge(report: chalkyard_rehearsal::Report, format: Format) -> ExitCode {
     match format {
         Format::Text => print!("{}", report.text()),
@@ -205,12 +212,15 @@
         Command::Rehearse { day, seed, record, seconds, format } => {
             let exe = std::env::current_exe().map_err(|e| Trouble::CouldNotRun(e.to_string()))?;
             let plan = chalkyard_rehearsal::Plan { exe, seed, record, seconds };
-            let report = match chalkyard_rehearsal::rehearse(&day, &plan) {
-                Ok(report) => report,
-                Err(chalkyard_rehearsal::Error::BadInput(why)) => return Err(Trouble::BadInput(why)),
-                Err(chalkyard_rehearsal::Error::CouldNotRun(why)) => return Err(Trouble::CouldNotRun(why)),
-            };
-            Ok(judge(report, format))
+            if day == "budgets" {
+                let report = chalkyard_rehearsal::rehearse_budgets(&plan).map_err(trouble)?;
+                match format {
+                    Format::Text => print!("{}", report.text()),
+                    Format::Json => println!("{}", report.json()),
+                }
+                return Ok(if report.held() { ExitCode::SUCCESS } else { ExitCode::from(3) });
+            }
+            Ok(judge(chalkyard_rehearsal::rehearse(&day, &plan).map_err(trouble)?, format))
         }
         Command::Audit { file, format } => {
             let text = read(&file)?;
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -48,6 +48,8 @@
     pub child: Child,
     pub at: SocketAddr,
     pub log: BufReader<std::process::ChildStderr>,
+    /// What the log said before it was ready.
+    pub before: Vec<String>,
 }
 
 impl Running {
@@ -70,12 +72,18 @@
             .stdout(Stdio::null());
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
-        log.read_line(&mut line).unwrap();
-        let ready: serde_json::Value = serde_json::from_str(&line).expect(&line);
-        assert_eq!(ready["message"], "ready", "{line}");
+        let (mut line, mut before) = (String::new(), Vec::new());
+        let ready = loop {
+            line.clear();
+            assert!(log.read_line(&mut line).unwrap() > 0, "not ready: {before:?}");
+            let read: serde_json::Value = serde_json::from_str(&line).expect(&line);
+            if read["message"] == "ready" {
+                break read;
+            }
+            before.push(line.clone());
+        };
         let at = ready["at"].as_str().unwrap().parse().unwrap();
-        Self { child, at, log }
+        Self { child, at, log, before }
     }
 
     pub fn connect(&self) -> TcpStream {
--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -36,7 +36,9 @@
                     return wrong(format!("attempt {attempt} arrives twice"));
                 }
             }
-            Seen::Run { attempt } | Seen::End { attempt, .. } if !attempts.contains(attempt) => {
+            Seen::Run { attempt } | Seen::End { attempt, .. } | Seen::Work { attempt, .. }
+                if !attempts.contains(attempt) =>
+            {
                 return wrong(format!("unknown attempt {attempt}"));
             }
             Seen::Ask { no, .. } if !tries.insert(*no) => return wrong(format!("try {no} is asked twice")),
@@ -156,7 +158,7 @@
     fn line(&mut self, line: &'a Line) {
         let t = line.t;
         match &line.seen {
-            Seen::Day { .. } | Seen::Fault { .. } => {}
+            Seen::Day { .. } | Seen::Fault { .. } | Seen::Work { .. } => {}
             Seen::Engine { engine, role, cell, capacity_per_s } => {
                 if role == "reader" {
                     self.readers.insert(engine);
@@ -214,7 +216,7 @@
                     h.freed = Some((t, *how));
                 }
             }
-            Seen::Ask { no, identity, router, class, prompt, deadline } => {
+            Seen::Ask { no, identity, router, class, prompt, deadline, .. } => {
                 let one = Try {
                     identity,
                     router,
--- a/crates/rehearsal/src/clients.rs
+++ b/crates/rehearsal/src/clients.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::day::Day;
+use crate::day::{BudgetSpec, Day};
 use crate::fleet::Tape;
 use crate::net::{Conn, Net};
 use crate::record::{Answer, Class, Effect, Seen};
@@ -37,6 +37,7 @@
     tries: u32,
     turns_left: u32,
     prompt: u64,
+    tenant: usize,
 }
 
 struct Try {
@@ -86,6 +87,7 @@
     pub leaving: f64,
     pub slow: f64,
     hot_system: String,
+    budgets: Option<BudgetSpec>,
 }
 
 fn words(rng: &mut ChaCha8Rng, tokens: u64) -> String {
@@ -94,9 +96,10 @@
 
 impl Clients {
     pub fn new(day: &Day, routers: Vec<(String, SocketAddr)>, mut rng: ChaCha8Rng) -> Self {
+        let most = if day.budgets.is_some() { 30..60 } else { 200..900 };
         let systems = (0..6)
             .map(|_| {
-                let n = rng.random_range(200..900);
+                let n = rng.random_range(most.clone());
                 words(&mut rng, n)
             })
             .collect();
@@ -122,6 +125,16 @@
             leaving: 0.0,
             slow: 0.0,
             hot_system,
+            budgets: day.budgets.clone(),
+        }
+    }
+
+    /// So many requests of the first tenant at once, over all routers.
+    pub fn volley(&mut self, n: usize, net: &mut Net, tape: &mut Tape) {
+        for i in 0..n {
+            let wish = self.wish(0);
+            let router = i % self.routers.len().max(1);
+            self.ask_at(wish, router, net, tape);
         }
     }
 
@@ -184,6 +197,17 @@
         }
         let gap = -self.rng.random_range(1e-9..1.0_f64).ln() / (self.rate * self.burst) * 1e6;
         self.schedule(at + gap as u64 + 1, Later::New);
+        let shares: Vec<f64> = self.budgets.iter().flat_map(|b| &b.tenants).map(|t| t.share).collect();
+        let mut draw = self.rng.random_range(0.0..1.0);
+        let tenant = shares.iter().position(|share| {
+            draw -= share;
+            draw < 0.0
+        });
+        let wish = self.wish(tenant.unwrap_or(0));
+        self.ask(wish, net, tape);
+    }
+
+    fn wish(&mut self, tenant: usize) -> Wish {
         let mut draw = self.rng.random_range(0.0..1.0);
         let mut class = 0;
         for (i, share) in self.shares.iter().enumerate() {
@@ -200,40 +224,52 @@
             let i = self.rng.random_range(0..self.systems.len());
             self.systems.get(i).cloned().unwrap_or_default()
         };
-        let mut turn = self.rng.random_range(100..900);
+        let mut turn = self.rng.random_range(if self.budgets.is_some() { 20..90 } else { 100..900 });
         if self.long > 0.0 && self.rng.random_bool(0.03) {
             turn = (turn as f64 * self.long * 4.0) as u64;
         }
         let n = self.next;
         let text = words(&mut self.rng, turn);
-        let wish = Wish {
+        let max_tokens = self.rng.random_range(if self.budgets.is_some() { 20..80 } else { 40..200 });
+        Wish {
             identity: format!("k{n}"),
             session: format!("s{n}"),
             class,
             system,
             said: vec![(true, text)],
-            max_tokens: self.rng.random_range(40..200),
+            max_tokens,
             stream: self.rng.random_bool(0.85),
             tries: 0,
             turns_left: self.rng.random_range(0..3),
             prompt: 0,
-        };
-        self.ask(wish, net, tape);
+            tenant,
+        }
     }
 
     /// The router that the front layer gives: any that it does not know to be dead.
-    fn pick(&mut self, now: u64) -> usize {
+    fn pick(&mut self, now: u64, tenant: usize) -> usize {
         let fit = |a: &Option<u64>| a.is_none_or(|known| known > now);
         let alive: Vec<usize> =
             self.avoid.iter().enumerate().filter(|(_, a)| fit(a)).map(|(i, _)| i).collect();
+        if let Some(skew) = self.budgets.as_ref().map(|b| b.skew) {
+            let favourite = tenant * 5 % self.routers.len().max(1);
+            let others = (self.routers.len() - 1) as f64;
+            if alive.contains(&favourite) && self.rng.random_bool(skew / (skew + others)) {
+                return favourite;
+            }
+        }
         match alive.len() {
             0 => self.rng.random_range(0..self.routers.len()),
             n => alive.get(self.rng.random_range(0..n)).copied().unwrap_or(0),
         }
     }
 
-    fn ask(&mut self, mut wish: Wish, net: &mut Net, tape: &mut Tape) {
-        let router = self.pick(tape.now);
+    fn ask(&mut self, wish: Wish, net: &mut Net, tape: &mut Tape) {
+        let router = self.pick(tape.now, wish.tenant);
+        self.ask_at(wish, router, net, tape);
+    }
+
+    fn ask_at(&mut self, mut wish: Wish, router: usize, net: &mut Net, tape: &mut Tape) {
         let Some(class) = self.classes.get(wish.class) else { return };
         let share = self.rng.random_range(0.6..1.0);
         let wait = (class.deadline_us as f64 * share) as u64;
@@ -250,9 +286,12 @@
         wish.tries += 1;
         wish.prompt = (wish.system.len() + wish.said.iter().map(|(_, t)| t.len()).sum::<usize>()) as u64 / 4;
         let key = format!("\"{}\"", wish.identity);
+        let api_key =
+            self.budgets.as_ref().and_then(|b| b.tenants.get(wish.tenant)).map_or("rehearsal-key", |t| t.key);
+        let bearer = format!("Bearer {api_key}");
         let fields = [
             ("content-type", "application/json"),
-            ("authorization", "Bearer rehearsal-key"),
+            ("authorization", bearer.as_str()),
             ("idempotency-key", key.as_str()),
         ];
         let bytes = encode::request("POST", "/v1/messages", "yard", &fields, body.to_string().as_bytes());
@@ -309,6 +348,11 @@
             identity: t.wish.identity.clone(),
             router: self.routers.get(t.router).map(|r| r.0.clone()).unwrap_or_default(),
             class: self.classes.get(t.wish.class).map(|c| c.name.clone()).unwrap_or_default(),
+            tenant: self
+                .budgets
+                .as_ref()
+                .and_then(|b| b.tenants.get(t.wish.tenant))
+                .map_or_else(String::new, |t| t.name.into()),
             prompt: t.wish.prompt,
             deadline: t.deadline,
         });
@@ -437,6 +481,10 @@
         };
         tape.add(Seen::Answer { no: t.no, how, may_have_run: ran, tokens: t.tokens });
         let wait = json.pointer("/error/retry_after").and_then(|v| v.as_f64()).unwrap_or(0.0);
+        // A budget that is used up for the day is nothing to wait for.
+        if how == Answer::Refused && tape.now as f64 + wait * 1e6 > self.until as f64 + 5e6 {
+            return;
+        }
         if how == Answer::Refused && wait > 0.0 && t.wish.tries < TRIES {
             return self.again(t.wish.clone(), (wait * 1e6) as u64, tape.now);
         }
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -37,10 +37,45 @@
     StaleList,
     BalancerRoll,
     SlowClients,
+    /// A tenant asks at all routers at once.
+    Volley,
+    /// The settlement job is killed, and started again at the end.
+    SettlementKilled,
+}
+
+/// How the routers of a day keep budgets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sharing {
+    Leases,
+    Equal,
+    Unreserved,
+}
+
+/// A tenant with a budget.
+#[derive(Debug, Clone)]
+pub struct TenantSpec {
+    pub name: &'static str,
+    /// Its key; its hash is made by the program under rehearsal.
+    pub key: &'static str,
+    /// Of the traffic.
+    pub share: f64,
+    /// A day's budget in tokens; none: no limit.
+    pub tokens: Option<u64>,
+}
+
+/// What a day with budgets has besides.
+#[derive(Debug, Clone)]
+pub struct BudgetSpec {
+    pub sharing: Sharing,
+    pub tenants: Vec<TenantSpec>,
+    /// One router (another one for each tenant) gets so many times what each other one gets.
+    pub skew: f64,
+    /// Thousandths by which estimates are raised.
+    pub margin: u64,
 }
 
 /// The kinds by the names that the bench's day files use, and by those that it has none for.
-pub const KINDS: [(&str, Kind); 19] = [
+pub const KINDS: [(&str, Kind); 21] = [
     ("crash", Kind::Crash),
     ("mass_restart", Kind::MassRestart),
     ("fast_errors", Kind::FastErrors),
@@ -60,6 +95,8 @@
     ("stale_list", Kind::StaleList),
     ("balancer_roll", Kind::BalancerRoll),
     ("slow_clients", Kind::SlowClients),
+    ("volley", Kind::Volley),
+    ("settlement_killed", Kind::SettlementKilled),
 ];
 
 impl Kind {
@@ -116,6 +153,9 @@
     pub notice: u64,
     pub figures: Figures,
     pub faults: Vec<Fault>,
+    /// Thousandths by which engines count more prompt tokens than a token for four bytes, at most.
+    pub counts_more: u64,
+    pub budgets: Option<BudgetSpec>,
 }
 
 const S: u64 = 1_000_000;
@@ -182,7 +222,54 @@
             noise_us: 300_000,
         },
         faults: Vec::new(),
+        counts_more: 0,
+        budgets: None,
+    }
+}
+
+/// A day of budgets: sixteen routers, bursting tenants, kills of routers and of the settlement job.
+pub fn budgets(seed: u64, seconds: u64, sharing: Sharing) -> Day {
+    let mut day = base("budgets", seed, seconds * S);
+    day.routers = 16;
+    day.rate = 60.0;
+    day.counts_more = 180;
+    for e in &mut day.engines {
+        (e.make.slots, e.make.queue) = (e.make.slots * 2, e.make.queue * 4);
     }
+    // Somewhat less than each tenant will ask for: what strands then shows.
+    let tokens = |share: f64| (seconds as f64 * day.rate * share * 200.0) as u64;
+    let tenant = |name, key, share, limited: bool| TenantSpec {
+        name,
+        key,
+        share,
+        tokens: limited.then(|| tokens(share)),
+    };
+    let tenants = vec![
+        tenant("nord", "key-of-nord", 0.5, true),
+        tenant("sued", "key-of-sued", 0.3, true),
+        tenant("ost", "key-of-ost", 0.2, false),
+    ];
+    day.budgets = Some(BudgetSpec { sharing, tenants, skew: 10.0, margin: 100 });
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let length = day.length as f64;
+    let plan: [(Kind, f64, f64, f64); 9] = [
+        (Kind::Volley, 0.04, 0.0, 96.0),
+        (Kind::BalancerRoll, 0.15, 0.06, 3.0),
+        (Kind::SettlementKilled, 0.25, 0.08, 0.0),
+        (Kind::AnswerLost, 0.30, 0.20, 0.3),
+        (Kind::GiveUp, 0.35, 0.20, 0.2),
+        (Kind::Volley, 0.45, 0.0, 96.0),
+        (Kind::BalancerRoll, 0.50, 0.06, 4.0),
+        (Kind::SettlementKilled, 0.52, 0.08, 0.0),
+        (Kind::Crash, 0.60, 0.08, 0.0),
+    ];
+    for (kind, at, len, size) in plan {
+        let at = (at + rng.random_range(-0.02..0.02)).max(0.03);
+        let on = strike(kind, size, &day, &mut rng);
+        day.faults.push(Fault { kind, at: (at * length) as u64, len: (len * length) as u64, on, size });
+    }
+    day.faults.sort_by_key(|f| f.at);
+    day
 }
 
 /// Most of the faults, overlapping; times as shares of the day, so that it can be shortened.
@@ -325,7 +412,8 @@
     fn a_bad_day_has_most_kinds_and_is_the_same_for_a_seed() {
         let (one, two, other) = (bad_day(1, 60), bad_day(1, 60), bad_day(2, 60));
         let kinds = KINDS.iter().filter(|(_, k)| one.faults.iter().any(|f| f.kind == *k)).count();
-        assert_eq!(kinds, KINDS.len());
+        let with_budgets = 2;
+        assert_eq!(kinds, KINDS.len() - with_budgets);
         assert_eq!(format!("{one:?}"), format!("{two:?}"));
         assert_ne!(format!("{:?}", one.faults), format!("{:?}", other.faults));
         let overlap =
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -65,6 +65,28 @@
     from: Option<usize>,
     head_sent: bool,
     lost: bool,
+    /// The router's number of it.
+    number: u32,
+    /// The prompt was read, or its state pulled.
+    read: bool,
+}
+
+impl Attempt {
+    /// The engine's own count, for its record.
+    fn work(&self, no: u64, engine: &str, tape: &mut Tape) {
+        if self.read {
+            tape.add(Seen::Work {
+                attempt: no,
+                engine: engine.into(),
+                request: self.request.clone(),
+                number: self.number,
+                stage: self.stage,
+                prompt: self.prompt,
+                kept: self.kept,
+                output: self.written,
+            });
+        }
+    }
 }
 
 /// Faults that act at an engine while a call is handled.
@@ -127,6 +149,7 @@
     classes: Vec<crate::record::Class>,
     figures: crate::record::Figures,
     notice: u64,
+    counts_more: u64,
     rng: ChaCha8Rng,
 }
 
@@ -194,6 +217,7 @@
             classes: day.classes.clone(),
             figures: day.figures.clone(),
             notice: day.notice,
+            counts_more: day.counts_more,
             rng,
         })
     }
@@ -219,7 +243,8 @@
             net.stop_listening(listener);
             self.listeners.remove(&listener);
         }
-        for (no, _) in std::mem::take(&mut host.attempts) {
+        for (no, attempt) in std::mem::take(&mut host.attempts) {
+            attempt.work(no, &host.id, tape);
             tape.add(Seen::End { attempt: no, how: End::Down });
         }
         for request in host.engine.held_since(u64::MAX) {
@@ -342,7 +367,9 @@
     fn read_done(&mut self, i: usize, no: u64, kept: u64, net: &mut Net, tape: &mut Tape) {
         let lost = self.is_lost(i);
         let Some(host) = self.hosts.get_mut(i) else { return };
-        let Some(attempt) = host.attempts.remove(&no) else { return };
+        let Some(mut attempt) = host.attempts.remove(&no) else { return };
+        (attempt.read, attempt.kept, attempt.written) = (true, kept, 1);
+        attempt.work(no, &host.id, tape);
         host.engine.hold(&attempt.request, attempt.prompt, tape.now);
         tape.add(Seen::Hold { engine: host.id.clone(), request: attempt.request.clone() });
         if lost {
@@ -406,6 +433,10 @@
         let report = host.report.clone();
         let Some(attempt) = host.attempts.get_mut(&no) else { return };
         attempt.written += 1;
+        attempt.read = true;
+        if last {
+            attempt.work(no, &host.id, tape);
+        }
         let conn = attempt.conn;
         if attempt.lost {
             if last {
@@ -498,7 +529,8 @@
         let Some(host) = self.conns.remove(&conn).and_then(|i| self.hosts.get_mut(i)) else { return };
         let no = host.conns.remove(&conn).and_then(|p| p.attempt);
         if let Some(no) = no {
-            if host.attempts.remove(&no).is_some() {
+            if let Some(attempt) = host.attempts.remove(&no) {
+                attempt.work(no, &host.id, tape);
                 host.engine.drop_work(no);
                 tape.add(Seen::End { attempt: no, how: End::Closed });
             }
@@ -592,7 +624,9 @@
             }
         }
         let (errors, hangs) = (host.troubles.errors, host.engine.hangs);
+        // This engine's own count: more than four bytes make for, by up to the day's share.
         let prompt = (call.prompt.len() / TOKEN_BYTES) as u64;
+        let prompt = prompt + prompt * (call.prompt.len() as u64 % (self.counts_more + 1)) / 1_000;
         let class = self.classes.iter().position(|c| c.name == class).unwrap_or(0);
         if let Some(peer) = host.conns.get_mut(&conn) {
             peer.attempt = Some(no);
@@ -636,6 +670,8 @@
             from,
             head_sent: false,
             lost: false,
+            number: header(head, "x-attempt").parse().unwrap_or(0),
+            read: false,
         };
         let answer = (attempt.stage != Stage::Read).then_some(answer);
         host.attempts.insert(no, attempt);
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -5,6 +5,7 @@
 //! are models for rehearsing failures, not measurements of real engines.
 
 mod audit;
+mod budgets;
 mod clients;
 mod day;
 mod engine;
@@ -18,6 +19,7 @@
 use std::path::PathBuf;
 
 pub use audit::audit;
+pub use budgets::{rehearse as rehearse_budgets, BudgetReport};
 pub use report::{Report, Rule, Rules};
 
 /// What a rehearsal is to do.
--- a/crates/rehearsal/src/record.rs
+++ b/crates/rehearsal/src/record.rs
@@ -211,6 +211,25 @@
         /// How.
         how: End,
     },
+    /// What an ended attempt did, by its engine's own count; none if it did nothing.
+    Work {
+        /// Number of the attempt.
+        attempt: u64,
+        /// Engine.
+        engine: String,
+        /// The router's id of the request.
+        request: String,
+        /// The router's number of the attempt.
+        number: u32,
+        /// What for.
+        stage: Stage,
+        /// Prompt tokens.
+        prompt: u64,
+        /// Of these, not read: kept or pulled.
+        kept: u64,
+        /// Tokens written.
+        output: u64,
+    },
     /// A reader holds state.
     Hold {
         /// Engine.
@@ -238,6 +257,9 @@
         router: String,
         /// Class.
         class: String,
+        /// Whose; empty where a day has one tenant.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        tenant: String,
         /// Prompt tokens.
         prompt: u64,
         /// When this try is given up.
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -34,6 +34,15 @@
         self.named().iter().all(|(_, r)| r.held)
     }
 
+    /// For a person, a line each.
+    pub fn text(&self) -> String {
+        let line = |(name, r): &(&str, Rule)| {
+            let word = if r.held { "held" } else { "BROKEN" };
+            format!("  rule {name:<9} {word:<7} {} checked, {} broken\n", r.checked, r.broken)
+        };
+        self.named().iter().map(line).collect()
+    }
+
     fn named(&self) -> [(&'static str, Rule); 5] {
         [
             ("answered", self.answered),
@@ -117,10 +126,7 @@
     /// For a person.
     pub fn text(&self) -> String {
         let mut out = format!("{} (seed {}), {:.1} s\n", self.day, self.seed, self.seconds);
-        for (name, r) in self.rules.named() {
-            let word = if r.held { "held" } else { "BROKEN" };
-            out.push_str(&format!("  rule {name:<9} {word:<7} {} checked, {} broken\n", r.checked, r.broken));
-        }
+        out.push_str(&self.rules.text());
         let a = self.answers;
         out.push_str(&format!(
             "  requests {} in {} tries, {} attempts at engines\n",
--- a/crates/rehearsal/src/routers.rs
+++ b/crates/rehearsal/src/routers.rs
@@ -3,12 +3,14 @@
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use socket2::{Domain, Socket, Type};
 
-use crate::day::Day;
+use crate::day::{Day, Sharing};
 use crate::record::Effect;
 
 pub struct Routers {
@@ -18,6 +20,7 @@
     /// Keep the routers' addresses.
     _kept: Vec<Socket>,
     children: Vec<Option<Child>>,
+    settlement: Option<Child>,
     lives: u64,
 }
 
@@ -41,7 +44,8 @@
     listen: SocketAddr,
     register: SocketAddr,
     list: &str,
-    key_hash: &str,
+    key_hashes: &[String],
+    folder: &Path,
 ) -> String {
     let f = &day.figures;
     let mut xml = format!(
@@ -77,16 +81,62 @@
         ));
     }
     xml.push_str("  </classes>\n");
+    xml.push_str(&format!("  <tenants salt=\"{SALT}\">\n"));
+    for ((tenant, _), hash) in keys(day).iter().zip(key_hashes) {
+        xml.push_str(&format!("    <tenant name=\"{tenant}\"><key hash=\"{hash}\"/></tenant>\n"));
+    }
+    xml.push_str("  </tenants>\n");
+    xml.push_str(&budgets(day, name, folder));
+    xml.push_str("</chalkyard>\n");
+    xml
+}
+
+/// Tenants and their keys.
+fn keys(day: &Day) -> Vec<(&'static str, &'static str)> {
+    match &day.budgets {
+        Some(b) => b.tenants.iter().map(|t| (t.name, t.key)).collect(),
+        None => vec![("yard", "rehearsal-key")],
+    }
+}
+
+fn budgets(day: &Day, name: &str, folder: &Path) -> String {
+    let Some(b) = &day.budgets else { return String::new() };
+    let at = folder.display();
+    let grants = match b.sharing {
+        Sharing::Leases => format!("grants=\"{at}/journal/grants/{name}.grant\""),
+        Sharing::Equal => "sharing=\"equal\"".into(),
+        Sharing::Unreserved => "sharing=\"unreserved\"".into(),
+    };
+    let mut xml = format!(
+        "  <budgets zone=\"Europe/Zurich\" ledger=\"{at}/{name}.ledger\" key-file=\"{at}/lease.key\" {grants} \
+         margin=\"0.{:03}\" sync=\"20ms\">\n",
+        b.margin
+    );
     xml.push_str(&format!(
-        "  <tenants salt=\"{SALT}\"><tenant name=\"yard\"><key hash=\"{key_hash}\"/></tenant></tenants>\n</chalkyard>\n"
+        "    <settlement journal=\"{at}/journal\" epoch=\"250ms\" lease=\"3s\" clock-error=\"100ms\">\n"
     ));
+    for i in 1..=day.routers {
+        xml.push_str(&format!("      <ledger router=\"r{i}\" folder=\"{at}/r{i}.ledger\"/>\n"));
+    }
+    xml.push_str("    </settlement>\n");
+    for t in &b.tenants {
+        if let Some(tokens) = t.tokens {
+            let tenant = t.name;
+            xml.push_str(&format!("    <budget tenant=\"{tenant}\" period=\"day\" tokens=\"{tokens}\"/>\n"));
+        }
+    }
+    xml.push_str("  </budgets>\n");
     xml
 }
 
 impl Routers {
     pub fn new(day: &Day, exe: PathBuf, register: SocketAddr) -> io::Result<Self> {
-        let folder = std::env::temp_dir().join(format!("chalkyard-{}-{}", std::process::id(), day.seed));
+        static RUNS: AtomicU64 = AtomicU64::new(0);
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let folder =
+            std::env::temp_dir().join(format!("chalkyard-{}-{}-{run}", std::process::id(), day.seed));
         std::fs::create_dir_all(&folder)?;
+        std::fs::write(folder.join("lease.key"), "5a".repeat(32))?;
         let (mut names, mut kept) = (Vec::new(), Vec::new());
         for i in 0..day.routers {
             let (socket, address) = keep_address()?;
@@ -99,20 +149,26 @@
             _kept: kept,
             children: names.iter().map(|_| None).collect(),
             names,
+            settlement: None,
             lives: 0,
         };
-        let bare = settings(day, "r0", register, register, "none", &"0".repeat(64));
-        let hash = routers.hash_key(&bare)?;
+        let none: Vec<String> = (0..keys(day).len()).map(|i| format!("{i:064}")).collect();
+        let bare = settings(day, "r0", register, register, "none", &none, &routers.folder);
+        let mut hashes = Vec::new();
+        for (_, key) in keys(day) {
+            hashes.push(routers.hash_key(&bare, key)?);
+        }
         for (name, listen) in &routers.names {
             let list = routers.folder.join(format!("{name}.list"));
-            let xml = settings(day, name, *listen, register, &list.display().to_string(), &hash);
+            let xml =
+                settings(day, name, *listen, register, &list.display().to_string(), &hashes, &routers.folder);
             std::fs::write(routers.folder.join(format!("{name}.xml")), xml)?;
         }
         Ok(routers)
     }
 
     /// The key's hash, by the program's own command, as an operator would make it.
-    fn hash_key(&self, settings: &str) -> io::Result<String> {
+    fn hash_key(&self, settings: &str, key: &str) -> io::Result<String> {
         let file = self.folder.join("hash.xml");
         std::fs::write(&file, settings)?;
         let mut child = Command::new(&self.exe)
@@ -122,7 +178,7 @@
             .stdout(Stdio::piped())
             .spawn()?;
         if let Some(mut stdin) = child.stdin.take() {
-            io::Write::write_all(&mut stdin, b"rehearsal-key\n")?;
+            io::Write::write_all(&mut stdin, format!("{key}\n").as_bytes())?;
         }
         let output = child.wait_with_output()?;
         Ok(String::from_utf8_lossy(&output.stdout).trim().to_owned())
@@ -145,6 +201,39 @@
         Ok(())
     }
 
+    /// The program's folder of this run: settings, ledgers, journal.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Whether this run has a settlement job, running or killed.
+    pub fn settles(&self) -> bool {
+        self.folder.join("settle.log").exists()
+    }
+
+    /// Ends all processes.
+    pub fn stop(&mut self) {
+        self.kill_settlement();
+        for i in 0..self.children.len() {
+            self.kill(i);
+        }
+    }
+
+    pub fn start_settlement(&mut self) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(self.folder.join("settle.log"))?;
+        let mut command = Command::new(&self.exe);
+        command.arg("settle").arg(self.folder.join("r1.xml"));
+        self.settlement = Some(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?);
+        Ok(())
+    }
+
+    pub fn kill_settlement(&mut self) {
+        if let Some(mut child) = self.settlement.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     pub fn kill(&mut self, i: usize) {
         if let Some(mut child) = self.children.get_mut(i).and_then(Option::take) {
             let _ = child.kill();
@@ -154,6 +243,10 @@
 
     /// Routers whose process has ended by itself.
     pub fn ended(&mut self) -> Option<String> {
+        if let Some(status) = self.settlement.as_mut().and_then(|c| c.try_wait().ok().flatten()) {
+            let log = self.folder.join("settle.log").display().to_string();
+            return Some(format!("the settlement job ended by itself: {status}; its log: {log}"));
+        }
         for (i, child) in self.children.iter_mut().enumerate() {
             if let Some(status) = child.as_mut().and_then(|c| c.try_wait().ok().flatten()) {
                 let name = self.names.get(i).map_or("", |n| n.0.as_str());
@@ -166,6 +259,7 @@
 
     /// Ends all; their files go unless something is to be looked into.
     pub fn finish(&mut self, keep: bool) {
+        self.kill_settlement();
         for i in 0..self.children.len() {
             self.kill(i);
         }
@@ -179,6 +273,7 @@
 
 impl Drop for Routers {
     fn drop(&mut self) {
+        self.kill_settlement();
         for i in 0..self.children.len() {
             self.kill(i);
         }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -1,13 +1,14 @@
 //! Plays a day: one loop for all stand-ins, routers beside it.
 
 use std::net::TcpStream;
+use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::clients::Clients;
-use crate::day::{Day, Fault, Kind};
+use crate::day::{Day, Fault, Kind, Sharing};
 use crate::fleet::{Fleet, Tape};
 use crate::net::{Happened, Net};
 use crate::record::{Line, Seen};
@@ -36,6 +37,15 @@
 
 /// Plays the day and gives all that crossed the sockets.
 pub fn play(day: &Day, plan: &Plan) -> Result<Vec<Line>, Error> {
+    play_and(day, plan, |_, _| Ok(())).map(|(lines, ())| lines)
+}
+
+/// Plays the day, and looks at what the routers left behind before it goes.
+pub fn play_and<T>(
+    day: &Day,
+    plan: &Plan,
+    look: impl FnOnce(&Path, &[Line]) -> Result<T, Error>,
+) -> Result<(Vec<Line>, T), Error> {
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
     let mut net = Net::new()?;
     let mut tape = Tape { lines: Vec::new(), now: 0 };
@@ -59,9 +69,10 @@
     moments.sort_by(|a, b| b.cmp(a));
     let mut world = World { day, net, tape, fleet, clients, routers, moments, returns: Vec::new() };
     let result = world.run();
-    world.routers.finish(result.is_err());
-    result?;
-    Ok(world.tape.lines)
+    world.routers.stop();
+    let looked = result.and_then(|()| look(world.routers.folder(), &world.tape.lines));
+    world.routers.finish(looked.is_err());
+    Ok((world.tape.lines, looked?))
 }
 
 impl World<'_> {
@@ -69,6 +80,9 @@
         for i in 0..self.day.routers {
             self.routers.start(i, self.day.seed)?;
         }
+        if self.day.budgets.as_ref().is_some_and(|b| b.sharing == Sharing::Leases) {
+            self.routers.start_settlement()?;
+        }
         self.wait_ready()?;
         let start = Instant::now();
         let mut settled = None;
@@ -132,8 +146,8 @@
                 self.spread(happened);
             }
         }
-        // Their first lists.
-        for _ in 0..20 {
+        // Their first lists, and leases.
+        for _ in 0..if self.day.budgets.is_some() { 200 } else { 20 } {
             let happened = self.net.wait(Duration::from_millis(5))?;
             self.spread(happened);
         }
@@ -195,6 +209,13 @@
                 }
             }
             Kind::BalancerRoll => {}
+            Kind::Volley if begins => clients.volley(fault.size as usize, net, tape),
+            Kind::Volley => {}
+            Kind::SettlementKilled if self.routers.settles() => match begins {
+                true => self.routers.kill_settlement(),
+                false => self.routers.start_settlement()?,
+            },
+            Kind::SettlementKilled => {}
             Kind::Crash | Kind::MassRestart => {
                 for i in fault.on.iter().copied() {
                     if begins {
