--- a/crates/budget/src/keeper.rs
+++ b/crates/budget/src/keeper.rs
@@ -6,7 +6,7 @@
 use crate::grant::Grant;
 use crate::plan::{AccountKey, AtHard, AtSoft, Limit, Mode, Plan};
 use crate::rate::Bucket;
-use crate::record::{accounts, Adopted, Charge, Ending, Open, Record, Settled, Slot, State};
+use crate::record::{Adopted, Charge, Ending, Held, Open, Place, Record, Settled, State};
 use crate::units::{Time, Units, Usage};
 
 /// A request that wants to be taken.
@@ -106,9 +106,16 @@
 
 /// The wait that refusals for the ledger's sake name, µs.
 const LEDGER_WAIT: u64 = 1_000_000;
+/// Periods that grants told of for a tenant, beyond which those forgotten by the sums go.
+const TOLD: usize = 16;
 
+/// A tenant at this router.
 #[derive(Debug, Clone, Default)]
 struct Book {
+    limits: Vec<(AccountKey, Limit)>,
+    /// By account and period: the limit that the newest grant named, and what was used elsewhere.
+    told: BTreeMap<Place, (Units, Units)>,
+    bucket: Option<Bucket>,
     /// Refused for want of room since the last lease, by account: sum and largest.
     wanted: BTreeMap<AccountKey, (Units, Units)>,
     refused: u64,
@@ -119,15 +126,10 @@
 pub struct Keeper {
     router: Box<str>,
     plan: Plan,
-    limits: BTreeMap<Box<str>, Vec<(AccountKey, Limit)>>,
     state: State,
     /// Spans as the calendar gave them last.
     spans: BTreeMap<Kind, Span>,
-    /// By account: the limit that the newest grant named, and what was used elsewhere.
-    told: BTreeMap<(AccountKey, Time), (Units, Units)>,
     books: BTreeMap<Box<str>, Book>,
-    buckets: BTreeMap<Box<str>, Bucket>,
-    /// Charged to which bucket, by request.
     writable: bool,
     out: Vec<(u64, Record)>,
 }
@@ -138,13 +140,10 @@
     pub fn new(router: &str, plan: Plan, state: State, now: Time) -> Self {
         let mut keeper = Self {
             router: router.into(),
-            limits: by_tenant(&plan),
+            books: by_tenant(&plan),
             plan,
             state,
             spans: BTreeMap::new(),
-            told: BTreeMap::new(),
-            books: BTreeMap::new(),
-            buckets: BTreeMap::new(),
             writable: true,
             out: Vec::new(),
         };
@@ -175,15 +174,19 @@
     /// Other budgets, rates and prices; what is spent and reserved stays, as do streams of tenants that the
     /// new plan does not know.
     pub fn replan(&mut self, plan: Plan) {
-        self.limits = by_tenant(&plan);
+        let mut books = by_tenant(&plan);
         self.spans.clear();
         let parts = parts(plan.mode);
-        for (tenant, bucket) in &mut self.buckets {
-            if let Some(rate) = plan.rates.get(tenant) {
+        for (tenant, old) in std::mem::take(&mut self.books) {
+            let limits = books.get_mut(&tenant).map(|fresh| std::mem::take(&mut fresh.limits));
+            let rate = plan.rates.get(&tenant);
+            let mut bucket = old.bucket.filter(|_| rate.is_some());
+            if let (Some(bucket), Some(rate)) = (&mut bucket, rate) {
                 bucket.change(rate.per_second.share(1, parts), rate.burst.share(1, parts));
             }
+            books.insert(tenant, Book { limits: limits.unwrap_or_default(), bucket, ..old });
         }
-        self.buckets.retain(|tenant, _| plan.rates.contains_key(tenant));
+        self.books = books;
         self.plan = plan;
     }
 
@@ -200,57 +203,6 @@
         new
     }
 
-    fn span(&mut self, kind: Kind, now: Time) -> Span {
-        match self.spans.get(&kind) {
-            Some(span) if span.holds(now) => *span,
-            _ => {
-                let span = self.plan.calendar.span(kind, now);
-                self.spans.insert(kind, span);
-                span
-            }
-        }
-    }
-
-    /// What may still be used of an account in a period; why it is no more.
-    fn room(&self, key: &(AccountKey, Time), limit: &Limit, now: Time) -> (Units, Why) {
-        let held = self.state.held.get(key).copied().unwrap_or_default();
-        match self.plan.mode {
-            Mode::Shares(routers) => {
-                let part = limit.hard.share(1, routers.into());
-                (part.minus(held.used()), if routers > 1 { Why::Part } else { Why::Budget })
-            }
-            Mode::Unreserved(_) => {
-                // The whole budget, known only here, against what is settled here.
-                let room = limit.hard.minus(held.spent);
-                (if room > Units(0) { Units(u64::MAX) } else { room }, Why::Budget)
-            }
-            Mode::Leases { .. } => {
-                if self.state.lease.1 <= now {
-                    return (Units(0), Why::Lease);
-                }
-                let Some(ceiling) = held.ceiling else { return (Units(0), Why::Part) };
-                let over = self
-                    .told
-                    .get(key)
-                    .is_some_and(|(limit, elsewhere)| elsewhere.plus(held.used()) >= *limit);
-                (ceiling.minus(held.used()), if over { Why::Budget } else { Why::Part })
-            }
-        }
-    }
-
-    /// Thousandths of the budget that are used, over all routers as far as is known here.
-    fn used_part(&self, key: &(AccountKey, Time), limit: &Limit, more: Units) -> u32 {
-        let held = self.state.held.get(key).copied().unwrap_or_default();
-        let (whole, used) = match (self.plan.mode, self.told.get(key)) {
-            (Mode::Shares(n), _) => (limit.hard.share(1, n.into()), held.used()),
-            (Mode::Unreserved(_), _) => (limit.hard, held.spent),
-            (Mode::Leases { .. }, Some((limit, elsewhere))) => (*limit, held.used().plus(*elsewhere)),
-            (Mode::Leases { .. }, None) => (limit.hard, held.used()),
-        };
-        let part = u128::from(used.plus(more).0) * 1_000 / u128::from(whole.0.max(1));
-        u32::try_from(part).unwrap_or(u32::MAX)
-    }
-
     /// Takes a request by reserving its worst case, or says why not and when to come back.
     ///
     /// # Errors
@@ -260,7 +212,10 @@
         let refused = self.decide(now, ask);
         if let Err(refusal) = &refused {
             let worst = self.plan.weights.worst(self.plan.raised(ask.prompt), ask.output);
-            let book = self.books.entry(ask.tenant.into()).or_default();
+            if !self.books.contains_key(ask.tenant) {
+                self.books.insert(ask.tenant.into(), Book::default());
+            }
+            let Some(book) = self.books.get_mut(ask.tenant) else { return refused };
             book.refused += 1;
             if let (Why::Part | Why::Lease, Some(account)) = (refusal.why, &refusal.account) {
                 let (sum, largest) = book.wanted.entry(account.clone()).or_default();
@@ -277,85 +232,56 @@
         }
         let prompt = self.plan.raised(ask.prompt);
         let mut admission = Admission { output: ask.output, lower_to: None, marks: Vec::new() };
-        let limits = self.limits.remove(ask.tenant).unwrap_or_default();
-        let mut slots = Vec::with_capacity(limits.len());
-        let mut fit = Ok(());
-        for (key, limit) in limits.iter().filter(|(k, _)| k.class.as_deref().is_none_or(|c| c == ask.class)) {
-            let span = self.span(key.kind, now);
-            let place = (key.clone(), span.start);
-            let soft = limit.soft < 1_000 && self.used_part(&place, limit, Units(0)) >= limit.soft;
-            if soft {
-                match &limit.at_soft {
-                    AtSoft::Warn => {}
-                    AtSoft::Clamp(most) => admission.output = admission.output.min(*most),
-                    AtSoft::Lower(class) => admission.lower_to = Some(class.clone()),
+        let Self { plan, state, spans, books, .. } = self;
+        let mut places = Vec::new();
+        let mut amount = plan.weights.worst(prompt, ask.output);
+        if let Some(book) = books.get_mut(ask.tenant) {
+            let mine = state.held.of_tenant(ask.tenant);
+            let limits =
+                book.limits.iter().filter(|(k, _)| k.class.as_deref().is_none_or(|c| c == ask.class));
+            let mut accounts = Vec::with_capacity(book.limits.len());
+            for (key, limit) in limits {
+                let span = span(spans, plan, key.kind, now);
+                let place = Place::new(key, span.start);
+                let held = mine.and_then(|m| m.get(&place)).copied().unwrap_or_default();
+                let told = book.told.get(&place).copied();
+                let account = Account { key, limit, held, told };
+                if limit.soft < 1_000 && account.used_part(plan.mode, Units(0)) >= limit.soft {
+                    match &limit.at_soft {
+                        AtSoft::Warn => {}
+                        AtSoft::Clamp(most) => admission.output = admission.output.min(*most),
+                        AtSoft::Lower(class) => admission.lower_to = Some(class.clone()),
+                    }
                 }
+                let (room, why) = account.room(plan.mode, state.lease.1, now);
+                account.fit(plan, prompt, &mut admission, room).map_err(|()| {
+                    // At the period's end at the latest, there is a new one.
+                    let left = span.end.since(now);
+                    let retry_after = match (why, plan.mode) {
+                        (Why::Part | Why::Lease, Mode::Leases { epoch, .. }) => epoch.min(left),
+                        _ => left,
+                    };
+                    Refusal { why, account: Some(key.clone()), retry_after }
+                })?;
+                accounts.push(account);
+                places.push(place);
             }
-            let (room, why) = self.room(&place, limit, now);
-            fit = self.fits(prompt, &mut admission, limit, room).map_err(|()| {
-                // At the period's end at the latest, there is a new one.
-                let left = span.end.since(now);
-                let retry_after = match (why, self.plan.mode) {
-                    (Why::Part | Why::Lease, Mode::Leases { epoch, .. }) => epoch.min(left),
-                    _ => left,
-                };
-                Refusal { why, account: Some(key.clone()), retry_after }
-            });
-            if fit.is_err() {
-                break;
+            amount = plan.weights.worst(prompt, admission.output);
+            if let Some(rate) = plan.rates.get(ask.tenant) {
+                let parts = parts(plan.mode);
+                let fresh = || Bucket::new(rate.per_second.share(1, parts), rate.burst.share(1, parts), now);
+                let bucket = book.bucket.get_or_insert_with(fresh);
+                let retry = |retry_after| Refusal { why: Why::Rate, account: None, retry_after };
+                bucket.room(now, amount).map_err(retry)?;
+                bucket.take(amount);
+            }
+            for account in accounts.iter().filter(|a| !a.limit.marks.is_empty()) {
+                let before = account.used_part(plan.mode, Units(0));
+                let after = account.used_part(plan.mode, amount);
+                let passed = account.limit.marks.iter().filter(|m| before < **m && **m <= after);
+                admission.marks.extend(passed.map(|m| (account.key.clone(), *m)));
             }
-            slots.push((place, limit));
-        }
-        let taken = fit.and_then(|()| self.reserve(now, ask, prompt, &mut admission, &slots));
-        if !limits.is_empty() {
-            self.limits.insert(ask.tenant.into(), limits);
-        }
-        taken.map(|()| admission)
-    }
-
-    /// Cuts the answer to what is left, where that is agreed.
-    fn fits(&self, prompt: u64, admission: &mut Admission, limit: &Limit, room: Units) -> Result<(), ()> {
-        let weights = self.plan.weights;
-        if weights.worst(prompt, admission.output) <= room {
-            return Ok(());
-        }
-        let AtHard::Clamp(least) = limit.at_hard else { return Err(()) };
-        let left = room.minus(weights.worst(prompt, 0)).0 / u64::from(weights.output.max(1));
-        if left < least.max(1) || weights.worst(prompt, left) > room {
-            return Err(());
-        }
-        admission.output = admission.output.min(left);
-        Ok(())
-    }
-
-    fn reserve(
-        &mut self,
-        now: Time,
-        ask: Ask<'_>,
-        prompt: u64,
-        admission: &mut Admission,
-        slots: &[((AccountKey, Time), &Limit)],
-    ) -> Result<(), Refusal> {
-        let amount = self.plan.weights.worst(prompt, admission.output);
-        if let Some(rate) = self.plan.rates.get(ask.tenant) {
-            let parts = parts(self.plan.mode);
-            let fresh = || Bucket::new(rate.per_second.share(1, parts), rate.burst.share(1, parts), now);
-            let bucket = self.buckets.entry(ask.tenant.into()).or_insert_with(fresh);
-            let retry = |retry_after| Refusal { why: Why::Rate, account: None, retry_after };
-            bucket.room(now, amount).map_err(retry)?;
-            bucket.take(amount);
-        }
-        for (place, limit) in slots.iter().filter(|(_, l)| !l.marks.is_empty()) {
-            let (before, after) =
-                (self.used_part(place, limit, Units(0)), self.used_part(place, limit, amount));
-            let passed = limit.marks.iter().filter(|m| before < **m && **m <= after);
-            admission.marks.extend(passed.map(|m| (place.0.clone(), *m)));
         }
-        let slot = |(key, start): &(AccountKey, Time)| Slot {
-            class: key.class.clone(),
-            kind: key.kind,
-            start: *start,
-        };
         self.write(Record::Reserved(Charge {
             id: ask.id.into(),
             tenant: ask.tenant.into(),
@@ -363,9 +289,9 @@
             identity: ask.identity.map(Into::into),
             at: now,
             amount,
-            slots: slots.iter().map(|(place, _)| slot(place)).collect(),
+            slots: places,
         }));
-        Ok(())
+        Ok(admission)
     }
 
     /// Ends a reservation. A second settlement, or one of a request that was never taken, changes nothing.
@@ -384,7 +310,7 @@
             _ => Usage::default(),
         };
         let cost = self.plan.weights.cost(usage);
-        if let Some(bucket) = self.buckets.get_mut(&open.tenant) {
+        if let Some(bucket) = self.books.get_mut(&open.tenant).and_then(|b| b.bucket.as_mut()) {
             if cost <= open.amount {
                 bucket.give_back(open.amount.minus(cost));
             } else {
@@ -412,11 +338,12 @@
         }
         let mut ceilings = Vec::with_capacity(grant.allowances.len());
         for a in &grant.allowances {
-            let place = (a.key.clone(), a.span.start);
             // What is used can't be given back; the grantor learns it from the record.
-            let used = self.state.held.get(&place).map_or(Units(0), |h| h.used());
+            let used = self.state.held.get(&a.key, a.span.start).used();
             ceilings.push((a.key.clone(), a.span, a.ceiling.max(used)));
-            self.told.insert(place, (a.limit, a.elsewhere));
+            if let Some(book) = self.books.get_mut(&a.key.tenant) {
+                book.told.insert(Place::new(&a.key, a.span.start), (a.limit, a.elsewhere));
+            }
         }
         let mut wanted = Vec::new();
         for book in self.books.values_mut() {
@@ -430,8 +357,11 @@
             ceilings,
             wanted,
         }));
-        let held = &self.state.held;
-        self.told.retain(|place, _| held.contains_key(place));
+        // As long as the sums remember a period.
+        for (tenant, book) in self.books.iter_mut().filter(|(_, b)| b.told.len() > TOLD) {
+            let mine = self.state.held.of_tenant(tenant);
+            book.told.retain(|place, _| mine.is_some_and(|m| m.contains_key(place)));
+        }
         Ok(())
     }
 
@@ -444,44 +374,118 @@
     /// A tenant's figures here, over its accounts of the longest kind without a class; for metrics.
     pub fn figures(&self, now: Time) -> BTreeMap<Box<str>, Figures> {
         let now = self.time(now);
+        let spans = Kind::ALL.map(|kind| (kind, self.plan.calendar.span(kind, now).start));
         let mut out: BTreeMap<Box<str>, Figures> = BTreeMap::new();
-        for (tenant, limits) in &self.limits {
-            let longest = limits.iter().filter(|(k, _)| k.class.is_none()).max_by_key(|(k, _)| k.kind);
-            let Some((key, limit)) = longest.or(limits.last()) else { continue };
-            let place = (key.clone(), self.plan.calendar.span(key.kind, now).start);
-            let held = self.state.held.get(&place).copied().unwrap_or_default();
+        for (tenant, book) in &self.books {
+            let longest = book.limits.iter().filter(|(k, _)| k.class.is_none()).max_by_key(|(k, _)| k.kind);
             let figures = out.entry(tenant.clone()).or_default();
+            figures.refused = book.refused;
+            let Some((key, limit)) = longest.or(book.limits.last()) else { continue };
+            let Some((_, start)) = spans.iter().find(|(kind, _)| *kind == key.kind) else { continue };
+            let held = self.state.held.get(key, *start);
             (figures.spent, figures.reserved) = (held.spent.0, held.reserved.0);
             figures.stranded = match self.plan.mode {
                 Mode::Leases { .. } => held.ceiling.map_or(0, |c| c.minus(held.used()).0),
-                _ => self.room(&place, limit, now).0 .0,
+                mode => Account { key, limit, held, told: None }.room(mode, Time(0), now).0 .0,
             };
         }
-        for (tenant, book) in &self.books {
-            out.entry(tenant.clone()).or_default().refused = book.refused;
-        }
         out
     }
 
     #[cfg(test)]
     pub(crate) fn hash_state(&self, into: &mut impl std::hash::Hasher) {
         use std::hash::Hash;
-        (&self.state, &self.told).hash(into);
+        self.state.hash(into);
         for book in self.books.values() {
-            book.wanted.hash(into);
+            (&book.wanted, &book.told).hash(into);
         }
     }
 
     /// What an open request has reserved, and where; for tests and the operator's view.
-    pub fn reservation(&self, id: &str) -> Option<(&Open, Vec<(AccountKey, Time)>)> {
-        self.state.open.get(id).map(|o| (o, accounts(o).collect()))
+    pub fn reservation(&self, id: &str) -> Option<&Open> {
+        self.state.open.get(id)
+    }
+}
+
+/// An account as it stands for one decision.
+struct Account<'a> {
+    key: &'a AccountKey,
+    limit: &'a Limit,
+    held: Held,
+    told: Option<(Units, Units)>,
+}
+
+impl Account<'_> {
+    /// What may still be used; why it is no more.
+    fn room(&self, mode: Mode, lease_until: Time, now: Time) -> (Units, Why) {
+        let (held, hard) = (self.held, self.limit.hard);
+        match mode {
+            Mode::Shares(routers) => {
+                let part = hard.share(1, routers.into());
+                (part.minus(held.used()), if routers > 1 { Why::Part } else { Why::Budget })
+            }
+            Mode::Unreserved(_) => {
+                // The whole budget, known only here, against what is settled here.
+                let room = hard.minus(held.spent);
+                (if room > Units(0) { Units(u64::MAX) } else { room }, Why::Budget)
+            }
+            Mode::Leases { .. } if lease_until <= now => (Units(0), Why::Lease),
+            Mode::Leases { .. } => {
+                let Some(ceiling) = held.ceiling else { return (Units(0), Why::Part) };
+                let over = self.told.is_some_and(|(limit, elsewhere)| elsewhere.plus(held.used()) >= limit);
+                (ceiling.minus(held.used()), if over { Why::Budget } else { Why::Part })
+            }
+        }
+    }
+
+    /// Thousandths of the budget that are used, over all routers as far as is known here.
+    fn used_part(&self, mode: Mode, more: Units) -> u32 {
+        let (held, hard) = (self.held, self.limit.hard);
+        let (whole, used) = match (mode, self.told) {
+            (Mode::Shares(n), _) => (hard.share(1, n.into()), held.used()),
+            (Mode::Unreserved(_), _) => (hard, held.spent),
+            (Mode::Leases { .. }, Some((limit, elsewhere))) => (limit, held.used().plus(elsewhere)),
+            (Mode::Leases { .. }, None) => (hard, held.used()),
+        };
+        let part = u128::from(used.plus(more).0) * 1_000 / u128::from(whole.0.max(1));
+        u32::try_from(part).unwrap_or(u32::MAX)
+    }
+
+    /// Cuts the answer to what is left, where that is agreed.
+    fn fit(&self, plan: &Plan, prompt: u64, admission: &mut Admission, room: Units) -> Result<(), ()> {
+        let weights = plan.weights;
+        if weights.worst(prompt, admission.output) <= room {
+            return Ok(());
+        }
+        let AtHard::Clamp(least) = self.limit.at_hard else { return Err(()) };
+        let left = room.minus(weights.worst(prompt, 0)).0 / u64::from(weights.output.max(1));
+        if left < least.max(1) || weights.worst(prompt, left) > room {
+            return Err(());
+        }
+        admission.output = admission.output.min(left);
+        Ok(())
     }
 }
 
-fn by_tenant(plan: &Plan) -> BTreeMap<Box<str>, Vec<(AccountKey, Limit)>> {
-    let mut out: BTreeMap<Box<str>, Vec<(AccountKey, Limit)>> = BTreeMap::new();
+/// The period of a kind, from the calendar once for each.
+fn span(spans: &mut BTreeMap<Kind, Span>, plan: &Plan, kind: Kind, now: Time) -> Span {
+    match spans.get(&kind) {
+        Some(span) if span.holds(now) => *span,
+        _ => {
+            let span = plan.calendar.span(kind, now);
+            spans.insert(kind, span);
+            span
+        }
+    }
+}
+
+fn by_tenant(plan: &Plan) -> BTreeMap<Box<str>, Book> {
+    let mut out: BTreeMap<Box<str>, Book> = BTreeMap::new();
     for (key, limit) in &plan.limits {
-        out.entry(key.tenant.clone()).or_default().push((key.clone(), limit.clone()));
+        out.entry(key.tenant.clone()).or_default().limits.push((key.clone(), limit.clone()));
+    }
+    for tenant in plan.rates.keys() {
+        out.entry(tenant.clone()).or_default();
     }
     out
 }
--- a/crates/budget/src/record.rs
+++ b/crates/budget/src/record.rs
@@ -8,17 +8,6 @@
 use crate::plan::AccountKey;
 use crate::units::{Time, Units, Usage};
 
-/// The period of an account that a reservation was charged to.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Slot {
-    /// Of the tenant's account for one class, or for all.
-    pub class: Option<Box<str>>,
-    /// Its periods.
-    pub kind: Kind,
-    /// The period's start.
-    pub start: Time,
-}
-
 /// A reservation: a request was taken.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Charge {
@@ -35,7 +24,7 @@
     /// The worst case.
     pub amount: Units,
     /// What it was charged to.
-    pub slots: Vec<Slot>,
+    pub slots: Vec<Place>,
 }
 
 /// How a request ended, for its bill.
@@ -125,6 +114,58 @@
     }
 }
 
+/// One account in one period, of a tenant that is named beside.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Place {
+    /// The account's class; none: the tenant's account for all.
+    pub class: Option<Box<str>>,
+    /// Its periods.
+    pub kind: Kind,
+    /// The period's start.
+    pub start: Time,
+}
+
+impl Place {
+    /// Of an account.
+    pub fn new(key: &AccountKey, start: Time) -> Self {
+        Self { class: key.class.clone(), kind: key.kind, start }
+    }
+}
+
+/// Use by tenant, account and period: a request looks its tenant up once.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Uses(BTreeMap<Box<str>, BTreeMap<Place, Held>>);
+
+impl Uses {
+    /// Of an account in a period; nothing, if there was none.
+    pub fn get(&self, key: &AccountKey, start: Time) -> Held {
+        let of_tenant = self.0.get(&key.tenant);
+        of_tenant.and_then(|t| t.get(&Place::new(key, start))).copied().unwrap_or_default()
+    }
+
+    /// All of a tenant.
+    pub fn of_tenant(&self, tenant: &str) -> Option<&BTreeMap<Place, Held>> {
+        self.0.get(tenant)
+    }
+
+    fn of_tenant_mut(&mut self, tenant: &str) -> &mut BTreeMap<Place, Held> {
+        if !self.0.contains_key(tenant) {
+            self.0.insert(tenant.into(), BTreeMap::new());
+        }
+        self.0.entry(tenant.into()).or_default()
+    }
+
+    /// All: tenant, account and period, use.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Place, &Held)> {
+        self.0.iter().flat_map(|(tenant, places)| places.iter().map(move |(p, h)| (&**tenant, p, h)))
+    }
+
+    /// All uses.
+    pub fn values(&self) -> impl Iterator<Item = &Held> {
+        self.0.values().flat_map(BTreeMap::values)
+    }
+}
+
 /// A reservation without its settlement.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Open {
@@ -133,14 +174,14 @@
     /// How much.
     pub amount: Units,
     /// From what.
-    pub slots: Vec<(Option<Box<str>>, Kind, Time)>,
+    pub slots: Vec<Place>,
 }
 
 /// The sums of a ledger: what recovery gives, and what a lease's grantor sees.
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct State {
     /// Use by account and period's start.
-    pub held: BTreeMap<(AccountKey, Time), Held>,
+    pub held: Uses,
     /// Reservations without settlement, by the request's id.
     pub open: BTreeMap<Box<str>, Open>,
     /// The newest lease taken, and how long it holds.
@@ -186,7 +227,7 @@
         self.last = self.last.max(at);
         self.lease.1 = Time(0);
         self.wanted.clear();
-        for held in self.held.values_mut() {
+        for held in self.held.0.values_mut().flat_map(BTreeMap::values_mut) {
             held.ceiling = None;
         }
     }
@@ -196,12 +237,14 @@
         if self.open.contains_key(&charge.id) {
             return false;
         }
-        let slots = charge.slots.iter().map(|s| (s.class.clone(), s.kind, s.start)).collect();
-        let open = Open { tenant: charge.tenant.clone(), amount: charge.amount, slots };
-        for (key, start) in accounts(&open) {
-            let held = self.held.entry((key, start)).or_default();
-            held.reserved = held.reserved.plus(charge.amount);
+        if !charge.slots.is_empty() {
+            let of_tenant = self.held.of_tenant_mut(&charge.tenant);
+            for place in &charge.slots {
+                let held = of_tenant.entry(place.clone()).or_default();
+                held.reserved = held.reserved.plus(charge.amount);
+            }
         }
+        let open = Open { tenant: charge.tenant.clone(), amount: charge.amount, slots: charge.slots.clone() };
         self.open.insert(charge.id.clone(), open);
         true
     }
@@ -209,10 +252,13 @@
     fn settle(&mut self, settled: &Settled) -> bool {
         self.last = self.last.max(settled.at);
         let Some(open) = self.open.remove(&settled.id) else { return false };
-        for (key, start) in accounts(&open) {
-            let held = self.held.entry((key, start)).or_default();
-            held.reserved = held.reserved.minus(open.amount);
-            held.spent = held.spent.plus(settled.cost);
+        if !open.slots.is_empty() {
+            let of_tenant = self.held.of_tenant_mut(&open.tenant);
+            for place in open.slots {
+                let held = of_tenant.entry(place).or_default();
+                held.reserved = held.reserved.minus(open.amount);
+                held.spent = held.spent.plus(settled.cost);
+            }
         }
         self.settled += 1;
         true
@@ -225,7 +271,8 @@
         self.last = self.last.max(adopted.at);
         self.lease = (adopted.number, adopted.until);
         for (key, span, ceiling) in &adopted.ceilings {
-            self.held.entry((key.clone(), span.start)).or_default().ceiling = Some(*ceiling);
+            let place = Place::new(key, span.start);
+            self.held.of_tenant_mut(&key.tenant).entry(place).or_default().ceiling = Some(*ceiling);
         }
         self.wanted = adopted.wanted.iter().map(|(k, sum, most)| (k.clone(), (*sum, *most))).collect();
         self.forget_old();
@@ -234,24 +281,19 @@
 
     /// Drops periods that are over, beyond those remembered.
     pub fn forget_old(&mut self) {
-        let mut periods: BTreeMap<&AccountKey, usize> = BTreeMap::new();
-        let mut old = Vec::new();
-        for ((key, start), held) in self.held.iter().rev() {
-            let n = periods.entry(key).or_default();
-            *n += 1;
-            if *n > PERIODS && held.reserved == Units(0) {
-                old.push((key.clone(), *start));
+        for places in self.held.0.values_mut() {
+            if places.len() <= PERIODS {
+                continue;
+            }
+            let mut periods: BTreeMap<(Option<Box<str>>, Kind), usize> = BTreeMap::new();
+            let newest_first: Vec<Place> = places.keys().rev().cloned().collect();
+            for place in newest_first {
+                let n = periods.entry((place.class.clone(), place.kind)).or_default();
+                *n += 1;
+                if *n > PERIODS && places.get(&place).is_some_and(|h| h.reserved == Units(0)) {
+                    places.remove(&place);
+                }
             }
-        }
-        for key in old {
-            self.held.remove(&key);
         }
     }
 }
-
-/// The accounts and periods that a reservation was charged to.
-pub(crate) fn accounts(open: &Open) -> impl Iterator<Item = (AccountKey, Time)> + '_ {
-    open.slots.iter().map(|(class, kind, start)| {
-        (AccountKey { tenant: open.tenant.clone(), class: class.clone(), kind: *kind }, *start)
-    })
-}
--- a/crates/budget/src/settler.rs
+++ b/crates/budget/src/settler.rs
@@ -145,7 +145,7 @@
 
     /// What this router has used or may still come to use.
     fn committed(&self, router: &str, seen: &Seen, place: &(AccountKey, Time)) -> Units {
-        let held = seen.state.held.get(place).copied().unwrap_or_default();
+        let held = seen.state.held.get(&place.0, place.1);
         let leased = held.ceiling.filter(|_| !self.over(seen, seen.state.lease.1)).unwrap_or_default();
         let out = self.unanswered(router, seen, place).unwrap_or_default();
         out.max(leased).max(held.used())
@@ -207,7 +207,7 @@
     fn pace(&mut self, key: &AccountKey, now: Time) {
         let start = self.plan.calendar.span(key.kind, now).start;
         for seen in self.routers.values_mut() {
-            let used = seen.state.held.get(&(key.clone(), start)).map_or(Units(0), |h| h.used());
+            let used = seen.state.held.get(key, start).used();
             let (at, before, pace) = seen.pace.get(key).copied().unwrap_or_default();
             let grown = if at == start { used.minus(before) } else { used };
             let refused = seen.state.wanted.get(key).map_or(Units(0), |w| w.0);
@@ -220,7 +220,7 @@
     fn share(&self, key: &AccountKey, span: Span) -> Vec<(Box<str>, Allowance)> {
         let place = (key.clone(), span.start);
         let limit = self.limit(key, span.start);
-        let used = |seen: &Seen| seen.state.held.get(&place).map_or(Units(0), |h| h.used());
+        let used = |seen: &Seen| seen.state.held.get(key, span.start).used();
         let total: Units = self.routers.values().map(used).sum();
         let left = limit.minus(total);
         let wants: Vec<Want> = self.routers.values().map(|seen| self.want(key, seen)).collect();
@@ -244,7 +244,7 @@
         }
         let mut out = Vec::new();
         for ((router, seen), ceiling) in self.routers.iter().zip(ceilings) {
-            let held = seen.state.held.get(&place).copied().unwrap_or_default();
+            let held = seen.state.held.get(&place.0, place.1);
             let alive = !self.over(seen, seen.state.lease.1);
             // An unanswered round that named it must be overruled by name.
             let named = self.unanswered(router, seen, &place).is_some();
@@ -280,7 +280,7 @@
         now: Time,
     ) -> Vec<Outstanding> {
         let ended = |span: Span| now > span.end.after(self.terms.clock_error);
-        let mut fresh: BTreeMap<(&AccountKey, Time, &str), Outstanding> = BTreeMap::new();
+        let mut fresh: BTreeMap<(AccountKey, Time, &str), Outstanding> = BTreeMap::new();
         for (router, allowances) in grants {
             let out = |key: &AccountKey, span: Span, ceiling: Units| Outstanding {
                 router: router.clone(),
@@ -291,16 +291,19 @@
                 until,
             };
             for a in allowances {
-                fresh.insert((&a.key, a.span.start, router), out(&a.key, a.span, a.ceiling));
+                fresh.insert((a.key.clone(), a.span.start, router), out(&a.key, a.span, a.ceiling));
             }
             // A lease that names nothing new still lengthens the life of what is held under the one before.
             let Some(seen) = self.routers.get(router).filter(|s| !self.over(s, s.state.lease.1)) else {
                 continue;
             };
-            for ((key, start), held) in &seen.state.held {
-                let span = Span { start: *start, end: self.plan.calendar.span(key.kind, *start).end };
+            for (tenant, place, held) in seen.state.held.iter() {
+                let span =
+                    Span { start: place.start, end: self.plan.calendar.span(place.kind, place.start).end };
+                let key = AccountKey { tenant: tenant.into(), class: place.class.clone(), kind: place.kind };
                 if let Some(ceiling) = held.ceiling.filter(|_| !ended(span)) {
-                    fresh.entry((key, *start, router)).or_insert_with(|| out(key, span, ceiling));
+                    let entry = fresh.entry((key.clone(), place.start, router));
+                    entry.or_insert_with(|| out(&key, span, ceiling));
                 }
             }
         }
@@ -308,7 +311,7 @@
         for old in self.outstanding.values().flat_map(BTreeMap::values).flatten() {
             let counts = self.routers.get(&old.router).is_none_or(|seen| self.counts(seen, old));
             // A newer one that is as high lives longer and says it all.
-            let newer = fresh.get(&(&old.key, old.span.start, &*old.router));
+            let newer = fresh.get(&(old.key.clone(), old.span.start, &*old.router));
             if counts && !ended(old.span) && newer.is_none_or(|n| n.ceiling < old.ceiling) {
                 all.push(old.clone());
             }
@@ -338,7 +341,7 @@
                 stranded: Units(0),
             };
             for (router, seen) in &self.routers {
-                let held = seen.state.held.get(&place).copied().unwrap_or_default();
+                let held = seen.state.held.get(&place.0, place.1);
                 s.spent = s.spent.plus(held.spent);
                 s.reserved = s.reserved.plus(held.reserved);
                 s.stranded = s.stranded.plus(self.committed(router, seen, &place).minus(held.used()));
--- a/crates/budget/tests/budgets.rs
+++ b/crates/budget/tests/budgets.rs
@@ -68,18 +68,18 @@
 fn a_request_reserves_its_worst_case_and_settles_once_on_what_was_done() {
     let mut k = one(vec![(key(Kind::Day), limit(1_000))]);
     k.admit(noon(), ask("a", 200, 100)).unwrap();
-    let place = (key(Kind::Day), at("2026-12-01T00:00[Europe/Zurich]"));
-    assert_eq!(k.state().held[&place].reserved, Units::tokens(600));
+    let place = || (key(Kind::Day), at("2026-12-01T00:00[Europe/Zurich]"));
+    assert_eq!(k.state().held.get(&place().0, place().1).reserved, Units::tokens(600));
     let refusal = k.admit(noon(), ask("b", 300, 50)).unwrap_err();
     assert_eq!((refusal.why, refusal.account), (Why::Budget, Some(key(Kind::Day))));
     assert_eq!(refusal.retry_after, 12 * 3_600 * S, "come back at midnight");
     assert!(served(&mut k, noon(), "a", 210, 110, 10));
-    assert_eq!(k.state().held[&place].spent, Units(100 * 1_000 + 110 * 100 + 10 * 4_000));
+    assert_eq!(k.state().held.get(&place().0, place().1).spent, Units(100 * 1_000 + 110 * 100 + 10 * 4_000));
     assert!(!served(&mut k, noon(), "a", 210, 110, 10), "a second settlement changes nothing");
     assert!(!served(&mut k, noon(), "never", 1, 0, 1));
     assert!(k.admit(noon(), ask("b", 300, 50)).is_ok());
     k.settle(noon(), "b", Ending::Failed, Usage { prompt: 300, kept: 0, output: 9 }, (None, None));
-    assert_eq!(k.state().held[&place].used(), Units(151_000), "what failed costs nothing");
+    assert_eq!(k.state().held.get(&place().0, place().1).used(), Units(151_000), "what failed costs nothing");
     assert_eq!(records(&mut k).len(), 1 + 4);
 }
 
@@ -136,7 +136,7 @@
     let after = before.after(5 * S);
     k.admit(after, ask("b", 100, 100)).unwrap();
     served(&mut k, after, "a", 100, 0, 100);
-    let used = |day: &str| k.state().held[&(key(Kind::Day), at(day))];
+    let used = |day: &str| k.state().held.get(&key(Kind::Day), at(day));
     let (first, second) = (used("2026-12-01T00:00[Europe/Zurich]"), used("2026-12-02T00:00[Europe/Zurich]"));
     assert_eq!((first.spent, first.reserved), (Units::tokens(500), Units(0)));
     assert_eq!((second.spent, second.reserved), (Units(0), Units::tokens(500)));
@@ -157,7 +157,11 @@
     assert_eq!(refusal.account, Some(key(Kind::Day)));
     assert!(k.admit(once, ask("a", 100, 100)).is_ok());
     let now = at("2026-12-01T12:00[Europe/Zurich]");
-    assert_eq!(k.reservation("a").unwrap().1[0].1, now, "a clock that stepped back opens no old period");
+    assert_eq!(
+        k.reservation("a").unwrap().slots[0].start,
+        now,
+        "a clock that stepped back opens no old period"
+    );
 }
 
 fn leased(now: Time) -> Keeper {
@@ -231,8 +235,8 @@
     k.admit(noon(), ask("a", 100, 100)).unwrap();
     k.replan(plan(vec![], Mode::Shares(1)));
     assert!(served(&mut k, noon(), "a", 100, 0, 40));
-    let place = (key(Kind::Day), at("2026-12-01T00:00[Europe/Zurich]"));
-    assert_eq!(k.state().held[&place].spent, Units::tokens(260));
+    let place = || (key(Kind::Day), at("2026-12-01T00:00[Europe/Zurich]"));
+    assert_eq!(k.state().held.get(&place().0, place().1).spent, Units::tokens(260));
     // Put back, it finds what it had spent.
     k.replan(plan(vec![(key(Kind::Day), limit(300))], Mode::Shares(1)));
     assert_eq!(k.admit(noon(), ask("b", 50, 0)).unwrap_err().why, Why::Budget);
--- a/crates/daemon/src/settle.rs
+++ b/crates/daemon/src/settle.rs
@@ -95,13 +95,15 @@
 
 /// The plan with what was set by hand, and what was granted beyond it by period.
 pub fn adjusted(plan: &Plan, changes: &[(u64, Adjustment)]) -> (Plan, BTreeMap<(AccountKey, Time), i64>) {
-    let mut plan = plan.clone();
+    let (settings, mut plan) = (plan, plan.clone());
     let mut extra: BTreeMap<(AccountKey, Time), i64> = BTreeMap::new();
     for (_, change) in changes {
         match &change.what {
             Change::Set(key, _, tokens) => {
-                if let (Some(limit), Some(tokens)) = (plan.limits.get_mut(key), tokens) {
-                    limit.hard = chalkyard_budget::Units::tokens(*tokens);
+                let by_settings = settings.limits.get(key).map(|l| l.hard);
+                let hard = tokens.map(chalkyard_budget::Units::tokens).or(by_settings);
+                if let (Some(limit), Some(hard)) = (plan.limits.get_mut(key), hard) {
+                    limit.hard = hard;
                 }
             }
             Change::Grant(key, start, tokens) => {
--- a/crates/daemon/tests/budgets.rs
+++ b/crates/daemon/tests/budgets.rs
@@ -178,6 +178,9 @@
     let (_, json) = budget(&["show", f, "--format", "json"]);
     let json: serde_json::Value = serde_json::from_str(&json).unwrap();
     assert_eq!(json["adjustments"].as_array().unwrap().len(), 3);
+    // Without a number, the settings hold again.
+    assert_eq!(budget(&[&["set", f], &which[..], &who].concat()).0, 0);
+    assert!(budget(&["show", f]).1.contains("nord/*/month: 0 of 1500 spent"));
     // What can't be is refused, and nothing is recorded.
     let wrong = ["--tenant", "sued", "--period", "month"];
     let (code, told) = budget(&[&["grant", f], &wrong[..], &["--tokens", "5"], &who].concat());
@@ -187,7 +190,7 @@
     assert_eq!(code, 2);
     let day = ["--tenant", "nord", "--class", "help", "--day", "2026-13-01", "--amount", "1"];
     assert_eq!(budget(&[&["adjust", f], &day[..], &who].concat()).0, 2);
-    assert!(budget(&["show", f]).1.matches("adjustment ").count() == 3);
+    assert!(budget(&["show", f]).1.matches("adjustment ").count() == 4);
 }
 
 #[test]
--- /dev/null
+++ b/crates/load/src/budgets.rs
@@ -0,0 +1,294 @@
+//! What budgets cost: decisions, the ledger, recovery, and a router with and without them.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use chalkyard_api::keys::KeyRing;
+use chalkyard_budget::{
+    AccountKey, Allowance, Ask, AtHard, AtSoft, Calendar, Charge, Ending, Grant, Keeper, Kind, Limit, Mode,
+    Place, Plan, RateLimit, Record, Settled, State, Time, Units, Usage, Weights,
+};
+use chalkyard_ledger::{read, Folder, Limits, Volume, Writer};
+use hdrhistogram::Histogram;
+
+use crate::clients::{self, Style};
+use crate::{free, Error, Pinned};
+
+const NOW: Time = Time(1_796_100_000_000_000);
+
+fn plan(tenants: usize) -> Plan {
+    let (mut limits, mut rates) = (BTreeMap::new(), BTreeMap::new());
+    for i in 0..tenants {
+        let tenant: Box<str> = format!("tenant-{i:05}").into();
+        for kind in [Kind::Day, Kind::Month] {
+            let key = AccountKey { tenant: tenant.clone(), class: None, kind };
+            let limit = Limit {
+                hard: Units::tokens(1_000_000_000),
+                soft: 800,
+                at_soft: AtSoft::Warn,
+                at_hard: AtHard::Refuse,
+                marks: vec![800, 950],
+            };
+            limits.insert(key, limit);
+        }
+        let rate =
+            RateLimit { per_second: Units::tokens(1_000_000_000), burst: Units::tokens(1_000_000_000) };
+        rates.insert(tenant, rate);
+    }
+    Plan {
+        calendar: Calendar::new("Europe/Zurich").unwrap_or_default(),
+        weights: Weights::default(),
+        limits,
+        rates,
+        margin: 100,
+        mode: Mode::Leases { epoch: 1_000_000, routers: 16 },
+        prices: Vec::new(),
+    }
+}
+
+fn micros(h: &Histogram<u64>, q: f64) -> f64 {
+    h.value_at_quantile(q) as f64 / 1e3
+}
+
+/// Decisions of one router with many tenants, each with two budgets and a rate, under leases.
+fn decisions(tenants: usize, requests: u64) -> Result<(), Error> {
+    let plan = plan(tenants);
+    let allowance = |key: &AccountKey| Allowance {
+        key: key.clone(),
+        span: plan.calendar.span(key.kind, NOW),
+        ceiling: Units::tokens(900_000_000),
+        limit: Units::tokens(1_000_000_000),
+        elsewhere: Units::tokens(1),
+    };
+    let allowances = plan.limits.keys().map(allowance).collect();
+    let mut keeper = Keeper::new("r1", plan.clone(), State::default(), NOW);
+    let grant = Grant { router: "r1".into(), number: 1, until: Time(u64::MAX), allowances };
+    let start = Instant::now();
+    keeper.adopt(NOW, &grant).map_err(|e| format!("{e:?}"))?;
+    println!(
+        "lease of {} budgets taken in {:.1} ms",
+        grant.allowances.len(),
+        start.elapsed().as_secs_f64() * 1e3
+    );
+    let (mut admit, mut settle) = (Histogram::<u64>::new(3)?, Histogram::<u64>::new(3)?);
+    let mut records = Vec::new();
+    let mut draw = 88_172_645_463_325_252_u64;
+    let mut refused = 0_u64;
+    for n in 0..requests {
+        // xorshift: which tenant asks next.
+        draw ^= draw << 13;
+        draw ^= draw >> 7;
+        draw ^= draw << 17;
+        let tenant = format!("tenant-{:05}", draw % tenants as u64);
+        let id = format!("r1-64a-{n:x}");
+        let ask = Ask { id: &id, tenant: &tenant, class: "help", identity: None, prompt: 900, output: 400 };
+        let start = Instant::now();
+        let taken = keeper.admit(NOW.after(n), ask);
+        admit.record(start.elapsed().as_nanos() as u64)?;
+        refused += u64::from(taken.is_err());
+        let usage = Usage { prompt: 910, kept: 64, output: 120 };
+        let start = Instant::now();
+        keeper.settle(NOW.after(n), &id, Ending::Served, usage, (Some(0), Some(1)));
+        settle.record(start.elapsed().as_nanos() as u64)?;
+        records.clear();
+        keeper.take_records(&mut records);
+    }
+    println!(
+        "{requests} requests of {tenants} tenants, {refused} refused; decision µs: p50 {:.2}, p99 {:.2}, p99.9 {:.2}; settlement µs: p50 {:.2}, p99 {:.2}",
+        micros(&admit, 0.5),
+        micros(&admit, 0.99),
+        micros(&admit, 0.999),
+        micros(&settle, 0.5),
+        micros(&settle, 0.99)
+    );
+    Ok(())
+}
+
+fn pair(n: u64) -> [Record; 2] {
+    let id: Box<str> = format!("r1-64a3c2b1f-{n:x}").into();
+    let at = NOW.after(n * 50);
+    let slot = |kind| Place { class: None, kind, start: NOW };
+    let usage = Usage { prompt: 910, kept: 64, output: 120 };
+    [
+        Record::Reserved(Charge {
+            id: id.clone(),
+            tenant: format!("tenant-{:05}", n % 10_000).into(),
+            class: "help".into(),
+            identity: Some(format!("k{n}").into()),
+            at,
+            amount: Units::tokens(1_300),
+            slots: vec![slot(Kind::Day), slot(Kind::Month)],
+        }),
+        Record::Settled(Settled {
+            id,
+            at,
+            ending: Ending::Served,
+            usage,
+            cost: Units::tokens(1_030),
+            read: Some(0),
+            write: Some(1),
+        }),
+    ]
+}
+
+fn is_checkpoint(record: &Record) -> bool {
+    matches!(record, Record::State(_))
+}
+
+fn open(folder: &Path) -> Result<Writer<Folder>, Error> {
+    let limits = Limits { segment: 64 * 1024 * 1024, ..Limits::default() };
+    Ok(Writer::open(Folder::writer(folder)?, limits, is_checkpoint, |_, _: Record| {})?.writer)
+}
+
+/// Settlements a second, with so many requests a turn of the loop, and syncing beside every 50 ms.
+fn settlements(folder: &Path, a_turn: u64, seconds: u64) -> Result<f64, Error> {
+    let mut writer = open(folder)?;
+    let (start, mut synced, mut n) = (Instant::now(), Instant::now(), 0);
+    while start.elapsed() < Duration::from_secs(seconds) {
+        for _ in 0..a_turn {
+            for record in pair(n) {
+                writer.append(&record)?;
+            }
+            n += 1;
+        }
+        writer.flush()?;
+        if synced.elapsed() > Duration::from_millis(50) {
+            synced = Instant::now();
+            writer.sync()?;
+        }
+    }
+    Ok(n as f64 / start.elapsed().as_secs_f64())
+}
+
+/// Writes so many records as a router would, and recovers from all of them, and from the last checkpoint.
+fn recovery(folder: &Path, records: u64) -> Result<(), Error> {
+    let mut writer = open(folder)?;
+    let mut state = State::default();
+    for n in 0..records / 2 {
+        for record in pair(n) {
+            let number = writer.append(&record)?;
+            state.take(number, &record);
+        }
+        if n % 64 == 0 {
+            writer.flush()?;
+            if writer.wants_rotation() {
+                writer.rotate(&Record::State(Box::new(state.clone())))?;
+            }
+        }
+    }
+    writer.flush()?;
+    drop(writer);
+    let volume = Folder::reader(folder);
+    let mut names = volume.list()?;
+    names.retain(|n| chalkyard_ledger::segment_number(n).is_some());
+    let bytes: u64 =
+        names.iter().filter_map(|n| std::fs::metadata(folder.join(n)).ok()).map(|m| m.len()).sum();
+    let (mut whole, start) = (State::default(), Instant::now());
+    let report = read(&volume, &names, |n, r| {
+        whole.take(n, &r);
+    })?;
+    println!(
+        "recovery from all {} records ({} MiB, {} segments): {:.2} s",
+        report.records,
+        bytes / 1024 / 1024,
+        names.len(),
+        start.elapsed().as_secs_f64()
+    );
+    let (mut last, start) = (State::default(), Instant::now());
+    let opened = Writer::open(Folder::writer(folder)?, Limits::default(), is_checkpoint, |n, r| {
+        last.take(n, &r);
+    })?;
+    println!(
+        "recovery from the last checkpoint ({} records): {:.2} s; sums alike: {}",
+        opened.report.records,
+        start.elapsed().as_secs_f64(),
+        last.held == whole.held
+    );
+    Ok(())
+}
+
+fn settings(listen: std::net::SocketAddr, engine: std::net::SocketAddr, budgets: &str) -> String {
+    let salt = "00".repeat(32);
+    let hash = KeyRing::new([0; 32]).hash(clients::KEY);
+    format!(
+        r#"<chalkyard xmlns="urn:chalkyard:settings:1">
+  <router name="r1" listen="{listen}"/>
+  <rules self-prefill="false" reports="off"/>
+  <bounds engine-connections="40000" engine-idle="1024" clients="40000" open="40000"/>
+  <waits stream="60s" idle="2min" connect="2s"/>
+  <kinds><kind name="reader" role="reader"/><kind name="writer" role="writer"/></kinds>
+  <classes default="help"><class name="help" aim="20s" deadline="60s" effect="free"/></classes>
+  <tenants salt="{salt}"><tenant name="nord"><key hash="{hash}"/></tenant></tenants>
+  {budgets}
+  <engines><engine id="read" kind="reader" address="{engine}"/><engine id="write" kind="writer" address="{engine}"/></engines>
+</chalkyard>
+"#
+    )
+}
+
+/// Two-stage requests a second of a router with budgets over one without, by turns.
+fn routers(
+    program: &PathBuf,
+    folder: &Path,
+    seconds: u64,
+    connections: usize,
+    rounds: u64,
+) -> Result<(), Error> {
+    let own = std::env::current_exe()?;
+    let engine = free()?;
+    let _engines = Pinned::start(&own, &["engines", &engine.to_string()], engine, "1")?;
+    let mut ratios = Vec::new();
+    for round in 0..rounds {
+        let mut rates = Vec::new();
+        for with in [false, true] {
+            let at = free()?;
+            let ledger = folder.join(format!("ledger-{round}"));
+            let budgets = format!(
+                r#"<budgets ledger="{}" zone="Europe/Zurich"><budget tenant="nord" period="day" tokens="9000000000000" marks="0.8"/><budget tenant="nord" class="help" period="month" tokens="9000000000000"/></budgets>"#,
+                ledger.display()
+            );
+            let file = folder.join("r1.xml");
+            std::fs::write(&file, settings(at, engine, if with { &budgets } else { "" }))?;
+            let router = Pinned::start(program, &["run", file.to_str().ok_or("path")?], at, "0")?;
+            let plan = clients::Plan { style: Style::Messages, events: 2, rate: None, seconds, connections };
+            let before = router.used()?;
+            let outcome = clients::run(at, &plan)?;
+            let after = router.used()?;
+            let per = |ticks: u64| ticks as f64 * 10_000.0 / outcome.requests.max(1) as f64;
+            println!(
+                "{}: {:.0} requests a second, CPU µs a request: user {:.1}, system {:.1}; not answered {}",
+                if with { "with budgets" } else { "without" },
+                outcome.rate(),
+                per(after.0 - before.0),
+                per(after.1 - before.1),
+                outcome.failed
+            );
+            rates.push(outcome.rate());
+        }
+        if let [without, with] = rates[..] {
+            ratios.push(with / without.max(1e-9));
+        }
+    }
+    ratios.sort_by(f64::total_cmp);
+    let median = ratios.get(ratios.len() / 2).copied().unwrap_or(0.0);
+    println!("router with budgets over without: median ratio {median:.3} of {ratios:.3?}");
+    Ok(())
+}
+
+/// All of it.
+pub fn run(program: &PathBuf, seconds: u64, connections: usize, records: u64) -> Result<(), Error> {
+    let folder = std::env::temp_dir().join(format!("chalkyard-load-budgets-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let done = (|| {
+        decisions(10_000, 1_000_000)?;
+        for a_turn in [1, 8, 64] {
+            let rate = settlements(&folder.join(format!("turn-{a_turn}")), a_turn, seconds)?;
+            println!("ledger, {a_turn} requests a turn: {rate:.0} settlements a second");
+        }
+        routers(program, &folder, seconds, connections, 5)?;
+        recovery(&folder.join("recovery"), records)
+    })();
+    std::fs::remove_dir_all(&folder)?;
+    done
+}
--- a/crates/load/src/clients.rs
+++ b/crates/load/src/clients.rs
@@ -71,12 +71,17 @@
     status: bool,
 }
 
+/// The clients' key, where a router asks for one.
+pub const KEY: &str = "load-key";
+
 fn messages(events: usize) -> Vec<u8> {
     let body = format!(
         r#"{{"model":"m","max_tokens":{events},"stream":true,"messages":[{{"role":"user","content":"{}"}}]}}"#,
         "word ".repeat(400)
     );
-    encode::request("POST", "/v1/messages", "load", &[("content-type", "application/json")], body.as_bytes())
+    let bearer = format!("Bearer {KEY}");
+    let fields = [("content-type", "application/json"), ("authorization", bearer.as_str())];
+    encode::request("POST", "/v1/messages", "load", &fields, body.as_bytes())
 }
 
 fn completion(events: usize, read: bool) -> Vec<u8> {
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -4,6 +4,7 @@
 //! Engines here answer at once with canned bytes, so that the router is what is measured. The router and
 //! the relay run as processes pinned to one core, the engines to another; clients run on what is left.
 
+mod budgets;
 mod canned;
 mod clients;
 mod relay;
@@ -38,6 +39,21 @@
         /// Where they listen.
         listen: SocketAddr,
     },
+    /// Measure what budgets cost: decisions, ledger, recovery, and a router with and without them.
+    Budgets {
+        /// The `chalkyard` program.
+        #[arg(long, default_value = "target/release/chalkyard")]
+        router: PathBuf,
+        /// Seconds of each measurement.
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=60))]
+        seconds: u64,
+        /// Connections of the closed loop.
+        #[arg(long, default_value_t = 64)]
+        connections: usize,
+        /// Records to recover from.
+        #[arg(long, default_value_t = 10_000_000, value_parser = clap::value_parser!(u64).range(1_000..=50_000_000))]
+        records: u64,
+    },
     /// Measure: requests and events a second, added time to first token, memory of open streams.
     Compare {
         /// The `chalkyard` program.
@@ -208,6 +224,9 @@
     let result = match Arguments::parse().command {
         Task::Engines { listen } => canned::run(listen).map_err(Error::from),
         Task::Relay { listen, engine } => relay::run(listen, engine).map_err(Error::from),
+        Task::Budgets { router, seconds, connections, records } => {
+            budgets::run(&router, seconds, connections, records)
+        }
         Task::Compare { router, seconds, connections, streams } => {
             compare(&router, seconds, connections, streams)
         }
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -236,8 +236,9 @@
     for e in &mut day.engines {
         (e.make.slots, e.make.queue) = (e.make.slots * 2, e.make.queue * 4);
     }
-    // Somewhat less than each tenant will ask for: what strands then shows.
-    let tokens = |share: f64| (seconds as f64 * day.rate * share * 200.0) as u64;
+    // Somewhat less than each tenant will ask for, so that what strands shows: conversations grow with the day.
+    let each = (160 + 5 * seconds).min(330);
+    let tokens = |share: f64| (seconds as f64 * day.rate * share) as u64 * each;
     let tenant = |name, key, share, limited: bool| TenantSpec {
         name,
         key,
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -23,6 +23,9 @@
 const READS_A_TURN: usize = 8;
 /// Written bytes at the front of a buffer that are dropped together.
 const COMPACT_BYTES: usize = 64 * 1024;
+/// Events handled before what they cause is written: records of a group cost one write to the ledger, and no
+/// answer waits for more than these.
+const EVENTS_A_GROUP: usize = 16;
 /// Connections taken at once before others have their turn.
 const ACCEPTS_A_TURN: usize = 64;
 /// A connection that is closed has this long to take what is left, and to close its side.
@@ -247,14 +250,17 @@
         let mut events = Events::with_capacity(1_024);
         let mut draining: Option<Instant> = None;
         self.core.start(self.clock.now(), last_list, &mut self.outputs);
-        self.settle();
+        self.finish();
         loop {
             let wait = self.wait(draining);
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
             }
-            for event in &events {
+            for (n, event) in events.iter().enumerate() {
+                if n % EVENTS_A_GROUP == EVENTS_A_GROUP - 1 {
+                    self.finish();
+                }
                 match event.token() {
                     LISTENER => self.accept_at = Some(Instant::now()),
                     WAKER => {}
@@ -274,6 +280,7 @@
             }
             self.feed(Input::Tick);
             self.housekeep();
+            self.finish();
             self.sweep();
             if self.handle.stop.load(Ordering::SeqCst) {
                 return Ok(self.core.open_requests());
@@ -282,7 +289,7 @@
                 draining = Some(Instant::now() + self.drain_for);
                 self.listener = None;
                 self.core.drain(self.clock.now(), &mut self.outputs);
-                self.settle();
+                self.finish();
             }
             if let Some(until) = draining {
                 let done = self.core.open_requests() == 0 && self.core.open_clients() == 0;
@@ -339,23 +346,26 @@
         self.settle();
     }
 
-    /// Carries out outputs, and what writing causes, until nothing is left.
+    /// Carries out outputs; bytes wait for the group's end.
     fn settle(&mut self) {
-        loop {
+        while !self.outputs.is_empty() {
             for output in std::mem::take(&mut self.outputs) {
                 self.carry_out(output);
             }
+        }
+    }
+
+    /// Ends a group of events: all its records are given to the ledger in one write, then its bytes to sockets,
+    /// until nothing is left that writing causes.
+    fn finish(&mut self) {
+        loop {
+            self.settle();
             if std::mem::take(&mut self.unflushed) {
                 let written = self.sink.flush();
                 self.writable(written);
                 continue;
             }
-            let Some(key) = self.dirty.pop_first() else {
-                if self.outputs.is_empty() {
-                    return;
-                }
-                continue;
-            };
+            let Some(key) = self.dirty.pop_first() else { return };
             self.write(key);
         }
     }
--- a/crates/router/tests/budgets.rs
+++ b/crates/router/tests/budgets.rs
@@ -38,7 +38,10 @@
     yard
 }
 
-fn settled(yard: &Yard) -> Vec<(Ending, u64, u64, Option<u32>, Option<u32>)> {
+/// Ending, prompt and output tokens, the reading and the writing attempt.
+type Bill = (Ending, u64, u64, Option<u32>, Option<u32>);
+
+fn settled(yard: &Yard) -> Vec<Bill> {
     let of = |r: &Record| match r {
         Record::Settled(s) => Some((s.ending, s.usage.prompt, s.usage.output, s.read, s.write)),
         _ => None,
