--- a/crates/api/src/tokens.rs
+++ b/crates/api/src/tokens.rs
@@ -36,14 +36,12 @@
 pub fn estimate(text: &str) -> u64 {
     let (mut tokens, mut run) = (0_u64, 0_u64);
     for b in text.bytes() {
+        // Without branches: which class comes next can't be guessed by a processor either.
         let class = CLASS.get(usize::from(b)).copied().unwrap_or(ONE);
-        if class == RUN {
-            tokens += u64::from(run % BYTES_A_TOKEN == 0);
-            run += 1;
-        } else {
-            tokens += u64::from(class);
-            run = 0;
-        }
+        let in_run = u64::from(class == RUN);
+        tokens += in_run & u64::from(run % BYTES_A_TOKEN == 0);
+        tokens += u64::from(class == ONE);
+        run = (run + 1) * in_run;
     }
     tokens
 }
--- a/crates/budget/src/keeper.rs
+++ b/crates/budget/src/keeper.rs
@@ -151,7 +151,7 @@
         keeper.write(Record::Started(now));
         let orphans: Vec<Box<str>> = keeper.state.open.keys().cloned().collect();
         for id in orphans {
-            keeper.settle(now, &id, Ending::Orphaned, Usage::default(), (None, None));
+            keeper.settle(now, &id, Ending::Orphaned, Usage::default(), (None, None), true);
         }
         keeper
     }
@@ -294,7 +294,7 @@
         Ok(admission)
     }
 
-    /// Ends a reservation. A second settlement, or one of a request that was never taken, changes nothing.
+    /// Ends a reservation; `may_have_run`: whether it may have had its effect. A second settlement, or one of a request that was never taken, changes nothing.
     pub fn settle(
         &mut self,
         now: Time,
@@ -302,6 +302,7 @@
         ending: Ending,
         usage: Usage,
         attempts: (Option<u32>, Option<u32>),
+        may_have_run: bool,
     ) -> bool {
         let now = self.time(now);
         let Some(open) = self.state.open.get(id) else { return false };
@@ -318,7 +319,8 @@
             }
         }
         let (read, write) = attempts;
-        self.write(Record::Settled(Settled { id: id.into(), at: now, ending, usage, cost, read, write }))
+        let id = id.into();
+        self.write(Record::Settled(Settled { id, at: now, ending, usage, cost, read, write, may_have_run }))
     }
 
     /// Takes a grant whose signature was checked.
--- a/crates/budget/src/lease_test.rs
+++ b/crates/budget/src/lease_test.rs
@@ -176,7 +176,14 @@
                 let now = self.clock(r, scope);
                 let id = self.keepers[r].state().open.keys().next().unwrap().clone();
                 let (ending, prompt) = if used { (Ending::Served, 1) } else { (Ending::Failed, 0) };
-                self.keepers[r].settle(now, &id, ending, Usage { prompt, ..Usage::default() }, (None, None));
+                self.keepers[r].settle(
+                    now,
+                    &id,
+                    ending,
+                    Usage { prompt, ..Usage::default() },
+                    (None, None),
+                    false,
+                );
                 self.truth[r] -= u64::from(!used);
             }
             Step::Deliver(r, j, n) => {
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -22,6 +22,6 @@
 pub use grant::{Allowance, Grant, Key, NotGenuine, Outstanding, Round};
 pub use keeper::{Admission, Ask, Figures, Keeper, NotAdopted, Refusal, Why};
 pub use plan::{AccountKey, AtHard, AtSoft, Limit, Mode, Plan, Price, RateLimit};
-pub use record::{Adopted, Charge, Ending, Held, Open, Place, Record, Settled, State, Uses};
+pub use record::{Adopted, Charge, Ending, Held, Open, Place, Ran, Record, Settled, State, Uses};
 pub use settler::{Fork, Settler, Standing, Terms};
 pub use units::{Time, Units, Usage, Weights};
--- a/crates/budget/src/record.rs
+++ b/crates/budget/src/record.rs
@@ -1,6 +1,6 @@
 //! What a router's ledger keeps.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -64,6 +64,8 @@
     pub read: Option<u32>,
     /// The attempt whose answer it was.
     pub write: Option<u32>,
+    /// Whether it may have had its effect.
+    pub may_have_run: bool,
 }
 
 /// A lease that was taken, as it holds from then on.
@@ -175,6 +177,21 @@
     pub amount: Units,
     /// From what.
     pub slots: Vec<Place>,
+    /// The client's identity for it, and its class.
+    pub identity: Option<(Box<str>, Box<str>)>,
+}
+
+/// A request under an identity that may have run.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ran {
+    /// Whose.
+    pub tenant: Box<str>,
+    /// The client's identity for it.
+    pub identity: Box<str>,
+    /// The class it was asked for.
+    pub class: Box<str>,
+    /// When it ended.
+    pub at: Time,
 }
 
 /// The sums of a ledger: what recovery gives, and what a lease's grantor sees.
@@ -190,6 +207,8 @@
     pub last: Time,
     /// Settled, in all.
     pub settled: u64,
+    /// Requests under an identity that may have run, oldest first; bounded in number and age.
+    pub ran: VecDeque<Ran>,
     /// Records taken: the number of the last. A ledger's records are numbered without gaps.
     pub sequence: u64,
     /// Refused for want of room, as the newest lease's record told: sum and largest.
@@ -199,6 +218,10 @@
 /// Periods of one account that are remembered after their end, newest first: enough for streams over a
 /// period's change, and bounded.
 const PERIODS: usize = 4;
+/// Identities that may have run are remembered so long, µs, and so many: a day is the longest that settings can
+/// ask for.
+const REMEMBERED: u64 = 86_400_000_000;
+const MOST_REMEMBERED: usize = 100_000;
 
 impl State {
     /// Takes a record by its number. False: it says nothing new, being one that was taken, so that the same
@@ -221,6 +244,17 @@
         true
     }
 
+    /// What a lease's grantor needs: without single requests.
+    pub fn sums(&self) -> Self {
+        Self {
+            held: self.held.clone(),
+            wanted: self.wanted.clone(),
+            open: BTreeMap::new(),
+            ran: VecDeque::new(),
+            ..*self
+        }
+    }
+
     /// A new life spends nothing by the leases of the one before: what was written of them last may have
     /// been lost with the machine's power.
     fn start(&mut self, at: Time) {
@@ -244,14 +278,22 @@
                 held.reserved = held.reserved.plus(charge.amount);
             }
         }
-        let open = Open { tenant: charge.tenant.clone(), amount: charge.amount, slots: charge.slots.clone() };
+        let open = Open {
+            tenant: charge.tenant.clone(),
+            amount: charge.amount,
+            slots: charge.slots.clone(),
+            identity: charge.identity.clone().map(|i| (i, charge.class.clone())),
+        };
         self.open.insert(charge.id.clone(), open);
         true
     }
 
     fn settle(&mut self, settled: &Settled) -> bool {
         self.last = self.last.max(settled.at);
-        let Some(open) = self.open.remove(&settled.id) else { return false };
+        let Some(mut open) = self.open.remove(&settled.id) else { return false };
+        if let Some((identity, class)) = open.identity.take().filter(|_| settled.may_have_run) {
+            self.remember(Ran { tenant: open.tenant.clone(), identity, class, at: settled.at });
+        }
         if !open.slots.is_empty() {
             let of_tenant = self.held.of_tenant_mut(&open.tenant);
             for place in open.slots {
@@ -264,6 +306,14 @@
         true
     }
 
+    fn remember(&mut self, ran: Ran) {
+        let old = |r: &Ran| ran.at.since(r.at) > REMEMBERED;
+        while self.ran.len() >= MOST_REMEMBERED || self.ran.front().is_some_and(old) {
+            self.ran.pop_front();
+        }
+        self.ran.push_back(ran);
+    }
+
     fn adopt(&mut self, adopted: &Adopted) -> bool {
         if adopted.number <= self.lease.0 {
             return false;
--- a/crates/budget/src/settler.rs
+++ b/crates/budget/src/settler.rs
@@ -127,7 +127,7 @@
     /// Takes the sums of a router's ledger as read at a time; reading must have begun then or later.
     pub fn observe(&mut self, router: &str, read_at: Time, state: &State) {
         if let Some(seen) = self.routers.get_mut(router) {
-            seen.state = state.clone();
+            seen.state = state.sums();
             seen.read_at = seen.read_at.max(read_at);
         }
     }
--- a/crates/budget/tests/budgets.rs
+++ b/crates/budget/tests/budgets.rs
@@ -55,7 +55,7 @@
 }
 
 fn served(k: &mut Keeper, now: Time, id: &str, prompt: u64, kept: u64, output: u64) -> bool {
-    k.settle(now, id, Ending::Served, Usage { prompt, kept, output }, (None, Some(0)))
+    k.settle(now, id, Ending::Served, Usage { prompt, kept, output }, (None, Some(0)), true)
 }
 
 fn records(k: &mut Keeper) -> Vec<(u64, Record)> {
@@ -78,7 +78,7 @@
     assert!(!served(&mut k, noon(), "a", 210, 110, 10), "a second settlement changes nothing");
     assert!(!served(&mut k, noon(), "never", 1, 0, 1));
     assert!(k.admit(noon(), ask("b", 300, 50)).is_ok());
-    k.settle(noon(), "b", Ending::Failed, Usage { prompt: 300, kept: 0, output: 9 }, (None, None));
+    k.settle(noon(), "b", Ending::Failed, Usage { prompt: 300, kept: 0, output: 9 }, (None, None), false);
     assert_eq!(k.state().held.get(&place().0, place().1).used(), Units(151_000), "what failed costs nothing");
     assert_eq!(records(&mut k).len(), 1 + 4);
 }
@@ -461,7 +461,16 @@
 fn end(id: &str, ending: Ending, usage: (u64, u64, u64), attempts: (Option<u32>, Option<u32>)) -> Record {
     let usage = Usage { prompt: usage.0, kept: usage.1, output: usage.2 };
     let (read, write) = attempts;
-    Record::Settled(Settled { id: id.into(), at: noon(), ending, usage, cost: Units(0), read, write })
+    Record::Settled(Settled {
+        id: id.into(),
+        at: noon(),
+        ending,
+        usage,
+        cost: Units(0),
+        read,
+        write,
+        may_have_run: true,
+    })
 }
 
 fn work(id: &str, attempt: u32, work: Work, usage: (u64, u64, u64)) -> EngineLine {
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,190 @@
+//! The control socket of a running router, and the commands that speak to it.
+//!
+//! One line of JSON in, one line of JSON out, and the connection ends. The socket can be used by its owner alone.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use chalkyard_router::shell::{Handle, Question};
+use chalkyard_state::Event;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use tracing::{info, warn};
+
+use crate::{logs, Format, Trouble};
+
+/// Longest question.
+const LINE_BYTES: u64 = 64 * 1024;
+/// Longest answer that a command reads.
+const ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+/// The loop has so long to answer, and a peer to ask.
+const WAIT: Duration = Duration::from_secs(2);
+
+/// What can be asked.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(tag = "command", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Call {
+    Status {},
+    Engines {},
+    Requests {},
+    Trace { id: String },
+    Drain {},
+    Undrain {},
+    Reload {},
+    Stop {},
+    LogLevel { level: String },
+}
+
+/// Removes the socket's file when the process ends by its own will.
+pub struct Server {
+    path: PathBuf,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// Listens on the control socket. One that a dead router has left is taken over; a living one's is not.
+pub fn serve(path: &Path, handle: Handle) -> Result<Server, Trouble> {
+    let wrong = |e: std::io::Error| Trouble::CouldNotRun(format!("control socket {}: {e}", path.display()));
+    if UnixStream::connect(path).is_ok() {
+        return Err(Trouble::CouldNotRun(format!(
+            "control socket {}: another router answers there",
+            path.display()
+        )));
+    }
+    match std::fs::remove_file(path) {
+        Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(wrong(e)),
+        _ => {}
+    }
+    // Bound in a folder of the owner's alone, then put in its place: it is never open to others, not for a moment.
+    let private = path.with_extension(format!("new-{}", std::process::id()));
+    std::fs::create_dir(&private).map_err(wrong)?;
+    let made = (|| {
+        std::fs::set_permissions(&private, PermissionsExt::from_mode(0o700))?;
+        let inner = private.join("s");
+        let listener = UnixListener::bind(&inner)?;
+        std::fs::set_permissions(&inner, PermissionsExt::from_mode(0o600))?;
+        std::fs::rename(&inner, path)?;
+        Ok(listener)
+    })();
+    let _ = std::fs::remove_dir(&private);
+    let listener = made.map_err(wrong)?;
+    let listen = move || {
+        for stream in listener.incoming() {
+            match stream {
+                // One after the other: each has its bound in bytes and time.
+                Ok(stream) => {
+                    if let Err(e) = talk(&stream, &handle) {
+                        warn!(target: "control", "{e}");
+                    }
+                }
+                Err(e) => {
+                    warn!(target: "control", "{e}");
+                    std::thread::sleep(Duration::from_millis(50));
+                }
+            }
+        }
+    };
+    std::thread::Builder::new().name("control".into()).spawn(listen).map_err(wrong)?;
+    Ok(Server { path: path.into() })
+}
+
+fn talk(stream: &UnixStream, handle: &Handle) -> std::io::Result<()> {
+    stream.set_read_timeout(Some(WAIT))?;
+    stream.set_write_timeout(Some(WAIT))?;
+    let mut line = String::new();
+    BufReader::new(stream.take(LINE_BYTES)).read_line(&mut line)?;
+    let answer = match serde_json::from_str(&line) {
+        Ok(call) => answer(call, handle),
+        Err(e) => json!({"error": format!("not understood: {e}")}).to_string(),
+    };
+    let mut stream = stream;
+    stream.write_all(answer.as_bytes())?;
+    stream.write_all(b"\n")
+}
+
+fn answer(call: Call, handle: &Handle) -> String {
+    let late = || json!({"error": "the router's loop did not answer in time"}).to_string();
+    let ask = |question| handle.ask(question, WAIT).unwrap_or_else(late);
+    let tell = |event, what: &str| {
+        info!(target: "control", "told to {what}");
+        match handle.tell(event) {
+            // What became of it, as the loop sees it.
+            true => ask(Question::Status),
+            false => late(),
+        }
+    };
+    match call {
+        Call::Status {} => ask(Question::Status),
+        Call::Engines {} => ask(Question::Engines),
+        Call::Requests {} => ask(Question::Requests),
+        Call::Trace { id } => ask(Question::Trace(id)),
+        Call::Drain {} => tell(Event::Drain, "drain"),
+        Call::Undrain {} => tell(Event::Undrain, "undrain"),
+        Call::Reload {} => tell(Event::Reload, "reload"),
+        Call::Stop {} => tell(Event::Terminate, "stop"),
+        Call::LogLevel { level } => match logs::set_level(&level) {
+            Ok(()) => json!({"level": level}).to_string(),
+            Err(why) => json!({"error": why}).to_string(),
+        },
+    }
+}
+
+/// Asks a running router.
+pub fn ask(socket: &Path, call: &Call) -> Result<Value, Trouble> {
+    let wrong = |e: std::io::Error| Trouble::CouldNotRun(format!("control socket {}: {e}", socket.display()));
+    let mut stream = UnixStream::connect(socket).map_err(wrong)?;
+    stream.set_read_timeout(Some(WAIT * 3)).map_err(wrong)?;
+    let line = serde_json::to_string(call).map_err(|e| Trouble::CouldNotRun(e.to_string()))?;
+    stream.write_all(format!("{line}\n").as_bytes()).map_err(wrong)?;
+    let mut answer = String::new();
+    stream.take(ANSWER_BYTES).read_to_string(&mut answer).map_err(wrong)?;
+    serde_json::from_str(&answer).map_err(|e| Trouble::CouldNotRun(format!("{}: {e}", socket.display())))
+}
+
+/// One of the commands that speak to a running router; with `watch`, again after so many seconds, until it is gone.
+pub fn command(socket: &Path, call: &Call, format: Format, watch: Option<u64>) -> Result<ExitCode, Trouble> {
+    loop {
+        let answer = ask(socket, call)?;
+        if let Some(why) = answer.get("error").and_then(Value::as_str) {
+            return Err(Trouble::CouldNotRun(why.into()));
+        }
+        match format {
+            Format::Json => println!("{answer}"),
+            Format::Text => print!("{}", text(&answer)),
+        }
+        let Some(seconds) = watch else { return Ok(ExitCode::SUCCESS) };
+        std::thread::sleep(Duration::from_secs(seconds));
+        println!();
+    }
+}
+
+/// An answer for a person: one line a member, a line a row for lists.
+fn text(answer: &Value) -> String {
+    let word = |v: &Value| v.as_str().map_or_else(|| v.to_string(), str::to_owned);
+    let row = |v: &Value| match v.as_object() {
+        Some(object) => object.iter().map(|(k, v)| format!("{k} {}", word(v))).collect::<Vec<_>>().join(", "),
+        None => word(v),
+    };
+    match (answer.get("items").and_then(Value::as_array), answer.as_object()) {
+        (Some(items), _) => {
+            let mut out: String = items.iter().map(|i| row(i) + "\n").collect();
+            let more = answer.get("more").and_then(Value::as_u64).unwrap_or(0);
+            if more > 0 {
+                out.push_str(&format!("and {more} more\n"));
+            } else if items.is_empty() {
+                out.push_str("none\n");
+            }
+            out
+        }
+        (None, Some(object)) => object.iter().map(|(k, v)| format!("{k}: {}\n", word(v))).collect(),
+        (None, None) => format!("{answer}\n"),
+    }
+}
--- a/crates/daemon/src/keeping.rs
+++ b/crates/daemon/src/keeping.rs
@@ -1,8 +1,9 @@
 //! Budgets kept by a running router: recovery, the ledger behind the loop, leases and reloads beside it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::Read;
-use std::path::Path;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::time::{Duration, Instant};
 
@@ -10,11 +11,12 @@
 use chalkyard_ledger::{Folder, Limits, Writer};
 use chalkyard_router::shell::{News, Sink};
 use chalkyard_router::Finished;
+use chalkyard_state::Act;
 use tracing::{info, warn};
 
 use crate::budget_settings::Budgets;
 use crate::logs::Log;
-use crate::Trouble;
+use crate::{notify, Trouble};
 
 /// A grant is looked for so often.
 const LOOK: Duration = Duration::from_millis(50);
@@ -22,6 +24,8 @@
 const GRANT_BYTES: u64 = 64 * 1024 * 1024;
 /// Grants and plans that wait for the loop; a newer one follows anyway.
 const WAITING: usize = 4;
+/// Requests that ended lately and can still be asked for.
+const RECENT: usize = 1_000;
 
 /// Whether a record holds all state so far.
 pub fn is_checkpoint(record: &Record) -> bool {
@@ -163,11 +167,60 @@
     pub log: Log,
     /// The ledger, where budgets are kept.
     pub ledger: Option<Ledger>,
+    /// Requests that ended lately, newest last.
+    pub recent: VecDeque<Finished>,
+    /// What the first ready line says.
+    pub name: String,
+    /// Likewise.
+    pub seed: u64,
+    /// It was said.
+    pub ready: bool,
+    /// The settings' file, the budgets it had at the start, and where others are put.
+    pub reloads: Option<(PathBuf, Budgets, SyncSender<News>)>,
 }
 
 impl Sink for Keeping {
-    fn finished(&mut self, record: &Finished) {
-        self.log.finished(record);
+    fn finished(&mut self, record: Finished) {
+        self.log.finished(&record);
+        if self.recent.len() >= RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(record);
+    }
+
+    fn recent(&self, id: &str) -> Option<String> {
+        let record = self.recent.iter().rev().find(|r| r.id == id)?;
+        serde_json::to_string(record).ok()
+    }
+
+    fn say(&mut self, act: Act, at: Option<SocketAddr>) {
+        match act {
+            Act::SayReady => {
+                notify::say("READY=1\n");
+                if !std::mem::replace(&mut self.ready, true) {
+                    let at = at.map(|a| a.to_string());
+                    info!(target: "router", name = self.name, seed = self.seed, at, "ready");
+                }
+            }
+            Act::SayReloading => notify::say("RELOADING=1\n"),
+            Act::SayStopping => notify::say("STOPPING=1\n"),
+            Act::StopTaking { .. } => info!(target: "router", "takes nothing new"),
+            Act::TakeAgain => info!(target: "router", "takes requests again"),
+            Act::AnswerAll => info!(target: "router", "what is open is told that the router stops"),
+            Act::Listen | Act::Reload | Act::Exit(_) => {}
+        }
+    }
+
+    /// Beside the loop: files are read.
+    fn reload(&mut self) {
+        let Some((file, budgets, plans)) = self.reloads.clone() else {
+            info!(target: "router", "no budgets are kept here: nothing to reload");
+            return;
+        };
+        let read = move || reload(&file, &budgets, &plans);
+        if let Err(e) = std::thread::Builder::new().name("reload".into()).spawn(read) {
+            warn!(target: "router", "not reloaded: {e}");
+        }
     }
 
     fn note(&mut self, what: &str, text: &str) {
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -1,17 +1,31 @@
 //! The log: JSON lines on standard error. Level by `CHALKYARD_LOG` (default `info`).
 
 use std::path::PathBuf;
+use std::sync::OnceLock;
 
-use chalkyard_router::shell::Sink;
 use chalkyard_router::Finished;
 use tracing::{info, warn};
 use tracing_subscriber::EnvFilter;
 
+/// Takes another filter while the process runs.
+type SetLevel = Box<dyn Fn(EnvFilter) -> Result<(), String> + Send + Sync>;
+static LEVEL: OnceLock<SetLevel> = OnceLock::new();
+
 /// Starts logging for this process.
 pub fn start() {
     let filter = EnvFilter::try_from_env("CHALKYARD_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
-    let lines = tracing_subscriber::fmt().json().flatten_event(true).with_env_filter(filter);
-    let _ = lines.with_writer(std::io::stderr).with_current_span(false).try_init();
+    let lines = tracing_subscriber::fmt().json().flatten_event(true).with_current_span(false);
+    let lines = lines.with_writer(std::io::stderr).with_env_filter(filter).with_filter_reloading();
+    let handle = lines.reload_handle();
+    let _ = LEVEL.set(Box::new(move |filter| handle.reload(filter).map_err(|e| e.to_string())));
+    let _ = lines.try_init();
+}
+
+/// Logs at another level from now on: `off`, `error`, `warn`, `info`, `debug`, `trace`, or a filter by target such
+/// as `info,request=off`.
+pub fn set_level(level: &str) -> Result<(), String> {
+    let filter = EnvFilter::builder().parse(level).map_err(|e| format!("no level or filter: {e}"))?;
+    LEVEL.get().map_or_else(|| Err("no log in this process".into()), |set| set(filter))
 }
 
 /// Tells the log, and keeps the list of workers.
@@ -20,8 +34,8 @@
     pub list_file: Option<PathBuf>,
 }
 
-impl Sink for Log {
-    fn finished(&mut self, r: &Finished) {
+impl Log {
+    pub fn finished(&self, r: &Finished) {
         if !tracing::enabled!(target: "request", tracing::Level::INFO) {
             return;
         }
@@ -48,12 +62,12 @@
         );
     }
 
-    fn note(&mut self, what: &str, text: &str) {
+    pub fn note(&self, what: &str, text: &str) {
         warn!(target: "router", what, "{text}");
     }
 
     /// Written beside and renamed, so that a crash leaves the old list or the new one, never half.
-    fn keep_list(&mut self, text: &str) {
+    pub fn keep_list(&self, text: &str) {
         let Some(file) = &self.list_file else { return };
         let fresh = file.with_extension("new");
         if let Err(e) = std::fs::write(&fresh, text).and_then(|()| std::fs::rename(&fresh, file)) {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,13 +1,16 @@
 //! `chalkyard`: the router as a program, and its rehearsal kit.
 //!
-//! Exit codes: 0 done (of a rehearsal or audit: all rules held), 1 could not run, 2 usage or bad input,
-//! 3 a rule was broken.
+//! Exit codes: 0 done (of a rehearsal or audit: all rules held; of a router: all that was open has ended), 1 could
+//! not run, 2 usage or bad input, 3 a rule was broken or a bill does not agree, 4 a router's drain ran out of time,
+//! 5 a router was told twice to end.
 
 mod bill;
 mod budget_settings;
 mod budgets;
+mod control;
 mod keeping;
 mod logs;
+mod notify;
 mod replay;
 mod run;
 mod settings;
@@ -55,6 +58,34 @@
         /// Settings, as XML.
         file: PathBuf,
     },
+    /// Show where a running router stands.
+    Status(At),
+    /// Show a running router's engines.
+    Engines(At),
+    /// Show a running router's open requests.
+    Requests(At),
+    /// Show one request, open or ended lately, with its attempts.
+    Trace {
+        /// The router's id of it.
+        id: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Have a running router take nothing new; what is open goes on.
+    Drain(At),
+    /// Have it take requests again.
+    Undrain(At),
+    /// Have it read its budgets, rates and prices again.
+    Reload(At),
+    /// Have it end once all that is open has ended; asked again, at once.
+    Stop(At),
+    /// Have it log at another level: off, error, warn, info, debug, trace, or a filter such as info,request=off.
+    LogLevel {
+        /// Level or filter.
+        level: String,
+        #[command(flatten)]
+        at: At,
+    },
     /// Read an API key from standard input and print its hash for the settings.
     HashKey {
         /// Settings with the salt under which keys are hashed.
@@ -131,6 +162,31 @@
     },
 }
 
+/// Which running router, and how its answer is printed.
+#[derive(Debug, clap::Args)]
+struct At {
+    /// Its control socket, or its settings, which name it.
+    socket: PathBuf,
+    /// How to print it.
+    #[arg(long, value_enum, default_value_t = Format::Text)]
+    format: Format,
+    /// Ask again after so many seconds, until the router is gone.
+    #[arg(long, value_name = "S", value_parser = clap::value_parser!(u64).range(1..=3600))]
+    watch: Option<u64>,
+}
+
+impl At {
+    fn ask(self, call: &control::Call) -> Result<ExitCode, Trouble> {
+        let is_settings = self.socket.extension().is_some_and(|e| e == "xml");
+        let none = || Trouble::BadInput(format!("{}: <router> names no `control`", self.socket.display()));
+        let socket = match is_settings {
+            true => load(&self.socket)?.control.ok_or_else(none)?,
+            false => self.socket,
+        };
+        control::command(&socket, call, self.format, self.watch)
+    }
+}
+
 /// What went wrong, by its exit code.
 pub enum Trouble {
     /// It could not run.
@@ -176,6 +232,15 @@
 fn command(command: Command) -> Result<ExitCode, Trouble> {
     match command {
         Command::Run { file, seed, decisions } => run::run(&file, seed, decisions),
+        Command::Status(at) => at.ask(&control::Call::Status {}),
+        Command::Engines(at) => at.ask(&control::Call::Engines {}),
+        Command::Requests(at) => at.ask(&control::Call::Requests {}),
+        Command::Trace { id, at } => at.ask(&control::Call::Trace { id }),
+        Command::Drain(at) => at.ask(&control::Call::Drain {}),
+        Command::Undrain(at) => at.ask(&control::Call::Undrain {}),
+        Command::Reload(at) => at.ask(&control::Call::Reload {}),
+        Command::Stop(at) => at.ask(&control::Call::Stop {}),
+        Command::LogLevel { level, at } => at.ask(&control::Call::LogLevel { level }),
         Command::Settle { file, rounds } => settle::settle(&file, rounds),
         Command::Budget(command) => budgets::command(command),
         Command::Bill { file, period, ledger, engines, format } => {
--- /dev/null
+++ b/crates/daemon/src/notify.rs
@@ -0,0 +1,19 @@
+//! The supervisor's readiness protocol: datagrams of `NAME=VALUE` lines to the socket that `NOTIFY_SOCKET`
+//! names, as `sd_notify(3)` publishes it. Without the variable nothing is said.
+
+use std::os::linux::net::SocketAddrExt;
+use std::os::unix::net::{SocketAddr, UnixDatagram};
+
+/// Says a state; a supervisor that does not listen is no reason to fail.
+pub fn say(state: &str) {
+    let Some(place) = std::env::var_os("NOTIFY_SOCKET") else { return };
+    let text = place.to_string_lossy();
+    let address = match text.strip_prefix('@') {
+        Some(name) => SocketAddr::from_abstract_name(name),
+        None => SocketAddr::from_pathname(&place),
+    };
+    let sent = address.and_then(|at| UnixDatagram::unbound()?.send_to_addr(state.as_bytes(), &at));
+    if let Err(e) = sent {
+        tracing::warn!(target: "router", "the supervisor could not be told `{}`: {e}", state.trim());
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,19 +1,21 @@
 //! `chalkyard run`: one router until it is told to stop.
 
+use std::collections::VecDeque;
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use chalkyard_budget::Time;
-use chalkyard_router::shell::{granularity, listen, Clock, Shell};
+use chalkyard_router::shell::{granularity, Clock, Place, Shell};
 use chalkyard_router::Core;
+use chalkyard_state::{Event, Terms};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::keeping::{self, Keeping};
-use crate::{logs, Trouble};
+use crate::{control, logs, Trouble};
 
 /// The first line of a decisions file: what the module was started with.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -35,7 +37,12 @@
     pub actions: A,
 }
 
-/// Runs a router. SIGTERM or SIGINT drains it, a second one stops it at once.
+/// Without any list of engines the router listens after this, µs.
+const START: u64 = 3_000_000;
+/// Last answers have so long to leave, µs.
+const FAREWELL: u64 = 1_000_000;
+
+/// Runs a router. SIGTERM or SIGINT ends it once all that is open has ended; a second one at once. SIGHUP reloads.
 pub fn run(file: &PathBuf, seed: Option<u64>, decisions: Option<PathBuf>) -> Result<ExitCode, Trouble> {
     logs::start();
     let settings = crate::load(file)?;
@@ -44,9 +51,8 @@
     let seed = seed.unwrap_or(clock.now().0);
     let mut config = settings.config;
     config.policy.tick = granularity();
-    let listener = listen(settings.listen, settings.shared_port)
+    let place = Place::take(settings.listen, settings.shared_port)
         .map_err(|e| could_not(&format!("listening at {}", settings.listen), e))?;
-    let at = listener.local_addr().map_err(|e| could_not("listening", e))?;
     let started = Started { settings: config.policy.clone(), seed };
     let name = config.name.clone();
     let mut core = Core::new(config, seed, clock.now());
@@ -72,35 +78,33 @@
         (Some(file), None) => std::fs::read_to_string(file).ok(),
         (None, None) => None,
     };
-    let log = Keeping { log: logs::Log { list_file: settings.list_file }, ledger };
-    let mut shell =
-        Shell::new(core, log, clock, listener, settings.drain_for).map_err(|e| could_not("starting", e))?;
+    let keeping = Keeping {
+        log: logs::Log { list_file: settings.list_file },
+        ledger,
+        recent: VecDeque::new(),
+        name,
+        seed,
+        ready: false,
+        reloads: plans.map(|(plans, budgets)| (file.clone(), budgets, plans)),
+    };
+    let terms = Terms { start: START, drain: settings.drain_for.as_micros() as u64, farewell: FAREWELL };
+    let mut shell = Shell::new(core, keeping, clock, place, terms).map_err(|e| could_not("starting", e))?;
     let handle = shell.handle();
-    let file = file.clone();
+    let control = settings.control.map(|path| control::serve(&path, handle.clone())).transpose()?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| could_not("signals", e))?;
     std::thread::spawn(move || {
-        let mut n = 0;
         for signal in signals.forever() {
-            if signal == SIGHUP {
-                match &plans {
-                    Some((plans, budgets)) => keeping::reload(&file, budgets, plans),
-                    None => info!(target: "router", "no budgets are kept here: nothing to reload"),
-                }
-                continue;
-            }
-            info!(target: "router", signal, "told to {}", if n == 0 { "drain" } else { "stop" });
-            if n == 0 {
-                handle.drain();
-            } else {
-                handle.stop();
+            let event = if signal == SIGHUP { Event::Reload } else { Event::Terminate };
+            info!(target: "router", signal, "told to {}", if signal == SIGHUP { "reload" } else { "end" });
+            if !handle.tell(event) {
+                warn!(target: "router", signal, "the loop does not listen");
             }
-            n += 1;
         }
     });
-    info!(target: "router", name, seed, %at, "ready");
-    let left = shell.run(last_list.as_deref()).map_err(|e| could_not("running", e))?;
-    info!(target: "router", left, "stopped");
-    Ok(ExitCode::SUCCESS)
+    let (stop, left) = shell.run(last_list.as_deref()).map_err(|e| could_not("running", e))?;
+    drop(control);
+    info!(target: "router", left, code = stop.code(), reason = ?stop, "stopped");
+    Ok(ExitCode::from(stop.code()))
 }
 
 fn line(value: &impl serde::Serialize) -> String {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -31,6 +31,8 @@
     pub engines: Option<String>,
     /// How long a drain waits for open requests.
     pub drain_for: Duration,
+    /// The control socket.
+    pub control: Option<PathBuf>,
     /// Token budgets, a ledger and bills.
     pub budgets: Option<Budgets>,
 }
@@ -472,6 +474,7 @@
         listen: router.must("listen", SocketAddr::from(([127, 0, 0, 1], 0)), e),
         shared_port: router.or("shared-port", false, e),
         list_file: router.maybe::<Text>("list-file", e).map(|t| t.0.into()),
+        control: router.maybe::<Text>("control", e).map(|t| t.0.into()),
         drain_for: Duration::from_micros(router.or("drain", Span(Micros(20_000_000)), e).0 .0),
         engines,
         budgets,
--- a/crates/daemon/tests/budgets.rs
+++ b/crates/daemon/tests/budgets.rs
@@ -148,6 +148,43 @@
     assert!(text(&make(&file).stderr).contains("engines.jsonl:1: "));
 }
 
+/// A single shot that a killed router had sent may have run: the next life says so, and does not run it again.
+#[test]
+fn a_repeat_after_a_kill_is_told_to_look_it_up() {
+    let (engine, dir) = (Engine::new(), folder("repeat-after-kill"));
+    let xml = settings("127.0.0.1:0".parse().unwrap(), engine.at(), "");
+    let budgets = format!("<budgets ledger=\"{}/ledger\"/>\n  <engines>", dir.display());
+    let file = dir.join("r1.xml");
+    std::fs::write(&file, xml.replacen("<engines>", &budgets, 1)).unwrap();
+    let ask = |key: &str| {
+        let plain = text(&ask(true));
+        plain.replacen("Host: a\r\n", &format!("Host: a\r\nIdempotency-Key: \"{key}\"\r\n"), 1).into_bytes()
+    };
+    let mut router = Running::start(&file, None, &[]);
+    let mut client = router.connect();
+    client.write_all(&ask("once")).unwrap();
+    let _answer = engine.begin();
+    read_until(&mut client, "message.delta");
+    router.signal("-KILL");
+    router.wait_end();
+    for _ in 0..2 {
+        // Over a second life as well.
+        let mut router = Running::start(&file, None, &[]);
+        let mut again = router.connect();
+        again.write_all(&ask("once")).unwrap();
+        let told = read_until(&mut again, "look it up");
+        assert!(told.starts_with("HTTP/1.1 409") && told.contains("\"may_have_run\":true"), "{told}");
+        router.signal("-KILL");
+        router.wait_end();
+    }
+    let router = Running::start(&file, None, &[]);
+    let mut other = router.connect();
+    other.write_all(&ask("another")).unwrap();
+    let mut answer = engine.begin();
+    Engine::end(&mut answer);
+    assert!(read_until(&mut other, "message.closed").contains("message.closed"));
+}
+
 fn chunk(s: &mut std::net::TcpStream, data: &str) {
     s.write_all(format!("{:x}\r\n{data}\r\n", data.len()).as_bytes()).unwrap();
 }
--- /dev/null
+++ b/crates/daemon/tests/life.rs
@@ -0,0 +1,185 @@
+//! A router's life as its operators and supervisor see it: the control socket, signals, exit codes.
+#![allow(clippy::unwrap_used, clippy::panic, clippy::indexing_slicing)]
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixDatagram, UnixStream};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use common::*;
+
+struct Life {
+    engine: Engine,
+    router: Running,
+    socket: PathBuf,
+    file: PathBuf,
+}
+
+fn life(name: &str, drain: &str) -> Life {
+    let (engine, dir) = (Engine::new(), folder(name));
+    let socket = dir.join("r1.sock");
+    let extra = format!("control=\"{}\"", socket.display());
+    let xml = settings("127.0.0.1:0".parse().unwrap(), engine.at(), &extra);
+    let file = dir.join("r1.xml");
+    std::fs::write(&file, xml.replace("drain=\"3s\"", &format!("drain=\"{drain}\""))).unwrap();
+    let router = Running::start(&file, None, &[]);
+    Life { engine, router, socket, file }
+}
+
+impl Life {
+    fn ask(&self, args: &[&str]) -> serde_json::Value {
+        let out = chalkyard(&[args, &[self.socket.to_str().unwrap(), "--format", "json"]].concat());
+        assert_eq!(out.status.code(), Some(0), "{}", text(&out.stderr));
+        serde_json::from_slice(&out.stdout).unwrap()
+    }
+
+    fn stream(&self) -> (TcpStream, TcpStream) {
+        let mut client = self.router.connect();
+        client.write_all(&ask(true)).unwrap();
+        let answer = self.engine.begin();
+        assert!(read_until(&mut client, "message.delta").contains("message.opened"));
+        (client, answer)
+    }
+}
+
+#[test]
+fn an_operator_sees_what_is_open_and_what_has_ended() {
+    let mut l = life("control", "3s");
+    let mode = std::fs::metadata(&l.socket).unwrap().permissions().mode();
+    assert_eq!(mode & 0o777, 0o600, "its owner's alone");
+    let (mut client, mut answer) = l.stream();
+    let status = l.ask(&["status"]);
+    assert_eq!((&status["phase"], &status["open_requests"]), (&"ready".into(), &1.into()));
+    let engines = l.ask(&["engines"]);
+    assert_eq!((&engines["items"][0]["id"], &engines["items"][0]["attempts"]), (&"m1".into(), &1.into()));
+    let open = l.ask(&["requests"]);
+    let id = open["items"][0]["id"].as_str().unwrap();
+    assert_eq!(
+        (&open["items"][0]["phase"], &open["items"][0]["may_have_run"]),
+        (&"streaming".into(), &true.into())
+    );
+    assert_eq!(l.ask(&["trace", id])["attempts"][0]["outcome"], "open");
+    Engine::end(&mut answer);
+    read_until(&mut client, "message.closed");
+    l.router.wait_log("finished");
+    assert_eq!(l.ask(&["trace", id])["ended"], "served");
+    // By the settings' file as well, for a person, and with a clear word for what there is not.
+    let out = chalkyard(&["requests", l.file.to_str().unwrap()]);
+    assert_eq!(text(&out.stdout), "none\n");
+    let out = chalkyard(&["trace", "r1-0-0", l.socket.to_str().unwrap()]);
+    assert!(out.status.code() == Some(1) && text(&out.stderr).contains("no request r1-0-0"));
+    assert_eq!(l.ask(&["log-level", "warn"])["level"], "warn");
+    let out = chalkyard(&["log-level", "loud=very", l.socket.to_str().unwrap()]);
+    assert!(text(&out.stderr).contains("no level or filter"), "{}", text(&out.stderr));
+    // What is no question is told so, and does no harm.
+    let long = "x".repeat(70_000);
+    for wrong in ["", "{}\n", "{\"command\":\"fly\"}\n", "{\"command\":\"status\",\"more\":1}\n", &long] {
+        let mut s = UnixStream::connect(&l.socket).unwrap();
+        s.write_all(wrong.as_bytes()).unwrap();
+        s.shutdown(std::net::Shutdown::Write).unwrap();
+        let mut told = String::new();
+        let _ = s.read_to_string(&mut told);
+        assert!(told.is_empty() || told.contains("not understood"), "{told}");
+    }
+    assert_eq!(l.ask(&["status"])["phase"], "ready");
+    // A second router does not take the socket of a living one; a dead one's it does.
+    let second = chalkyard(&["run", l.file.to_str().unwrap()]);
+    assert!(second.status.code() == Some(1) && text(&second.stderr).contains("another router answers there"));
+    l.router.signal("-KILL");
+    l.router.wait_end();
+    let again = Running::start(&l.file, None, &[]);
+    assert_eq!(l.ask(&["status"])["phase"], "ready");
+    drop(again);
+}
+
+#[test]
+fn a_drain_can_be_undone_and_an_end_can_not() {
+    let mut l = life("undrain", "3s");
+    let (mut client, mut answer) = l.stream();
+    assert_eq!(l.ask(&["drain"])["phase"], "drained");
+    assert!(TcpStream::connect(l.router.at).is_err(), "does not listen");
+    assert_eq!(l.ask(&["undrain"])["phase"], "ready");
+    let (mut second, mut other) = l.stream();
+    assert_eq!(l.ask(&["stop"])["phase"], "ending");
+    assert_eq!(l.ask(&["undrain"])["phase"], "ending");
+    for (client, answer) in [(&mut client, &mut answer), (&mut second, &mut other)] {
+        Engine::end(answer);
+        assert!(read_until(client, "message.closed").contains("message.closed"));
+    }
+    drop((client, second));
+    assert_eq!(l.router.wait_end().code(), Some(0));
+    assert!(l.router.wait_log("stopped")["reason"].as_str().unwrap().contains("Drained"));
+    assert!(!l.socket.exists());
+}
+
+/// Of a single shot that may have run nobody says that it was refused.
+fn told_that_it_may_have_run(client: &mut TcpStream) {
+    let told = read_until(client, "\r\n0\r\n\r\n");
+    assert!(told.contains("message.broken") && told.contains("\"may_have_run\":true"), "{told}");
+    assert!(told.contains("\"type\":\"failed\"") && told.contains("stopping"), "{told}");
+}
+
+#[test]
+fn told_twice_it_gives_each_open_request_its_one_answer() {
+    let mut l = life("twice", "20s");
+    let (mut client, _answer) = l.stream();
+    // One that has reached the engine, which has not answered yet.
+    let mut waiting = l.router.connect();
+    waiting.write_all(&ask(false)).unwrap();
+    let start = std::time::Instant::now();
+    while l.ask(&["status"])["open_requests"] != 2 {
+        assert!(start.elapsed() < Duration::from_secs(5));
+    }
+    l.router.signal("-TERM");
+    l.router.wait_log("takes nothing new");
+    l.router.signal("-TERM");
+    told_that_it_may_have_run(&mut client);
+    let told = read_until(&mut waiting, "stopping");
+    assert!(told.starts_with("HTTP/1.1 503") && told.contains("\"type\":\"failed\""), "{told}");
+    drop((client, waiting));
+    assert_eq!(l.router.wait_end().code(), Some(5));
+}
+
+#[test]
+fn a_drain_that_takes_too_long_ends_with_an_answer_too() {
+    let mut l = life("too-long", "300ms");
+    let (mut client, _answer) = l.stream();
+    l.router.signal("-TERM");
+    told_that_it_may_have_run(&mut client);
+    drop(client);
+    assert_eq!(l.router.wait_end().code(), Some(4));
+}
+
+#[test]
+fn a_supervisor_is_told() {
+    let dir = folder("notify");
+    let place = dir.join("n.sock");
+    let supervisor = UnixDatagram::bind(&place).unwrap();
+    supervisor.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let file = dir.join("r1.xml");
+    std::fs::write(&file, settings("127.0.0.1:0".parse().unwrap(), Engine::new().at(), "")).unwrap();
+    let mut child = std::process::Command::new(EXE)
+        .args(["run", file.to_str().unwrap()])
+        .env("NOTIFY_SOCKET", &place)
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let heard = || {
+        let mut buffer = [0; 100];
+        let n = supervisor.recv(&mut buffer).unwrap();
+        text(&buffer[..n])
+    };
+    assert_eq!(heard(), "READY=1\n");
+    let signal = |name: &str| {
+        std::process::Command::new("kill").args([name, &child.id().to_string()]).status().unwrap();
+    };
+    signal("-HUP");
+    assert_eq!((heard(), heard()), ("RELOADING=1\n".into(), "READY=1\n".into()));
+    signal("-TERM");
+    assert_eq!(heard(), "STOPPING=1\n");
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
--- a/crates/load/src/budgets.rs
+++ b/crates/load/src/budgets.rs
@@ -89,7 +89,7 @@
         refused += u64::from(taken.is_err());
         let usage = Usage { prompt: 910, kept: 64, output: 120 };
         let start = Instant::now();
-        keeper.settle(NOW.after(n), &id, Ending::Served, usage, (Some(0), Some(1)));
+        keeper.settle(NOW.after(n), &id, Ending::Served, usage, (Some(0), Some(1)), true);
         settle.record(start.elapsed().as_nanos() as u64)?;
         records.clear();
         keeper.take_records(&mut records);
@@ -128,6 +128,7 @@
             cost: Units::tokens(1_030),
             read: Some(0),
             write: Some(1),
+            may_have_run: true,
         }),
     ]
 }
@@ -238,9 +239,10 @@
     let own = std::env::current_exe()?;
     let engine = free()?;
     let _engines = Pinned::start(&own, &["engines", &engine.to_string()], engine, "1")?;
-    let mut ratios = Vec::new();
+    let (mut ratios, mut costs) = (Vec::new(), Vec::new());
     for round in 0..rounds {
         let mut rates = Vec::new();
+        let mut cpu = Vec::new();
         for with in [false, true] {
             let at = free()?;
             let ledger = folder.join(format!("ledger-{round}"));
@@ -265,14 +267,24 @@
                 outcome.failed
             );
             rates.push(outcome.rate());
+            cpu.push(per(after.0 + after.1 - before.0 - before.1));
         }
         if let [without, with] = rates[..] {
             ratios.push(with / without.max(1e-9));
         }
+        if let [without, with] = cpu[..] {
+            costs.push(without / with.max(1e-9));
+        }
     }
-    ratios.sort_by(f64::total_cmp);
-    let median = ratios.get(ratios.len() / 2).copied().unwrap_or(0.0);
-    println!("router with budgets over without: median ratio {median:.3} of {ratios:.3?}");
+    let median = |list: &mut Vec<f64>| {
+        list.sort_by(f64::total_cmp);
+        list.get(list.len() / 2).copied().unwrap_or(0.0)
+    };
+    println!(
+        "router with budgets over without, requests a second: median {:.3} of {ratios:.3?}",
+        median(&mut ratios)
+    );
+    println!("and requests a CPU second: median {:.3} of {costs:.3?}", median(&mut costs));
     Ok(())
 }
 
@@ -286,7 +298,7 @@
             let rate = settlements(&folder.join(format!("turn-{a_turn}")), a_turn, seconds)?;
             println!("ledger, {a_turn} requests a turn: {rate:.0} settlements a second");
         }
-        routers(program, &folder, seconds, connections, 5)?;
+        routers(program, &folder, seconds, connections, 9)?;
         recovery(&folder.join("recovery"), records)
     })();
     std::fs::remove_dir_all(&folder)?;
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -13,6 +13,7 @@
 use super::pool::Task;
 use super::record::{since, AttemptRecord, Ended, Finished};
 use super::sources::report;
+use super::view::OpenRequest;
 use super::{ConnId, Core, Due, FinishedLine, Output};
 use crate::identity::Identity;
 use crate::timers::Key;
@@ -31,6 +32,16 @@
     Whole,
 }
 
+impl At {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Pull => "pull",
+            Self::Whole => "whole",
+        }
+    }
+}
+
 /// A reply as far as it has come.
 #[derive(Debug)]
 pub(super) enum Reply {
@@ -133,7 +144,7 @@
     }
 
     /// Whether any attempt may have had the request's effect: not the module's word, but ours.
-    fn may_have_run(&self) -> bool {
+    pub fn may_have_run(&self) -> bool {
         let ran = |a: &Attempt| a.at != At::Read && a.ended.is_none_or(|(o, _)| !o.proves_not_run());
         self.attempts.iter().any(ran)
     }
@@ -827,6 +838,49 @@
         }
     }
 
+    /// The router ends now: each open request is told so, with what is known of it. Not a refusal, unless
+    /// nothing can have run, and even then only a failure that says so.
+    pub fn answer_all(&mut self, now: Micros, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        let open: Vec<RequestId> =
+            self.jobs.iter().filter(|(_, j)| !j.over()).map(|(id, _)| id.clone()).collect();
+        for id in open {
+            let reason = "this router is stopping".to_owned();
+            self.give_failure(&id, Ended::Stopped, 503, reason);
+            self.events.push_back(Event::ClientGone(id.clone()));
+            let attempts = self.jobs.get(&id).map_or(0, |j| j.attempts.len() as u32);
+            for no in 0..attempts {
+                self.end_attempt(&id, AttemptNo(no), Outcome::Cancelled, 0);
+            }
+            self.forget_done(&id);
+        }
+        self.pump();
+        out.append(&mut self.out);
+    }
+
+    /// An open request as operators see it.
+    pub(super) fn seen(&self, id: &RequestId, job: &Job) -> OpenRequest {
+        let attempts = job.attempts.iter().map(|a| AttemptRecord {
+            worker: a.worker.0.to_string(),
+            stage: a.at.name(),
+            outcome: a.ended.map_or("open", |(o, _)| outcome_name(o)),
+            sent_us: since(a.sent, job.arrived),
+            took_us: since(a.ended.map_or(self.now, |(_, end)| end), a.sent),
+        });
+        OpenRequest {
+            id: id.0.to_string(),
+            class: self.config.classes.get(job.request.class.0).map(|c| c.name.clone()).unwrap_or_default(),
+            tenant: job.request.tenant.and_then(|t| self.config.tenants.get(t.0)).map(|t| t.name.clone()),
+            phase: if job.over() { "answered" } else { job.phase() },
+            age_us: since(self.now, job.arrived),
+            left_us: since(job.request.deadline, self.now),
+            prompt_tokens: job.request.prompt_tokens,
+            pieces: job.pieces,
+            may_have_run: job.may_have_run(),
+            attempts: attempts.collect(),
+        }
+    }
+
     /// Once nothing is owed, out or held, the request is told of and forgotten.
     fn forget_done(&mut self, id: &RequestId) {
         let done =
@@ -842,11 +896,7 @@
         let name = |i: usize| self.config.tenants.get(i).map(|t| t.name.clone());
         let attempts = job.attempts.iter().map(|a| AttemptRecord {
             worker: a.worker.0.to_string(),
-            stage: match a.at {
-                At::Read => "read",
-                At::Pull => "pull",
-                At::Whole => "whole",
-            },
+            stage: a.at.name(),
             outcome: a.ended.map_or("open", |(o, _)| outcome_name(o)),
             sent_us: since(a.sent, job.arrived),
             took_us: a.ended.map_or(0, |(_, end)| since(end, a.sent)),
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -11,8 +11,21 @@
 use super::{Core, Output};
 
 impl Core {
-    /// Has budgets kept from now on; before the start.
+    /// Has budgets kept from now on; before the start. Identities that may have run in an earlier life and must not
+    /// run twice are known from its ledger.
     pub fn keep_budgets(&mut self, keeper: Keeper) {
+        let (now, wait) = (self.now, self.config.waits.identity);
+        for ran in &keeper.state().ran {
+            let tenant = self.config.tenants.iter().position(|t| *t.name == *ran.tenant);
+            let class = self.config.classes.iter().position(|c| *c.name == *ran.class);
+            let class = class.and_then(|c| self.config.policy.classes.get(c));
+            let until = p::Micros(ran.at.0) + wait;
+            // A class that is gone may have been one that must not run twice.
+            let once = class.is_none_or(|c| c.effect != p::Effect::Free);
+            if once && until > now && (tenant.is_some() || ran.tenant.is_empty()) {
+                self.identities.restore(&(tenant, ran.identity.to_string()), until);
+            }
+        }
         self.keeper = Some(keeper);
     }
 
@@ -79,13 +92,13 @@
         let ending = match ended {
             Ended::Served => Ending::Served,
             Ended::Refused => Ending::Refused,
-            Ended::Failed | Ended::Overdue if !begun => Ending::Failed,
-            Ended::Failed | Ended::Overdue | Ended::Broken | Ended::Moved => Ending::Broken,
+            Ended::Failed | Ended::Overdue | Ended::Stopped if !begun => Ending::Failed,
+            Ended::Failed | Ended::Overdue | Ended::Stopped | Ended::Broken | Ended::Moved => Ending::Broken,
             Ended::ClientGone | Ended::ClientSlow if begun => Ending::Left,
             Ended::ClientGone | Ended::ClientSlow => Ending::LeftEarly,
         };
         let usage: Usage = job.counted(ending == Ending::Left);
-        keeper.settle(now, &id.0, ending, usage, job.billed_attempts());
+        keeper.settle(now, &id.0, ending, usage, job.billed_attempts(), job.may_have_run());
         self.write_records();
     }
 
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod pool;
 pub(crate) mod record;
 mod sources;
+pub(crate) mod view;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -132,6 +133,8 @@
     next_link: u64,
     next_request: u64,
     draining: bool,
+    /// A list of engines is known.
+    has_list: bool,
     observer: Option<Observer>,
 }
 
@@ -162,6 +165,7 @@
             next_link: 1,
             next_request: 0,
             draining: false,
+            has_list: false,
             observer: None,
         }
     }
@@ -176,7 +180,10 @@
         self.now = now;
         let stale = last_list.map(|text| self.held.snapshot(text, &self.config));
         let workers = match stale {
-            Some(Ok(named)) => self.learn(named, true),
+            Some(Ok(named)) => {
+                self.has_list = true;
+                self.learn(named, true)
+            }
             Some(Err(wrong)) => {
                 self.note("list", format!("the kept list can't be read, starting without: {wrong:?}"));
                 Vec::new()
@@ -239,6 +246,11 @@
         out.append(&mut self.out);
     }
 
+    /// Takes requests again.
+    pub fn undrain(&mut self) {
+        self.draining = false;
+    }
+
     /// Requests without a final answer or with something still out or held.
     pub fn open_requests(&self) -> usize {
         self.jobs.len()
--- a/crates/router/src/core/record.rs
+++ b/crates/router/src/core/record.rs
@@ -19,6 +19,8 @@
     ClientGone,
     /// The client took nothing for too long.
     ClientSlow,
+    /// The router had to end before it.
+    Stopped,
     /// The module moved the stream on.
     Moved,
     /// No final answer came from the module in time: the router's own backstop. An error of ours.
--- a/crates/router/src/core/sources.rs
+++ b/crates/router/src/core/sources.rs
@@ -143,6 +143,7 @@
     }
 
     fn news(&mut self, named: Vec<Named>, kind: p::ListKind) {
+        self.has_list = true;
         let workers = self.learn(named, kind == p::ListKind::Full);
         self.out.push(Output::KeepList(self.held.text()));
         self.events.push_back(Event::Workers { kind, workers });
--- a/crates/router/src/identity.rs
+++ b/crates/router/src/identity.rs
@@ -44,6 +44,11 @@
         Self { known: BTreeMap::new(), ended: VecDeque::new(), most }
     }
 
+    /// How many are remembered.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
     /// Takes a new request under its identity, or says why not.
     pub fn begin(&mut self, now: Micros, identity: &Identity) -> Result<(), Repeat> {
         self.forget(now);
@@ -71,6 +76,13 @@
         }
     }
 
+    /// One that may have run in an earlier life. In the order in which they ended.
+    pub fn restore(&mut self, identity: &Identity, until: Micros) {
+        if self.known.len() < self.most {
+            self.end(identity, Some(until));
+        }
+    }
+
     /// All are remembered for the same span, so the first that ended is the first to go.
     fn forget(&mut self, now: Micros) {
         while let Some((until, identity)) = self.ended.pop_front_if(|(until, _)| *until <= now) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,4 +14,5 @@
 
 pub use crate::config::{Bounds, ClassEntry, Config, KindEntry, TenantEntry, Waits};
 pub use crate::core::record::{AttemptRecord, Ended, Finished};
+pub use crate::core::view::{Counts, EngineView, Listed, OpenRequest};
 pub use crate::core::{ConnId, Core, Input, Output};
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use chalkyard_budget::{Figures, Grant, Plan, Record};
 use chalkyard_policy::Micros;
+use chalkyard_state::{Act, Event as LifeEvent, Life, Phase, Stop, Terms};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
 use slab::Slab;
@@ -40,7 +41,7 @@
 /// Takes what a router has to tell.
 pub trait Sink {
     /// A request is over.
-    fn finished(&mut self, record: &Finished);
+    fn finished(&mut self, record: Finished);
     /// Something happened that an operator may want to know.
     fn note(&mut self, what: &str, text: &str);
     /// The list of workers to keep for the next start.
@@ -59,6 +60,14 @@
     fn housekeep(&mut self) -> Vec<News> {
         Vec::new()
     }
+    /// The router's life goes on to this phase; what a supervisor is told of it.
+    fn say(&mut self, _word: Act, _at: Option<SocketAddr>) {}
+    /// Settings are to be read again; what comes of it is told by [`Sink::housekeep`].
+    fn reload(&mut self) {}
+    /// A request that ended lately.
+    fn recent(&self, _id: &str) -> Option<String> {
+        None
+    }
     /// Budget figures, at times.
     fn figures(&mut self, _figures: &BTreeMap<Box<str>, Figures>) {}
 }
@@ -115,25 +124,58 @@
     Micros(longest.clamp(1_000, 10_000))
 }
 
-/// Ends a running shell from another thread.
+/// What an operator asks of a running router.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Question {
+    /// Where it stands.
+    Status,
+    /// Its engines.
+    Engines,
+    /// Its open requests.
+    Requests,
+    /// One request, open or ended lately.
+    Trace(String),
+}
+
+#[derive(Debug)]
+enum Word {
+    Life(LifeEvent),
+    Ask(Question, SyncSender<String>),
+}
+
+/// Words from other threads that wait for the loop; one more is not taken.
+const WORDS: usize = 64;
+
+/// Speaks to a running shell from another thread.
 #[derive(Debug, Clone)]
 pub struct Handle {
     waker: Arc<Waker>,
-    drain: Arc<AtomicBool>,
-    stop: Arc<AtomicBool>,
+    words: Arc<Mutex<VecDeque<Word>>>,
 }
 
 impl Handle {
-    /// Takes no new requests; the loop ends when all that is open has ended.
-    pub fn drain(&self) {
-        self.drain.store(true, Ordering::SeqCst);
-        let _ = self.waker.wake();
+    fn put(&self, word: Word) -> bool {
+        let Ok(mut words) = self.words.lock() else { return false };
+        if words.len() >= WORDS {
+            return false;
+        }
+        words.push_back(word);
+        self.waker.wake().is_ok()
     }
 
-    /// Ends the loop now.
-    pub fn stop(&self) {
-        self.stop.store(true, Ordering::SeqCst);
-        let _ = self.waker.wake();
+    /// Tells the router's life of something: a signal, or an operator's wish. False: it can't be told now.
+    pub fn tell(&self, event: LifeEvent) -> bool {
+        self.put(Word::Life(event))
+    }
+
+    /// Asks; none if there is no answer within the time.
+    pub fn ask(&self, question: Question, within: Duration) -> Option<String> {
+        let (answer, got) = sync_channel(1);
+        self.put(Word::Ask(question, answer)).then(|| got.recv_timeout(within).ok()).flatten()
+    }
+
+    fn take(&self) -> Vec<Word> {
+        self.words.lock().map(|mut words| words.drain(..).collect()).unwrap_or_default()
     }
 }
 
@@ -165,6 +207,9 @@
     core: Core,
     sink: S,
     clock: Clock,
+    life: Life,
+    /// Where it listens, or will.
+    place: Place,
     listener: Option<TcpListener>,
     handle: Handle,
     socks: Slab<Sock>,
@@ -177,7 +222,7 @@
     cuts: VecDeque<(Instant, usize, ConnId)>,
     accept_at: Option<Instant>,
     next_client: u64,
-    drain_for: Duration,
+    ended: Option<Stop>,
     outputs: Vec<Output>,
     buffer: Vec<u8>,
     /// Records wait for the ledger, and whether it could be written last.
@@ -187,8 +232,38 @@
     figures_at: Instant,
 }
 
-/// A listening socket; with `shared`, several processes may listen on one address (`SO_REUSEPORT`).
-pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+/// An address that is taken, and not listened at yet.
+#[derive(Debug)]
+pub struct Place {
+    at: SocketAddr,
+    shared: bool,
+    bound: Option<socket2::Socket>,
+}
+
+impl Place {
+    /// Takes an address; with `shared`, several processes may listen on it (`SO_REUSEPORT`).
+    pub fn take(address: SocketAddr, shared: bool) -> io::Result<Self> {
+        let socket = bind(address, shared)?;
+        let at = socket.local_addr()?.as_socket().unwrap_or(address);
+        Ok(Self { at, shared, bound: Some(socket) })
+    }
+
+    /// The address.
+    pub fn at(&self) -> SocketAddr {
+        self.at
+    }
+
+    fn listen(&mut self) -> io::Result<TcpListener> {
+        let socket = match self.bound.take() {
+            Some(socket) => socket,
+            None => bind(self.at, self.shared)?,
+        };
+        socket.listen(1_024)?;
+        Ok(TcpListener::from_std(socket.into()))
+    }
+}
+
+fn bind(address: SocketAddr, shared: bool) -> io::Result<socket2::Socket> {
     let domain = socket2::Domain::for_address(address);
     let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
     socket.set_reuse_address(true)?;
@@ -197,31 +272,23 @@
     }
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    socket.listen(1_024)?;
-    Ok(TcpListener::from_std(socket.into()))
+    Ok(socket)
 }
 
 impl<S: Sink> Shell<S> {
-    /// A shell around a core. `drain_for` bounds how long a drain waits for open requests.
-    pub fn new(
-        core: Core,
-        sink: S,
-        clock: Clock,
-        listener: TcpListener,
-        drain_for: Duration,
-    ) -> io::Result<Self> {
+    /// A shell around a core, at the beginning of its life.
+    pub fn new(core: Core, sink: S, clock: Clock, place: Place, terms: Terms) -> io::Result<Self> {
         let poll = Poll::new()?;
         let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
-        let (drain, stop) = Default::default();
-        let mut listener = listener;
-        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         Ok(Self {
             poll,
             core,
             sink,
             clock,
-            listener: Some(listener),
-            handle: Handle { waker, drain, stop },
+            life: Life::new(terms, clock.now().0),
+            place,
+            listener: None,
+            handle: Handle { waker, words: Arc::default() },
             socks: Slab::new(),
             by_id: BTreeMap::new(),
             dirty: BTreeSet::new(),
@@ -230,7 +297,7 @@
             cuts: VecDeque::new(),
             accept_at: None,
             next_client: 2,
-            drain_for,
+            ended: None,
             outputs: Vec::new(),
             buffer: vec![0; READ_BYTES],
             unflushed: false,
@@ -240,20 +307,18 @@
         })
     }
 
-    /// A handle to end the loop.
+    /// A handle to speak to the loop.
     pub fn handle(&self) -> Handle {
         self.handle.clone()
     }
 
-    /// Runs until it is stopped, or drained and done. Tells how many requests were still open.
-    pub fn run(&mut self, last_list: Option<&str>) -> io::Result<usize> {
+    /// Runs until the router's life is over. Tells why, and how many requests were still open.
+    pub fn run(&mut self, last_list: Option<&str>) -> io::Result<(Stop, usize)> {
         let mut events = Events::with_capacity(1_024);
-        let mut draining: Option<Instant> = None;
         self.core.start(self.clock.now(), last_list, &mut self.outputs);
         self.finish();
         loop {
-            let wait = self.wait(draining);
-            match self.poll.poll(&mut events, wait) {
+            match self.poll.poll(&mut events, self.wait()) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
             }
@@ -279,29 +344,113 @@
                 }
             }
             self.feed(Input::Tick);
+            for word in self.handle.take() {
+                match word {
+                    Word::Life(event) => self.live(event),
+                    // Nobody may be waiting any more.
+                    Word::Ask(question, answer) => drop(answer.try_send(self.answer(&question))),
+                }
+            }
             self.housekeep();
             self.finish();
             self.sweep();
-            if self.handle.stop.load(Ordering::SeqCst) {
-                return Ok(self.core.open_requests());
+            self.watch_life();
+            self.finish();
+            if let Some(stop) = self.ended {
+                return Ok((stop, self.core.open_requests()));
+            }
+        }
+    }
+
+    /// What the loop itself can tell the router's life.
+    fn watch_life(&mut self) {
+        match self.life.phase() {
+            Phase::Starting if self.core.has_list() => self.live(LifeEvent::Listed),
+            Phase::Ending | Phase::Farewell => {
+                let open = self.core.open_requests() + self.core.open_clients();
+                if open == 0 && self.lingering == 0 {
+                    self.live(LifeEvent::Idle);
+                }
             }
-            if draining.is_none() && self.handle.drain.load(Ordering::SeqCst) {
-                draining = Some(Instant::now() + self.drain_for);
+            _ => {}
+        }
+        self.live(LifeEvent::Tick);
+    }
+
+    fn live(&mut self, event: LifeEvent) {
+        let mut acts = Vec::new();
+        self.life.handle(self.clock.now().0, event, &mut acts);
+        for act in acts {
+            self.act(act);
+        }
+    }
+
+    fn act(&mut self, act: Act) {
+        match act {
+            Act::Listen => {
+                let event = if self.listen() { LifeEvent::Listening } else { LifeEvent::ListenFailed };
+                self.live(event);
+            }
+            Act::StopTaking { .. } => {
                 self.listener = None;
+                self.accept_at = None;
                 self.core.drain(self.clock.now(), &mut self.outputs);
-                self.finish();
             }
-            if let Some(until) = draining {
-                let done = self.core.open_requests() == 0 && self.core.open_clients() == 0;
-                let written = self.lingering == 0;
-                if (done && written) || Instant::now() >= until {
-                    return Ok(self.core.open_requests());
+            Act::TakeAgain => {
+                if self.listen() {
+                    self.core.undrain();
+                } else {
+                    // As it was: the operator is told, and may try again.
+                    self.live(LifeEvent::Drain);
                 }
             }
+            Act::Reload => self.sink.reload(),
+            Act::AnswerAll => self.core.answer_all(self.clock.now(), &mut self.outputs),
+            Act::Exit(stop) => self.ended = Some(stop),
+            Act::SayReady | Act::SayReloading | Act::SayStopping => {}
         }
+        self.sink.say(act, Some(self.place.at()));
+    }
+
+    fn listen(&mut self) -> bool {
+        let listening = self.place.listen().and_then(|mut listener| {
+            self.poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+            Ok(listener)
+        });
+        match listening {
+            Ok(listener) => self.listener = Some(listener),
+            Err(e) => self.sink.note("listen", &format!("can't listen at {}: {e}", self.place.at())),
+        }
+        self.listener.is_some()
+    }
+
+    /// Answers as one JSON object.
+    fn answer(&self, question: &Question) -> String {
+        let json = match question {
+            Question::Status => serde_json::to_value(self.core.counts()).map(|mut counts| {
+                if let Some(object) = counts.as_object_mut() {
+                    object.insert("phase".into(), serde_json::json!(self.life.phase()));
+                    object.insert("at".into(), serde_json::json!(self.place.at().to_string()));
+                    object.insert("sockets".into(), serde_json::json!(self.socks.len()));
+                }
+                counts
+            }),
+            Question::Engines => serde_json::to_value(self.core.engine_view()),
+            Question::Requests => serde_json::to_value(self.core.open_view()),
+            Question::Trace(id) => match self.core.open_one(id) {
+                Some(open) => serde_json::to_value(open),
+                None => match self.sink.recent(id) {
+                    Some(ended) => return ended,
+                    None => {
+                        Ok(serde_json::json!({"error": format!("no request {id} is open or ended lately")}))
+                    }
+                },
+            },
+        };
+        json.map_or_else(|e| serde_json::json!({"error": e.to_string()}).to_string(), |j| j.to_string())
     }
 
-    fn wait(&self, draining: Option<Instant>) -> Option<Duration> {
+    fn wait(&self) -> Option<Duration> {
         if !self.again.is_empty() {
             return Some(Duration::ZERO);
         }
@@ -311,9 +460,9 @@
         let from = Instant::now();
         let accept = self.accept_at.map(|at| at.saturating_duration_since(from));
         let linger = (self.lingering > 0).then_some(Duration::from_millis(100));
-        let drain = draining.map(|at| at.saturating_duration_since(from).min(Duration::from_millis(20)));
+        let life = self.life.due().map(|at| Duration::from_micros(at.saturating_sub(now.0).max(1)));
         let house = self.sink.period().map(|_| self.housekeep_at.saturating_duration_since(from));
-        [core, accept, linger, drain, house].into_iter().flatten().min()
+        [core, accept, linger, life, house].into_iter().flatten().min()
     }
 
     fn feed(&mut self, input: Input<'_>) {
@@ -400,7 +549,7 @@
                 self.sink.record(number, &record);
                 self.unflushed = true;
             }
-            Output::Finished(line) => self.sink.finished(&line.0),
+            Output::Finished(line) => self.sink.finished(line.0),
             Output::Note(what, text) => self.sink.note(what, &text),
         }
     }
--- /dev/null
+++ b/crates/state/src/lifecycle.rs
@@ -0,0 +1,221 @@
+//! Start, ready, reload, drain, stop: in which order things are done, and what is said at the end.
+//!
+//! Times are µs of any one clock. Each request that was taken gets its one final answer before the process
+//! ends by its own will: from its engine while the drain lasts, or by [`Act::AnswerAll`].
+
+use serde::Serialize;
+
+/// How long things last, µs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Terms {
+    /// The router listens without a list of engines after this.
+    pub start: u64,
+    /// A drain waits for open requests so long.
+    pub drain: u64,
+    /// Last answers have so long to leave.
+    pub farewell: u64,
+}
+
+/// What happens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A list of engines is known, be it an old one.
+    Listed,
+    /// The router listens.
+    Listening,
+    /// It can't.
+    ListenFailed,
+    /// A signal, or an operator, wants the process to end. A second one ends it at once.
+    Terminate,
+    /// An operator wants no new requests to be taken.
+    Drain,
+    /// An operator wants them taken again.
+    Undrain,
+    /// Settings are to be read again.
+    Reload,
+    /// Another process has the listening socket.
+    Succeeded,
+    /// Nothing is open, and all is written.
+    Idle,
+    /// The loop can't go on.
+    Broken,
+}
+
+/// What is to be done, in order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Act {
+    /// Begin to listen.
+    Listen,
+    /// Tell the supervisor that the router is ready.
+    SayReady,
+    /// Tell it that settings are read, and again that it is ready.
+    SayReloading,
+    /// Tell it that the router stops.
+    SayStopping,
+    /// Take no new connections and requests; what is open goes on. `for_good`: the listening socket may go.
+    StopTaking {
+        /// It will not be undone.
+        for_good: bool,
+    },
+    /// Take them again.
+    TakeAgain,
+    /// Read the settings and apply them.
+    Reload,
+    /// Give every open request its final answer, by what is known of it.
+    AnswerAll,
+    /// End the process.
+    Exit(Stop),
+}
+
+/// Why the process ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stop {
+    /// All that was open has ended.
+    Drained,
+    /// The drain's time was up: what was open was told that the router stops.
+    DrainTimeUp,
+    /// Told twice: likewise, at once.
+    Told,
+    /// It could not listen.
+    NoListening,
+    /// The loop could not go on.
+    Broken,
+}
+
+impl Stop {
+    /// The process's exit code.
+    pub fn code(self) -> u8 {
+        match self {
+            Self::Drained => 0,
+            Self::NoListening | Self::Broken => 1,
+            Self::DrainTimeUp => 4,
+            Self::Told => 5,
+        }
+    }
+}
+
+/// Where a router's life is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// Recovering, and waiting for a list of engines.
+    Starting,
+    /// About to listen.
+    Opening,
+    /// Taking requests.
+    Ready,
+    /// Not taking any by an operator's wish; may be undone.
+    Drained,
+    /// Ending: open requests go on.
+    Ending,
+    /// Last answers leave.
+    Farewell,
+    /// Over.
+    Over,
+}
+
+/// One life.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Life {
+    phase: Phase,
+    /// When the present phase is over by itself.
+    until: Option<u64>,
+    /// An end that came while starting, and settings to be read once ready.
+    reload: bool,
+    stop: Stop,
+    terms: [u64; 3],
+}
+
+impl Life {
+    /// Begins.
+    pub fn new(terms: Terms, now: u64) -> Self {
+        Self {
+            phase: Phase::Starting,
+            until: Some(now.saturating_add(terms.start)),
+            reload: false,
+            stop: Stop::Drained,
+            terms: [terms.start, terms.drain, terms.farewell],
+        }
+    }
+
+    /// Where it is.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// When [`Event::Tick`] is next needed.
+    pub fn due(&self) -> Option<u64> {
+        self.until
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, now: u64, event: Event, acts: &mut Vec<Act>) {
+        let [_, drain, farewell] = self.terms;
+        let late = self.until.is_some_and(|at| at <= now);
+        match (self.phase, event) {
+            (Phase::Over, _) => {}
+            (_, Event::Broken) => {
+                acts.push(Act::AnswerAll);
+                self.exit(Stop::Broken, acts);
+            }
+            (Phase::Starting | Phase::Opening, Event::Terminate | Event::Succeeded) => {
+                self.exit(Stop::Drained, acts);
+            }
+            (Phase::Starting, Event::Listed) => self.open(acts),
+            (Phase::Starting, Event::Tick) if late => self.open(acts),
+            (Phase::Opening, Event::Listening) => {
+                self.enter(Phase::Ready, None);
+                acts.push(Act::SayReady);
+                if std::mem::take(&mut self.reload) {
+                    acts.extend([Act::SayReloading, Act::Reload, Act::SayReady]);
+                }
+            }
+            (Phase::Opening, Event::ListenFailed) => self.exit(Stop::NoListening, acts),
+            (Phase::Starting | Phase::Opening, Event::Reload) => self.reload = true,
+            (Phase::Ready | Phase::Drained, Event::Reload) => {
+                acts.extend([Act::SayReloading, Act::Reload, Act::SayReady]);
+            }
+            (Phase::Ready, Event::Drain) => {
+                self.enter(Phase::Drained, None);
+                acts.push(Act::StopTaking { for_good: false });
+            }
+            (Phase::Drained, Event::Undrain) => {
+                self.enter(Phase::Ready, None);
+                acts.push(Act::TakeAgain);
+            }
+            (Phase::Ready | Phase::Drained, Event::Terminate | Event::Succeeded) => {
+                self.enter(Phase::Ending, Some(now.saturating_add(drain)));
+                acts.extend([Act::SayStopping, Act::StopTaking { for_good: true }]);
+            }
+            (Phase::Ending, Event::Idle) => self.exit(Stop::Drained, acts),
+            (Phase::Ending, Event::Terminate) => self.part(Stop::Told, now, farewell, acts),
+            (Phase::Ending, Event::Tick) if late => self.part(Stop::DrainTimeUp, now, farewell, acts),
+            (Phase::Farewell, Event::Idle) => self.exit(self.stop, acts),
+            (Phase::Farewell, Event::Tick) if late => self.exit(self.stop, acts),
+            _ => {}
+        }
+    }
+
+    fn enter(&mut self, phase: Phase, until: Option<u64>) {
+        (self.phase, self.until) = (phase, until);
+    }
+
+    fn open(&mut self, acts: &mut Vec<Act>) {
+        self.enter(Phase::Opening, None);
+        acts.push(Act::Listen);
+    }
+
+    fn part(&mut self, stop: Stop, now: u64, farewell: u64, acts: &mut Vec<Act>) {
+        self.stop = stop;
+        self.enter(Phase::Farewell, Some(now.saturating_add(farewell)));
+        acts.push(Act::AnswerAll);
+    }
+
+    fn exit(&mut self, stop: Stop, acts: &mut Vec<Act>) {
+        self.enter(Phase::Over, None);
+        acts.push(Act::Exit(stop));
+    }
+}
