A successor takes the listening socket and the ledger over, without a gap

Need: a restart refused connections, and with a ledger a second process could not even start while the first one ended its streams.

If the old one dies first, what it had open is settled as orphaned.

--- a/crates/budget/src/bill.rs
+++ b/crates/budget/src/bill.rs
@@ -199,7 +199,7 @@
                     self.early.entry(settled.id.clone()).or_insert_with(|| settled.clone());
                 }
             },
-            Record::Started(_) | Record::Adopted(_) | Record::State(_) => {}
+            Record::Started(_) | Record::Succeeded(_) | Record::Adopted(_) | Record::State(_) => {}
         }
     }
 
--- a/crates/budget/src/keeper.rs
+++ b/crates/budget/src/keeper.rs
@@ -1,6 +1,6 @@
 //! What may be spent at one router: decided from its plan, its ledger's sums and its lease alone.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::calendar::{Kind, Span};
 use crate::grant::Grant;
@@ -131,6 +131,8 @@
     spans: BTreeMap<Kind, Span>,
     books: BTreeMap<Box<str>, Book>,
     writable: bool,
+    /// Requests that the life before has taken and still ends.
+    inherited: BTreeSet<Box<str>>,
     out: Vec<(u64, Record)>,
 }
 
@@ -138,22 +140,53 @@
     /// From the sums that recovery gave. What was open belongs to a life that is over: it is settled here,
     /// at no cost, since its client was cut off.
     pub fn new(router: &str, plan: Plan, state: State, now: Time) -> Self {
-        let mut keeper = Self {
+        let mut keeper = Self::begin(router, plan, state);
+        let now = keeper.time(now);
+        keeper.write(Record::Started(now));
+        let orphans: Vec<Box<str>> = keeper.state.open.keys().cloned().collect();
+        keeper.orphan(now, &orphans);
+        keeper
+    }
+
+    /// Takes over from a life that has given up its ledger whole and takes nothing new, but still ends what it
+    /// had taken: its settlements come by [`Keeper::inherit`], until [`Keeper::inherited_all`].
+    pub fn succeed(router: &str, plan: Plan, state: State, now: Time) -> Self {
+        let mut keeper = Self::begin(router, plan, state);
+        keeper.inherited = keeper.state.open.keys().cloned().collect();
+        let now = keeper.time(now);
+        keeper.write(Record::Succeeded(now));
+        keeper
+    }
+
+    /// A settlement of the life before.
+    pub fn inherit(&mut self, now: Time, settled: &Settled) -> bool {
+        let Settled { id, ending, usage, read, write, may_have_run, .. } = settled;
+        self.inherited.remove(id) && self.settle(now, id, *ending, *usage, (*read, *write), *may_have_run)
+    }
+
+    /// The life before is over: what it has not settled is nobody's any more.
+    pub fn inherited_all(&mut self, now: Time) {
+        let left: Vec<Box<str>> = std::mem::take(&mut self.inherited).into_iter().collect();
+        self.orphan(now, &left);
+    }
+
+    fn orphan(&mut self, now: Time, ids: &[Box<str>]) {
+        for id in ids {
+            self.settle(now, id, Ending::Orphaned, Usage::default(), (None, None), true);
+        }
+    }
+
+    fn begin(router: &str, plan: Plan, state: State) -> Self {
+        Self {
             router: router.into(),
             books: by_tenant(&plan),
             plan,
             state,
             spans: BTreeMap::new(),
             writable: true,
+            inherited: BTreeSet::new(),
             out: Vec::new(),
-        };
-        let now = keeper.time(now);
-        keeper.write(Record::Started(now));
-        let orphans: Vec<Box<str>> = keeper.state.open.keys().cloned().collect();
-        for id in orphans {
-            keeper.settle(now, &id, Ending::Orphaned, Usage::default(), (None, None), true);
         }
-        keeper
     }
 
     /// Records to be kept, with their numbers: before anything that follows from them leaves the router.
--- a/crates/budget/src/record.rs
+++ b/crates/budget/src/record.rs
@@ -88,6 +88,8 @@
 pub enum Record {
     /// A life of the router began.
     Started(Time),
+    /// A life of the router took over from the one before, which still ends what it had taken.
+    Succeeded(Time),
     /// A request was taken.
     Reserved(Charge),
     /// It ended.
@@ -233,6 +235,8 @@
         self.sequence = number;
         match record {
             Record::Started(at) => self.start(*at),
+            // Nothing was lost: leases and reservations go on.
+            Record::Succeeded(at) => self.last = self.last.max(*at),
             Record::Reserved(charge) => return self.reserve(charge),
             Record::Settled(settled) => return self.settle(settled),
             Record::Adopted(adopted) => return self.adopt(adopted),
--- a/crates/daemon/src/bill.rs
+++ b/crates/daemon/src/bill.rs
@@ -219,7 +219,7 @@
             let at = match &r {
                 Record::Reserved(c) => Some(c.at),
                 Record::Settled(s) => Some(s.at),
-                Record::Started(at) => Some(*at),
+                Record::Started(at) | Record::Succeeded(at) => Some(*at),
                 Record::Adopted(a) => Some(a.at),
                 Record::State(_) => None,
             };
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -2,15 +2,24 @@
 //!
 //! One line of JSON in, one line of JSON out, and the connection ends. The socket can be used by its owner alone.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, IoSlice, IoSliceMut, Read, Write};
+use std::mem::MaybeUninit;
+use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver};
+use std::sync::Arc;
 use std::time::Duration;
 
-use chalkyard_router::shell::{Handle, Question};
+use chalkyard_router::shell::{Handle, Heritage, Question};
 use chalkyard_state::Event;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use tracing::{info, warn};
@@ -36,33 +45,39 @@
     Undrain {},
     Reload {},
     Stop {},
+    TakeOver {},
     LogLevel { level: String },
 }
 
 /// Removes the socket's file when the process ends by its own will.
 pub struct Server {
     path: PathBuf,
+    /// A successor has the path now.
+    handed: Arc<AtomicBool>,
+    /// Tells when all was said to the successor.
+    said: Receiver<()>,
 }
 
 impl Drop for Server {
     fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.path);
+        if self.handed.load(Ordering::SeqCst) {
+            let _ = self.said.recv_timeout(WAIT);
+        } else {
+            let _ = std::fs::remove_file(&self.path);
+        }
     }
 }
 
-/// Listens on the control socket. One that a dead router has left is taken over; a living one's is not.
-pub fn serve(path: &Path, handle: Handle) -> Result<Server, Trouble> {
+/// Listens on the control socket. One that a dead router has left is taken over; a living one's only by its
+/// successor.
+pub fn serve(path: &Path, handle: Handle, successor: bool) -> Result<Server, Trouble> {
     let wrong = |e: std::io::Error| Trouble::CouldNotRun(format!("control socket {}: {e}", path.display()));
-    if UnixStream::connect(path).is_ok() {
+    if !successor && UnixStream::connect(path).is_ok() {
         return Err(Trouble::CouldNotRun(format!(
             "control socket {}: another router answers there",
             path.display()
         )));
     }
-    match std::fs::remove_file(path) {
-        Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(wrong(e)),
-        _ => {}
-    }
     // Bound in a folder of the owner's alone, then put in its place: it is never open to others, not for a moment.
     let private = path.with_extension(format!("new-{}", std::process::id()));
     std::fs::create_dir(&private).map_err(wrong)?;
@@ -76,14 +91,22 @@
     })();
     let _ = std::fs::remove_dir(&private);
     let listener = made.map_err(wrong)?;
+    let handed = Arc::new(AtomicBool::new(false));
+    let (say, said) = sync_channel(1);
+    let flag = handed.clone();
     let listen = move || {
         for stream in listener.incoming() {
             match stream {
                 // One after the other: each has its bound in bytes and time.
                 Ok(stream) => {
-                    if let Err(e) = talk(&stream, &handle) {
+                    let talked = talk(&stream, &handle, &flag);
+                    if let Err(e) = talked {
                         warn!(target: "control", "{e}");
                     }
+                    if flag.load(Ordering::SeqCst) {
+                        let _ = say.try_send(());
+                        return;
+                    }
                 }
                 Err(e) => {
                     warn!(target: "control", "{e}");
@@ -93,15 +116,23 @@
         }
     };
     std::thread::Builder::new().name("control".into()).spawn(listen).map_err(wrong)?;
-    Ok(Server { path: path.into() })
+    Ok(Server { path: path.into(), handed, said })
 }
 
-fn talk(stream: &UnixStream, handle: &Handle) -> std::io::Result<()> {
+fn talk(stream: &UnixStream, handle: &Handle, handed: &AtomicBool) -> std::io::Result<()> {
     stream.set_read_timeout(Some(WAIT))?;
     stream.set_write_timeout(Some(WAIT))?;
     let mut line = String::new();
     BufReader::new(stream.take(LINE_BYTES)).read_line(&mut line)?;
     let answer = match serde_json::from_str(&line) {
+        Ok(Call::TakeOver {}) => match handle.succeed(WAIT) {
+            Some(heritage) => {
+                handed.store(true, Ordering::SeqCst);
+                info!(target: "control", "another process takes over");
+                return give(stream, heritage);
+            }
+            None => json!({"error": "this router has nothing to give: it is not ready"}).to_string(),
+        },
         Ok(call) => answer(call, handle),
         Err(e) => json!({"error": format!("not understood: {e}")}).to_string(),
     };
@@ -110,6 +141,70 @@
     stream.write_all(b"\n")
 }
 
+/// Gives the listening socket with one line, then a line for each settlement until the life ends.
+fn give(mut stream: &UnixStream, heritage: Heritage) -> std::io::Result<()> {
+    let line = json!({"ledger": heritage.settled.is_some()}).to_string() + "\n";
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = SendAncillaryBuffer::new(&mut space);
+    let fds = [heritage.listener.as_fd()];
+    if !control.push(SendAncillaryMessage::ScmRights(&fds)) {
+        return Err(std::io::Error::other("no room for the listening socket"));
+    }
+    let sent = sendmsg(stream, &[IoSlice::new(line.as_bytes())], &mut control, SendFlags::empty())?;
+    if sent != line.len() {
+        return Err(std::io::Error::other("cut short"));
+    }
+    drop(heritage.listener);
+    for settled in heritage.settled.into_iter().flatten() {
+        stream.write_all((serde_json::to_string(&settled).unwrap_or_default() + "\n").as_bytes())?;
+    }
+    Ok(())
+}
+
+/// What a successor got.
+pub struct Taken {
+    /// The listening socket.
+    pub listener: OwnedFd,
+    /// What the life before settles; none where it kept no ledger.
+    pub before: Option<BufReader<UnixStream>>,
+}
+
+/// Takes over from the router that answers at a control socket.
+pub fn take_over(socket: &Path) -> Result<Taken, Trouble> {
+    let wrong = |e: std::io::Error| Trouble::CouldNotRun(format!("taking over at {}: {e}", socket.display()));
+    let mut stream = UnixStream::connect(socket).map_err(wrong)?;
+    stream.set_read_timeout(Some(WAIT * 3)).map_err(wrong)?;
+    stream.write_all(b"{\"command\":\"take-over\"}\n").map_err(wrong)?;
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = RecvAncillaryBuffer::new(&mut space);
+    let mut buffer = [0; 4_096];
+    let got = recvmsg(&stream, &mut [IoSliceMut::new(&mut buffer)], &mut control, RecvFlags::CMSG_CLOEXEC);
+    let got = got.map_err(|e| wrong(e.into()))?;
+    let mut listener = None;
+    for message in control.drain() {
+        if let RecvAncillaryMessage::ScmRights(fds) = message {
+            listener = fds.into_iter().next().or(listener);
+        }
+    }
+    let line = String::from_utf8_lossy(buffer.get(..got.bytes).unwrap_or_default()).into_owned();
+    // Settlements may follow in the same bytes.
+    let (first, rest) = line.split_once('\n').unwrap_or((&line, ""));
+    let said: Value = serde_json::from_str(first).map_err(|e| wrong(e.into()))?;
+    let Some(listener) = listener else {
+        let why = said.get("error").and_then(Value::as_str).unwrap_or("no listening socket came");
+        return Err(Trouble::CouldNotRun(format!("taking over at {}: {why}", socket.display())));
+    };
+    if !rest.is_empty() {
+        return Err(Trouble::CouldNotRun(format!(
+            "taking over at {}: more came than was asked",
+            socket.display()
+        )));
+    }
+    stream.set_read_timeout(None).map_err(wrong)?;
+    let before = (said.get("ledger") == Some(&Value::Bool(true))).then(|| BufReader::new(stream));
+    Ok(Taken { listener, before })
+}
+
 fn answer(call: Call, handle: &Handle) -> String {
     let late = || json!({"error": "the router's loop did not answer in time"}).to_string();
     let ask = |question| handle.ask(question, WAIT).unwrap_or_else(late);
@@ -129,6 +224,7 @@
         Call::Drain {} => tell(Event::Drain, "drain"),
         Call::Undrain {} => tell(Event::Undrain, "undrain"),
         Call::Reload {} => tell(Event::Reload, "reload"),
+        Call::TakeOver {} => json!({"error": "only a router takes over"}).to_string(),
         Call::Stop {} => tell(Event::Terminate, "stop"),
         Call::LogLevel { level } => match logs::set_level(&level) {
             Ok(()) => json!({"level": level}).to_string(),
--- a/crates/daemon/src/keeping.rs
+++ b/crates/daemon/src/keeping.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::time::{Duration, Instant};
 
-use chalkyard_budget::{Figures, Grant, Keeper, Key, Plan, Record, State, Time};
+use chalkyard_budget::{Figures, Grant, Keeper, Key, Plan, Record, Settled, State, Time};
 use chalkyard_ledger::{Folder, Limits, Writer};
 use chalkyard_router::shell::{News, Sink};
 use chalkyard_router::Finished;
@@ -24,6 +24,10 @@
 const GRANT_BYTES: u64 = 64 * 1024 * 1024;
 /// Grants and plans that wait for the loop; a newer one follows anyway.
 const WAITING: usize = 4;
+/// Longest line of the life before.
+const SETTLED_BYTES: u64 = 64 * 1024;
+/// Settlements that wait for the successor: as many as requests can be open.
+const SETTLEMENTS: usize = 100_000;
 /// Requests that ended lately and can still be asked for.
 const RECENT: usize = 1_000;
 
@@ -55,6 +59,9 @@
     failing: bool,
 }
 
+/// What the life before still has to say: one settlement a line, as JSON.
+pub type Before = Box<dyn std::io::BufRead + Send>;
+
 /// What recovery gave.
 pub struct Recovered {
     /// The decisions, with all that the ledger told.
@@ -66,7 +73,13 @@
 }
 
 /// Opens the ledger and restores the budgets' state from it; before the first request is taken.
-pub fn recover(budgets: &Budgets, router: &str, now: Time) -> Result<Recovered, Trouble> {
+/// `before`: the life that is taken over from, which has given the ledger up.
+pub fn recover(
+    budgets: &Budgets,
+    router: &str,
+    now: Time,
+    before: Option<Before>,
+) -> Result<Recovered, Trouble> {
     let at = budgets.ledger.display();
     let folder = Folder::writer(&budgets.ledger).map_err(|e| match e.kind() {
         std::io::ErrorKind::WouldBlock => {
@@ -94,11 +107,43 @@
         let thread = std::thread::Builder::new().name("grants".into()).spawn(watch);
         thread.map_err(|e| Trouble::CouldNotRun(format!("starting: {e}")))?;
     }
-    let keeper = Keeper::new(router, budgets.plan.clone(), state, now);
+    let keeper = match before {
+        None => Keeper::new(router, budgets.plan.clone(), state, now),
+        Some(before) => {
+            let news = plans.clone();
+            let listen = move || inherit(before, &news);
+            let thread = std::thread::Builder::new().name("inherit".into()).spawn(listen);
+            thread.map_err(|e| Trouble::CouldNotRun(format!("starting: {e}")))?;
+            Keeper::succeed(router, budgets.plan.clone(), state, now)
+        }
+    };
     let ledger = Ledger { writer: opened.writer, sync: budgets.sync, told: true, news, failing: false };
     Ok(Recovered { keeper, ledger, plans })
 }
 
+/// Gives the loop what the life before settles, until it is over.
+fn inherit(mut before: Before, news: &SyncSender<News>) {
+    let mut line = String::new();
+    loop {
+        line.clear();
+        match std::io::BufRead::read_line(&mut std::io::Read::take(&mut before, SETTLED_BYTES), &mut line) {
+            Ok(n) if n > 0 => match serde_json::from_str(&line) {
+                Ok(settled) => {
+                    if news.send(News::Inherited(Box::new(settled))).is_err() {
+                        return;
+                    }
+                }
+                Err(e) => {
+                    warn!(target: "ledger", "the life before says what is not understood: {e}");
+                    break;
+                }
+            },
+            _ => break,
+        }
+    }
+    let _ = news.send(News::InheritedAll);
+}
+
 /// Looks for new grants until the loop is gone.
 fn watch(file: &Path, key: &Key, news: &SyncSender<News>) {
     let mut last = Vec::new();
@@ -167,6 +212,8 @@
     pub log: Log,
     /// The ledger, where budgets are kept.
     pub ledger: Option<Ledger>,
+    /// The successor that the ledger went to.
+    pub heir: Option<SyncSender<Settled>>,
     /// Requests that ended lately, newest last.
     pub recent: VecDeque<Finished>,
     /// What the first ready line says.
@@ -211,6 +258,15 @@
         }
     }
 
+    fn give_up_ledger(&mut self) -> Option<Receiver<Settled>> {
+        let mut ledger = self.ledger.take()?;
+        // What can't be written now is lost to the successor: it settles it as orphaned.
+        ledger.flush();
+        let (heir, settled) = sync_channel(SETTLEMENTS);
+        self.heir = Some(heir);
+        Some(settled)
+    }
+
     /// Beside the loop: files are read.
     fn reload(&mut self) {
         let Some((file, budgets, plans)) = self.reloads.clone() else {
@@ -234,6 +290,8 @@
     fn record(&mut self, number: u64, record: &Record) {
         if let Some(ledger) = &mut self.ledger {
             ledger.record(number, record);
+        } else if let (Some(heir), Record::Settled(settled)) = (&self.heir, record) {
+            let _ = heir.try_send(settled.clone());
         }
     }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -52,6 +52,10 @@
         /// Write each event that the decision module hears, and what it does, as JSON lines.
         #[arg(long, value_name = "FILE")]
         decisions: Option<PathBuf>,
+        /// Take the listening socket and the ledger over from the running router that the settings' control
+        /// socket names; it ends its open requests and then itself.
+        #[arg(long)]
+        take_over: bool,
     },
     /// Check a settings file; errors name line and column.
     Check {
@@ -231,7 +235,7 @@
 
 fn command(command: Command) -> Result<ExitCode, Trouble> {
     match command {
-        Command::Run { file, seed, decisions } => run::run(&file, seed, decisions),
+        Command::Run { file, seed, decisions, take_over } => run::run(&file, seed, decisions, take_over),
         Command::Status(at) => at.ask(&control::Call::Status {}),
         Command::Engines(at) => at.ask(&control::Call::Engines {}),
         Command::Requests(at) => at.ask(&control::Call::Requests {}),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -43,7 +43,13 @@
 const FAREWELL: u64 = 1_000_000;
 
 /// Runs a router. SIGTERM or SIGINT ends it once all that is open has ended; a second one at once. SIGHUP reloads.
-pub fn run(file: &PathBuf, seed: Option<u64>, decisions: Option<PathBuf>) -> Result<ExitCode, Trouble> {
+/// With `take_over`, the listening socket and the ledger come from the router that answers at the control socket.
+pub fn run(
+    file: &PathBuf,
+    seed: Option<u64>,
+    decisions: Option<PathBuf>,
+    take_over: bool,
+) -> Result<ExitCode, Trouble> {
     logs::start();
     let settings = crate::load(file)?;
     let could_not = |what: &str, e: std::io::Error| Trouble::CouldNotRun(format!("{what}: {e}"));
@@ -51,15 +57,23 @@
     let seed = seed.unwrap_or(clock.now().0);
     let mut config = settings.config;
     config.policy.tick = granularity();
-    let place = Place::take(settings.listen, settings.shared_port)
-        .map_err(|e| could_not(&format!("listening at {}", settings.listen), e))?;
+    let mut before: Option<keeping::Before> = None;
+    let place = if take_over {
+        let none = || Trouble::BadInput(format!("{}: <router> names no `control`", file.display()));
+        let taken = control::take_over(settings.control.as_ref().ok_or_else(none)?)?;
+        before = taken.before.map(|b| Box::new(b) as keeping::Before);
+        Place::inherited(taken.listener, settings.shared_port)
+    } else {
+        Place::take(settings.listen, settings.shared_port)
+    };
+    let place = place.map_err(|e| could_not(&format!("listening at {}", settings.listen), e))?;
     let started = Started { settings: config.policy.clone(), seed };
     let name = config.name.clone();
     let mut core = Core::new(config, seed, clock.now());
     // All that was spent is known before the first request is taken.
     let (mut ledger, mut plans) = (None, None);
     if let Some(budgets) = &settings.budgets {
-        let recovered = keeping::recover(budgets, &name, Time(clock.now().0))?;
+        let recovered = keeping::recover(budgets, &name, Time(clock.now().0), before)?;
         core.keep_budgets(recovered.keeper);
         ledger = Some(recovered.ledger);
         plans = Some((recovered.plans, budgets.clone()));
@@ -81,6 +95,7 @@
     let keeping = Keeping {
         log: logs::Log { list_file: settings.list_file },
         ledger,
+        heir: None,
         recent: VecDeque::new(),
         name,
         seed,
@@ -90,7 +105,8 @@
     let terms = Terms { start: START, drain: settings.drain_for.as_micros() as u64, farewell: FAREWELL };
     let mut shell = Shell::new(core, keeping, clock, place, terms).map_err(|e| could_not("starting", e))?;
     let handle = shell.handle();
-    let control = settings.control.map(|path| control::serve(&path, handle.clone())).transpose()?;
+    let control =
+        settings.control.map(|path| control::serve(&path, handle.clone(), take_over)).transpose()?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| could_not("signals", e))?;
     std::thread::spawn(move || {
         for signal in signals.forever() {
@@ -102,6 +118,8 @@
         }
     });
     let (stop, left) = shell.run(last_list.as_deref()).map_err(|e| could_not("running", e))?;
+    // What was settled last is said to a successor before the process ends.
+    drop(shell);
     drop(control);
     info!(target: "router", left, code = stop.code(), reason = ?stop, "stopped");
     Ok(ExitCode::from(stop.code()))
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use chalkyard_api::client::{ErrorBody, ErrorKind};
-use chalkyard_budget::{Ask, Ending, Figures, Grant, Keeper, Plan, Time, Usage, Why};
+use chalkyard_budget::{Ask, Ending, Figures, Grant, Keeper, Plan, Settled, Time, Usage, Why};
 use chalkyard_policy as p;
 
 use super::attempts::Job;
@@ -129,6 +129,22 @@
         }
     }
 
+    pub(super) fn inherited(&mut self, settled: &Settled) {
+        let now = self.time();
+        if let Some(keeper) = &mut self.keeper {
+            keeper.inherit(now, settled);
+            self.write_records();
+        }
+    }
+
+    pub(super) fn inherited_all(&mut self) {
+        let now = self.time();
+        if let Some(keeper) = &mut self.keeper {
+            keeper.inherited_all(now);
+            self.write_records();
+        }
+    }
+
     pub(super) fn replan(&mut self, plan: Plan) {
         if let Some(keeper) = &mut self.keeper {
             keeper.replan(plan);
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use chalkyard_budget::{Grant, Keeper, Plan, Record};
+use chalkyard_budget::{Grant, Keeper, Plan, Record, Settled};
 use chalkyard_policy as p;
 use chalkyard_policy::{Action, Event, Micros};
 
@@ -56,6 +56,10 @@
     Checkpoint,
     /// Other budgets, rates and prices.
     Replan(Box<Plan>),
+    /// The life before has ended a request that it had taken.
+    Inherited(Box<Settled>),
+    /// The life before is over.
+    InheritedAll,
 }
 
 /// What a core wants done, in order.
@@ -219,6 +223,8 @@
             Input::Writable(writable) => self.writable(writable),
             Input::Checkpoint => self.checkpoint(),
             Input::Replan(plan) => self.replan(*plan),
+            Input::Inherited(settled) => self.inherited(&settled),
+            Input::InheritedAll => self.inherited_all(),
         }
         while let Some(due) = self.timers.pop(self.now) {
             self.due(due);
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -3,11 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
-use std::sync::mpsc::{sync_channel, SyncSender};
+use std::os::fd::{AsFd, OwnedFd};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use chalkyard_budget::{Figures, Grant, Plan, Record};
+use chalkyard_budget::{Figures, Grant, Plan, Record, Settled};
 use chalkyard_policy::Micros;
 use chalkyard_state::{Act, Event as LifeEvent, Life, Phase, Stop, Terms};
 use mio::net::{TcpListener, TcpStream};
@@ -62,6 +63,10 @@
     }
     /// The router's life goes on to this phase; what a supervisor is told of it.
     fn say(&mut self, _word: Act, _at: Option<SocketAddr>) {}
+    /// Gives the ledger up whole, for a successor; what is settled from then on goes there.
+    fn give_up_ledger(&mut self) -> Option<Receiver<Settled>> {
+        None
+    }
     /// Settings are to be read again; what comes of it is told by [`Sink::housekeep`].
     fn reload(&mut self) {}
     /// A request that ended lately.
@@ -83,6 +88,19 @@
     Checkpoint,
     /// Other budgets.
     Replan(Box<Plan>),
+    /// The life before has ended a request.
+    Inherited(Box<Settled>),
+    /// The life before is over.
+    InheritedAll,
+}
+
+/// What a successor gets.
+#[derive(Debug)]
+pub struct Heritage {
+    /// The listening socket.
+    pub listener: OwnedFd,
+    /// What is settled from now on by the life that ends; none where no ledger is kept.
+    pub settled: Option<Receiver<Settled>>,
 }
 
 /// µs since 1970 by a clock that never goes back: the time of day at its start, monotonic from then on.
@@ -141,6 +159,7 @@
 enum Word {
     Life(LifeEvent),
     Ask(Question, SyncSender<String>),
+    Succeed(SyncSender<Heritage>),
 }
 
 /// Words from other threads that wait for the loop; one more is not taken.
@@ -174,6 +193,13 @@
         self.put(Word::Ask(question, answer)).then(|| got.recv_timeout(within).ok()).flatten()
     }
 
+    /// Has the router give its listening socket, and its ledger, to a successor; none if it has none to give, or
+    /// does not answer in time.
+    pub fn succeed(&self, within: Duration) -> Option<Heritage> {
+        let (answer, got) = sync_channel(1);
+        self.put(Word::Succeed(answer)).then(|| got.recv_timeout(within).ok()).flatten()
+    }
+
     fn take(&self) -> Vec<Word> {
         self.words.lock().map(|mut words| words.drain(..).collect()).unwrap_or_default()
     }
@@ -248,6 +274,14 @@
         Ok(Self { at, shared, bound: Some(socket) })
     }
 
+    /// A socket that another process listened at.
+    pub fn inherited(listener: OwnedFd, shared: bool) -> io::Result<Self> {
+        let socket = socket2::Socket::from(listener);
+        let at = socket.local_addr()?.as_socket().ok_or(io::ErrorKind::InvalidInput)?;
+        socket.set_nonblocking(true)?;
+        Ok(Self { at, shared, bound: Some(socket) })
+    }
+
     /// The address.
     pub fn at(&self) -> SocketAddr {
         self.at
@@ -349,6 +383,7 @@
                     Word::Life(event) => self.live(event),
                     // Nobody may be waiting any more.
                     Word::Ask(question, answer) => drop(answer.try_send(self.answer(&question))),
+                    Word::Succeed(answer) => self.succeed(&answer),
                 }
             }
             self.housekeep();
@@ -377,6 +412,22 @@
         self.live(LifeEvent::Tick);
     }
 
+    /// Connections that were not taken yet wait in the socket for the successor: none is refused or reset.
+    fn succeed(&mut self, answer: &SyncSender<Heritage>) {
+        let ready = matches!(self.life.phase(), Phase::Ready);
+        let Some(listener) = self.listener.as_ref().filter(|_| ready) else { return };
+        match listener.as_fd().try_clone_to_owned() {
+            Ok(listener) => {
+                // All that was taken until now is in the ledger before it is given up.
+                self.live(LifeEvent::Succeeded);
+                self.finish();
+                let settled = self.sink.give_up_ledger();
+                let _ = answer.try_send(Heritage { listener, settled });
+            }
+            Err(e) => self.sink.note("succession", &format!("the listening socket can't be given: {e}")),
+        }
+    }
+
     fn live(&mut self, event: LifeEvent) {
         let mut acts = Vec::new();
         self.life.handle(self.clock.now().0, event, &mut acts);
@@ -486,6 +537,8 @@
                 News::Grant(grant) => self.feed(Input::Granted(&grant)),
                 News::Checkpoint => self.feed(Input::Checkpoint),
                 News::Replan(plan) => self.feed(Input::Replan(plan)),
+                News::Inherited(settled) => self.feed(Input::Inherited(settled)),
+                News::InheritedAll => self.feed(Input::InheritedAll),
             }
         }
         if self.figures_at <= Instant::now() {
