--- a/crates/budget/tests/budgets.rs
+++ b/crates/budget/tests/budgets.rs
@@ -289,6 +289,36 @@
     assert_eq!(&from_checkpoint, k.state());
 }
 
+/// A successor goes on with leases and reservations; each request of the life before is settled once, by its word
+/// or, at its end, as orphaned.
+#[test]
+fn a_successor_settles_what_it_took_over_once() {
+    let mut old = leased(noon());
+    old.adopt(noon(), &grant(3, noon().after(60 * S), 1_000)).unwrap();
+    for id in ["a", "b", "c"] {
+        old.admit(noon(), ask(id, 10, 10)).unwrap();
+    }
+    let mode = Mode::Leases { epoch: S, routers: 2 };
+    let plan = plan(vec![(key(Kind::Day), limit(1_000))], mode);
+    let mut new = Keeper::succeed("r1", plan, old.state().clone(), noon());
+    assert!(new.admit(noon(), ask("d", 10, 10)).is_ok(), "the lease goes on");
+    let said = |k: &mut Keeper, id: &str| {
+        served(k, noon(), id, 10, 0, 5);
+        let Some((_, Record::Settled(s))) = records(k).pop() else { panic!() };
+        s
+    };
+    let a = said(&mut old, "a");
+    assert!(new.inherit(noon(), &a));
+    assert!(!new.inherit(noon(), &a), "told twice");
+    let own = Settled { id: "d".into(), ..a.clone() };
+    assert!(!new.inherit(noon(), &own), "its own are not the old life's to settle");
+    new.inherited_all(noon());
+    assert!(!new.inherit(noon(), &said(&mut old, "b")), "after its end it says nothing");
+    let ids: Vec<&str> = new.state().open.keys().map(|id| &**id).collect();
+    assert_eq!(ids, ["d"]);
+    assert_eq!(new.state().held.values().map(|h| h.spent).sum::<Units>(), Units::tokens(10 + 4 * 5));
+}
+
 // ---- Over routers.
 
 struct Yard {
--- /dev/null
+++ b/crates/daemon/src/fuzz_test.rs
@@ -0,0 +1,86 @@
+//! Whatever bytes settings and control lines hold: an answer, never a panic, and each error has its place.
+
+use proptest::prelude::*;
+
+use crate::control::Call;
+use crate::settings;
+
+const EXAMPLES: [&str; 2] =
+    [include_str!("../../../deploy/example.xml"), include_str!("../../../deploy/budgets.xml")];
+
+/// Words that are near what is expected, and far from it.
+const WORDS: [&str; 16] = [
+    "",
+    "0",
+    "-1",
+    "1e400",
+    "99999999999999999999",
+    "\u{0}",
+    "é",
+    "&amp;",
+    "<x/>",
+    "\"",
+    "hour",
+    "2026-02-29",
+    "0.9999",
+    "s",
+    "18446744073709551615",
+    "nord",
+];
+
+fn check(text: &str) -> Result<(), TestCaseError> {
+    if let Err(wrong) = settings::read(text) {
+        prop_assert!(!wrong.is_empty());
+        let lines = text.matches('\n').count() as u32 + 1;
+        for w in wrong {
+            prop_assert!((1..=lines).contains(&w.line) && w.column >= 1 && !w.what.is_empty(), "{w:?}");
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    /// Each value of the examples replaced by a word, or a piece cut out, or moved elsewhere.
+    #[test]
+    fn settings(example in 0..2_usize, value in 0..200_usize, word in 0..16_usize, cut in any::<(u16, u16)>(), how in 0..3) {
+        let xml = EXAMPLES[example];
+        let changed = match how {
+            0 => {
+                let parts: Vec<&str> = xml.split('"').collect();
+                // Every second part is a value.
+                let at = value % (parts.len() / 2) * 2 + 1;
+                let parts: Vec<&str> =
+                    parts.iter().enumerate().map(|(i, p)| if i == at { WORDS[word] } else { p }).collect();
+                parts.join("\"")
+            }
+            1 => {
+                let bounds: Vec<usize> = xml.char_indices().map(|(i, _)| i).collect();
+                let (a, b) = (bounds[cut.0 as usize % bounds.len()], bounds[cut.1 as usize % bounds.len()]);
+                format!("{}{}", &xml[..a.min(b)], &xml[a.max(b)..])
+            }
+            _ => {
+                let mut lines: Vec<&str> = xml.lines().collect();
+                let n = lines.len();
+                lines.swap(cut.0 as usize % n, cut.1 as usize % n);
+                lines.join("\n")
+            }
+        };
+        check(&changed)?;
+    }
+
+    #[test]
+    fn anything_as_settings(text in ".{0,400}") {
+        check(&text)?;
+    }
+
+    #[test]
+    fn control_lines(text in ".{0,200}", id in ".{0,40}") {
+        let _ = serde_json::from_str::<Call>(&text);
+        // What is written is read as the same.
+        let line = serde_json::to_string(&Call::Trace { id: id.clone() }).unwrap();
+        let same = matches!(serde_json::from_str(&line), Ok(Call::Trace { id: read }) if read == id);
+        prop_assert!(same, "{}", line);
+    }
+}
--- a/crates/daemon/src/keeping.rs
+++ b/crates/daemon/src/keeping.rs
@@ -222,6 +222,8 @@
     pub seed: u64,
     /// It was said.
     pub ready: bool,
+    /// When the process began.
+    pub began: Instant,
     /// The settings' file, the budgets it had at the start, and where others are put.
     pub reloads: Option<(PathBuf, Budgets, SyncSender<News>)>,
 }
@@ -246,7 +248,8 @@
                 notify::say("READY=1\n");
                 if !std::mem::replace(&mut self.ready, true) {
                     let at = at.map(|a| a.to_string());
-                    info!(target: "router", name = self.name, seed = self.seed, at, "ready");
+                    let took_us = self.began.elapsed().as_micros() as u64;
+                    info!(target: "router", name = self.name, seed = self.seed, at, took_us, "ready");
                 }
             }
             Act::SayReloading => notify::say("RELOADING=1\n"),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,9 @@
 mod budget_settings;
 mod budgets;
 mod control;
+#[cfg(test)]
+#[allow(clippy::unwrap_used, clippy::indexing_slicing)]
+mod fuzz_test;
 mod keeping;
 mod logs;
 mod notify;
@@ -102,7 +105,8 @@
     },
     /// Play a day on loopback against stand-ins and judge the five rules from the traffic.
     Rehearse {
-        /// The day: `bad-day`, `calm-day`, `budgets` (token budgets over 16 routers), or a day file that the bench printed.
+        /// The day: `bad-day`, `calm-day`, `budgets` (token budgets over 16 routers),
+        /// `restart-afternoon` (routers replaced under load), or a day file that the bench printed.
         day: String,
         /// Seed of the day.
         #[arg(long, default_value_t = 1)]
@@ -281,13 +285,23 @@
         Command::Rehearse { day, seed, record, seconds, format } => {
             let exe = std::env::current_exe().map_err(|e| Trouble::CouldNotRun(e.to_string()))?;
             let plan = chalkyard_rehearsal::Plan { exe, seed, record, seconds };
-            if day == "budgets" {
-                let report = chalkyard_rehearsal::rehearse_budgets(&plan).map_err(trouble)?;
+            let own = match day.as_str() {
+                "budgets" => {
+                    let report = chalkyard_rehearsal::rehearse_budgets(&plan).map_err(trouble)?;
+                    Some((report.text(), report.json(), report.held()))
+                }
+                "restart-afternoon" => {
+                    let report = chalkyard_rehearsal::rehearse_afternoon(&plan).map_err(trouble)?;
+                    Some((report.text(), report.json(), report.held()))
+                }
+                _ => None,
+            };
+            if let Some((text, json, held)) = own {
                 match format {
-                    Format::Text => print!("{}", report.text()),
-                    Format::Json => println!("{}", report.json()),
+                    Format::Text => print!("{text}"),
+                    Format::Json => println!("{json}"),
                 }
-                return Ok(if report.held() { ExitCode::SUCCESS } else { ExitCode::from(3) });
+                return Ok(if held { ExitCode::SUCCESS } else { ExitCode::from(3) });
             }
             Ok(judge(chalkyard_rehearsal::rehearse(&day, &plan).map_err(trouble)?, format))
         }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -51,6 +51,7 @@
     take_over: bool,
 ) -> Result<ExitCode, Trouble> {
     logs::start();
+    let began = std::time::Instant::now();
     let settings = crate::load(file)?;
     let could_not = |what: &str, e: std::io::Error| Trouble::CouldNotRun(format!("{what}: {e}"));
     let clock = Clock::new();
@@ -100,6 +101,7 @@
         name,
         seed,
         ready: false,
+        began,
         reloads: plans.map(|(plans, budgets)| (file.clone(), budgets, plans)),
     };
     let terms = Terms { start: START, drain: settings.drain_for.as_micros() as u64, farewell: FAREWELL };
--- /dev/null
+++ b/crates/rehearsal/src/afternoon.rs
@@ -0,0 +1,138 @@
+//! `rehearse restart-afternoon`: routers replaced by successors under load, against the same day with none replaced and
+//! with kills instead.
+
+use serde::Serialize;
+
+use crate::audit;
+use crate::day::{self, Restarts};
+use crate::record::{Line, Seen};
+use crate::report::Rules;
+use crate::{world, Error, Plan};
+
+/// A day of one kind.
+#[derive(Debug, Clone, Serialize)]
+pub struct Afternoon {
+    /// Hand-overs or kills.
+    pub restarts: u64,
+    /// Of the traffic.
+    pub goodput: f64,
+    /// Tries that found no router though it was up.
+    pub unreached: u64,
+    /// Connections lost that no kill excuses.
+    pub broken: u64,
+    /// The five rules.
+    pub rules: Rules,
+}
+
+/// The report.
+#[derive(Debug, Clone, Serialize)]
+pub struct AfternoonReport {
+    /// Always `restart-afternoon`.
+    pub day: String,
+    /// Seed.
+    pub seed: u64,
+    /// Routers run on.
+    pub without: Afternoon,
+    /// Successors take over.
+    pub hand_overs: Afternoon,
+    /// Routers are killed and start again.
+    pub kills: Afternoon,
+    /// Goodput with hand-overs over that without restarts.
+    pub ratio: f64,
+    /// With kills likewise.
+    pub ratio_kills: f64,
+    /// What broke.
+    pub broken: Vec<String>,
+}
+
+impl AfternoonReport {
+    /// Whether all rules held on all three days, and no hand-over cost a connection.
+    pub fn held(&self) -> bool {
+        let days = [&self.without, &self.hand_overs, &self.kills];
+        days.iter().all(|d| d.rules.held()) && self.hand_overs.unreached == 0
+    }
+
+    /// As one JSON object.
+    pub fn json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// For a person.
+    pub fn text(&self) -> String {
+        let mut out = format!("restart-afternoon (seed {})\n", self.seed);
+        for (name, d) in
+            [("without", &self.without), ("hand-overs", &self.hand_overs), ("kills", &self.kills)]
+        {
+            out.push_str(&format!(
+                "{name}: {} restarts, goodput {:.3}, {} tries found no router though it was up\n",
+                d.restarts, d.goodput, d.unreached
+            ));
+            out.push_str(&d.rules.text());
+        }
+        out.push_str(&format!(
+            "goodput over that without restarts: hand-overs {:.3}, kills {:.3}\n",
+            self.ratio, self.ratio_kills
+        ));
+        for line in &self.broken {
+            out.push_str(&format!("  broken: {line}\n"));
+        }
+        out
+    }
+}
+
+/// Plays the three days.
+pub fn rehearse(plan: &Plan) -> Result<AfternoonReport, Error> {
+    let mut told = Vec::new();
+    let mut play = |restarts| -> Result<Afternoon, Error> {
+        let day = day::afternoon(plan.seed, plan.seconds.unwrap_or(30), restarts);
+        let lines = world::play(&day, plan)?;
+        if let (Some(file), Restarts::HandOvers) = (&plan.record, restarts) {
+            let text = crate::record::text(&lines);
+            std::fs::write(file, text).map_err(|e| Error::CouldNotRun(format!("{}: {e}", file.display())))?;
+        }
+        let report = audit::judge(&lines);
+        told.extend(report.broken);
+        let count = |wanted: &str| {
+            lines
+                .iter()
+                .filter(|l| matches!(&l.seen, Seen::Fault { name, begins: true, .. } if name == wanted))
+                .count()
+        };
+        Ok(Afternoon {
+            restarts: (count("hand_over") + count("balancer_roll")) as u64,
+            goodput: report.goodput,
+            unreached: unreached(&lines),
+            broken: report.rules.answered.broken,
+            rules: report.rules,
+        })
+    };
+    let without = play(Restarts::None)?;
+    let hand_overs = play(Restarts::HandOvers)?;
+    let kills = play(Restarts::Kills)?;
+    let over = |d: &Afternoon| d.goodput / without.goodput.max(1e-9);
+    Ok(AfternoonReport {
+        day: "restart-afternoon".into(),
+        seed: plan.seed,
+        ratio: over(&hand_overs),
+        ratio_kills: over(&kills),
+        without,
+        hand_overs,
+        kills,
+        broken: told,
+    })
+}
+
+/// Tries that found no router though the kit had not killed it.
+fn unreached(lines: &[Line]) -> u64 {
+    let mut down: Vec<&str> = Vec::new();
+    let mut count = 0;
+    for line in lines {
+        match &line.seen {
+            Seen::Router { router, up: false } => down.push(router),
+            Seen::Router { router, up: true } => down.retain(|d| d != router),
+            Seen::Unreached { router } => count += u64::from(!down.contains(&router.as_str())),
+            _ => {}
+        }
+    }
+    count
+}
--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -158,7 +158,7 @@
     fn line(&mut self, line: &'a Line) {
         let t = line.t;
         match &line.seen {
-            Seen::Day { .. } | Seen::Fault { .. } | Seen::Work { .. } => {}
+            Seen::Day { .. } | Seen::Fault { .. } | Seen::Work { .. } | Seen::Unreached { .. } => {}
             Seen::Engine { engine, role, cell, capacity_per_s } => {
                 if role == "reader" {
                     self.readers.insert(engine);
--- a/crates/rehearsal/src/clients.rs
+++ b/crates/rehearsal/src/clients.rs
@@ -382,6 +382,8 @@
         let Some(t) = self.tries.remove(&conn) else { return };
         if !t.sent {
             // Not reached: nothing was asked of any router yet.
+            let router = self.routers.get(t.router).map(|r| r.0.clone()).unwrap_or_default();
+            tape.add(Seen::Unreached { router });
             return self.again(t.wish, 50_000, tape.now);
         }
         if !t.answered {
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -39,6 +39,10 @@
     SlowClients,
     /// A tenant asks at all routers at once.
     Volley,
+    /// Routers are replaced by successors that take over.
+    HandOver,
+    /// Routers are told to read their settings again.
+    Reload,
     /// The settlement job is killed, and started again at the end.
     SettlementKilled,
 }
@@ -75,7 +79,7 @@
 }
 
 /// The kinds by the names that the bench's day files use, and by those that it has none for.
-pub const KINDS: [(&str, Kind); 21] = [
+pub const KINDS: [(&str, Kind); 23] = [
     ("crash", Kind::Crash),
     ("mass_restart", Kind::MassRestart),
     ("fast_errors", Kind::FastErrors),
@@ -95,6 +99,8 @@
     ("stale_list", Kind::StaleList),
     ("balancer_roll", Kind::BalancerRoll),
     ("slow_clients", Kind::SlowClients),
+    ("hand_over", Kind::HandOver),
+    ("reload", Kind::Reload),
     ("volley", Kind::Volley),
     ("settlement_killed", Kind::SettlementKilled),
 ];
@@ -227,6 +233,49 @@
     }
 }
 
+/// What becomes of the routers in an afternoon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Restarts {
+    /// They run on.
+    None,
+    /// Successors take over, one after the other, all of them several times.
+    HandOvers,
+    /// They are killed instead, and start again.
+    Kills,
+}
+
+/// An afternoon in a lab: four routers, each replaced every few seconds, while one engine drains, one restarts cold and
+/// clients leave.
+pub fn afternoon(seed: u64, seconds: u64, restarts: Restarts) -> Day {
+    let mut day = base("restart-afternoon", seed, seconds * S);
+    day.routers = 4;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let engine = rng.random_range(3..7);
+    let mut fault = |kind, at: u64, len: u64, on: Vec<usize>, size: f64| {
+        day.faults.push(Fault { kind, at, len, on, size });
+    };
+    let length = seconds * S;
+    fault(Kind::Drain, length / 5, length / 8, vec![engine], 0.0);
+    fault(Kind::Crash, length / 2, length / 10, vec![(engine + 1) % 8], 0.0);
+    fault(Kind::GiveUp, length / 3, length / 4, Vec::new(), 0.1);
+    let mut at = 2 * S;
+    let mut turn = rng.random_range(0..4);
+    while at + 2 * S < length {
+        let router = turn % 4;
+        match restarts {
+            Restarts::None => {}
+            Restarts::HandOvers => {
+                fault(Kind::HandOver, at, 0, vec![router], 0.0);
+                fault(Kind::Reload, at + S / 2, 0, vec![(router + 1) % 4, (router + 2) % 4], 0.0);
+            }
+            Restarts::Kills => fault(Kind::BalancerRoll, at, S / 5, vec![router], 1.0),
+        }
+        (at, turn) = (at + S + rng.random_range(0..S / 2), turn + 1);
+    }
+    day.faults.sort_by_key(|f| f.at);
+    day
+}
+
 /// A day of budgets: sixteen routers, bursting tenants, kills of routers and of the settlement job.
 pub fn budgets(seed: u64, seconds: u64, sharing: Sharing) -> Day {
     let mut day = base("budgets", seed, seconds * S);
@@ -413,8 +462,8 @@
     fn a_bad_day_has_most_kinds_and_is_the_same_for_a_seed() {
         let (one, two, other) = (bad_day(1, 60), bad_day(1, 60), bad_day(2, 60));
         let kinds = KINDS.iter().filter(|(_, k)| one.faults.iter().any(|f| f.kind == *k)).count();
-        let with_budgets = 2;
-        assert_eq!(kinds, KINDS.len() - with_budgets);
+        let of_other_days = 4;
+        assert_eq!(kinds, KINDS.len() - of_other_days);
         assert_eq!(format!("{one:?}"), format!("{two:?}"));
         assert_ne!(format!("{:?}", one.faults), format!("{:?}", other.faults));
         let overlap =
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -4,6 +4,7 @@
 //! Routers under rehearsal are processes of their own; nothing here knows their insides. The stand-ins
 //! are models for rehearsing failures, not measurements of real engines.
 
+mod afternoon;
 mod audit;
 mod budgets;
 mod clients;
@@ -18,6 +19,7 @@
 
 use std::path::PathBuf;
 
+pub use afternoon::{rehearse as rehearse_afternoon, AfternoonReport};
 pub use audit::audit;
 pub use budgets::{rehearse as rehearse_budgets, BudgetReport};
 pub use report::{Report, Rule, Rules};
--- a/crates/rehearsal/src/record.rs
+++ b/crates/rehearsal/src/record.rs
@@ -297,6 +297,11 @@
         /// The router was not reached at all.
         unreached: bool,
     },
+    /// A router could not be reached: the connection was refused, or ended before anything was sent on it.
+    Unreached {
+        /// Which.
+        router: String,
+    },
     /// A router's process was started or killed.
     Router {
         /// Which.
--- a/crates/rehearsal/src/routers.rs
+++ b/crates/rehearsal/src/routers.rs
@@ -21,6 +21,8 @@
     _kept: Vec<Socket>,
     children: Vec<Option<Child>>,
     settlement: Option<Child>,
+    /// Lives that were taken over from and end what they had taken.
+    ending: Vec<(usize, Child)>,
     lives: u64,
 }
 
@@ -50,7 +52,7 @@
     let f = &day.figures;
     let mut xml = format!(
         r#"<chalkyard xmlns="urn:chalkyard:settings:1">
-  <router name="{name}" routers="{}" zone="yard" listen="{listen}" shared-port="true" register="{register}" list-file="{list}" drain="5s"/>
+  <router name="{name}" routers="{}" zone="yard" listen="{listen}" shared-port="true" register="{register}" list-file="{list}" drain="10s" control="{}/{name}.sock"/>
   <rules release="{}us" drain-grace="{}us" fall-multiple="{}" fall-after="{}us" cold-from="{}" cold-for="{}us"
          answer-slack="{}us" max-attempts="4" reports="in-answers" self-prefill="true"/>
   <waits stream="5s" slow-client="2s" register="5s"/>
@@ -61,7 +63,15 @@
     <kind name="mixed" role="mixed" kv-tokens="160000"/>
   </kinds>
 "#,
-        day.routers, f.release_us, f.grace_us, f.fall_multiple, f.fall_us, f.cold_from, f.cold_us, f.slack_us
+        day.routers,
+        folder.display(),
+        f.release_us,
+        f.grace_us,
+        f.fall_multiple,
+        f.fall_us,
+        f.cold_from,
+        f.cold_us,
+        f.slack_us
     );
     xml.push_str(&format!(
         "  <classes default=\"{}\">\n",
@@ -150,6 +160,7 @@
             children: names.iter().map(|_| None).collect(),
             names,
             settlement: None,
+            ending: Vec::new(),
             lives: 0,
         };
         let none: Vec<String> = (0..keys(day).len()).map(|i| format!("{i:064}")).collect();
@@ -185,11 +196,32 @@
     }
 
     pub fn start(&mut self, i: usize, seed: u64) -> io::Result<()> {
+        self.begin(i, seed, &[])
+    }
+
+    /// Starts a successor that takes over.
+    pub fn hand_over(&mut self, i: usize, seed: u64) -> io::Result<()> {
+        if let Some(old) = self.children.get_mut(i).and_then(Option::take) {
+            self.ending.push((i, old));
+            return self.begin(i, seed, &["--take-over"]);
+        }
+        Ok(())
+    }
+
+    /// Sends a signal to a router by its process's id.
+    pub fn signal(&self, i: usize, name: &str) -> io::Result<()> {
+        if let Some(child) = self.children.get(i).and_then(Option::as_ref) {
+            Command::new("kill").args([name, &child.id().to_string()]).status()?;
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, i: usize, seed: u64, extra: &[&str]) -> io::Result<()> {
         let Some((name, _)) = self.names.get(i) else { return Ok(()) };
         self.lives += 1;
         let log = File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")))?;
         let mut command = Command::new(&self.exe);
-        command.arg("run").arg(self.folder.join(format!("{name}.xml")));
+        command.arg("run").arg(self.folder.join(format!("{name}.xml"))).args(extra);
         command.arg("--seed").arg((seed.wrapping_mul(1_000) + self.lives).to_string());
         if std::env::var_os("CHALKYARD_KEEP").is_some() {
             command.arg("--decisions").arg(self.folder.join(format!("{name}-{}.decisions", self.lives)));
@@ -214,6 +246,10 @@
     /// Ends all processes.
     pub fn stop(&mut self) {
         self.kill_settlement();
+        for (_, mut child) in std::mem::take(&mut self.ending) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
         for i in 0..self.children.len() {
             self.kill(i);
         }
@@ -243,6 +279,18 @@
 
     /// Routers whose process has ended by itself.
     pub fn ended(&mut self) -> Option<String> {
+        let mut failed = None;
+        self.ending.retain_mut(|(i, child)| match child.try_wait() {
+            Ok(None) => true,
+            Ok(Some(status)) if status.success() => false,
+            other => {
+                failed = Some(format!("router r{} did not end well after its hand-over: {other:?}", *i + 1));
+                false
+            }
+        });
+        if failed.is_some() {
+            return failed;
+        }
         if let Some(status) = self.settlement.as_mut().and_then(|c| c.try_wait().ok().flatten()) {
             let log = self.folder.join("settle.log").display().to_string();
             return Some(format!("the settlement job ended by itself: {status}; its log: {log}"));
@@ -273,9 +321,6 @@
 
 impl Drop for Routers {
     fn drop(&mut self) {
-        self.kill_settlement();
-        for i in 0..self.children.len() {
-            self.kill(i);
-        }
+        self.stop();
     }
 }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -187,7 +187,9 @@
     fn fault(&mut self, fault: &Fault, begins: bool) -> Result<(), Error> {
         let World { fleet, clients, net, tape, .. } = self;
         let on: Vec<String> = match fault.kind {
-            Kind::BalancerRoll => fault.on.iter().map(|i| format!("r{}", i + 1)).collect(),
+            Kind::BalancerRoll | Kind::HandOver | Kind::Reload => {
+                fault.on.iter().map(|i| format!("r{}", i + 1)).collect()
+            }
             _ => fault.on.iter().map(|i| fleet.id(*i)).collect(),
         };
         tape.add(Seen::Fault { name: fault.kind.name().into(), on: on.join(" "), begins });
@@ -209,6 +211,14 @@
                 }
             }
             Kind::BalancerRoll => {}
+            Kind::HandOver | Kind::Reload => {
+                for i in fault.on.iter().copied().filter(|_| begins) {
+                    match fault.kind {
+                        Kind::HandOver => self.routers.hand_over(i, self.day.seed)?,
+                        _ => self.routers.signal(i, "-HUP")?,
+                    }
+                }
+            }
             Kind::Volley if begins => clients.volley(fault.size as usize, net, tape),
             Kind::Volley => {}
             Kind::SettlementKilled if self.routers.settles() => match begins {
