--- a/crates/rehearsal/src/clients.rs
+++ b/crates/rehearsal/src/clients.rs
@@ -387,7 +387,7 @@
             return self.again(t.wish, 50_000, tape.now);
         }
         if !t.answered {
-            tape.add(Seen::Lost { no: t.no, unreached: false });
+            tape.add(Seen::Lost { no: t.no });
             self.after(&t, Answer::Failed, tape.now);
         }
     }
@@ -426,7 +426,7 @@
                 Ok(None) => break,
                 Err(_) => {
                     net.cut(conn);
-                    tape.add(Seen::Lost { no: t.no, unreached: false });
+                    tape.add(Seen::Lost { no: t.no });
                     return self.after(&t, Answer::Failed, tape.now);
                 }
             }
@@ -467,7 +467,7 @@
             (200, true) => match t.said {
                 Some(said) => said,
                 // The message ended and no event said how.
-                None => return tape.add(Seen::Lost { no: t.no, unreached: false }),
+                None => return tape.add(Seen::Lost { no: t.no }),
             },
             (200, false) => {
                 t.text = json.get("content").and_then(|v| v.as_str()).unwrap_or("").to_owned();
--- a/crates/rehearsal/src/record.rs
+++ b/crates/rehearsal/src/record.rs
@@ -294,8 +294,6 @@
         /// Number of the try.
         #[serde(rename = "try")]
         no: u64,
-        /// The router was not reached at all.
-        unreached: bool,
     },
     /// A router could not be reached: the connection was refused, or ended before anything was sent on it.
     Unreached {
