Reload as a difference of settings, whole or not at all; who has just come is heard in a drain

Need: reload took budgets alone and said nothing to whoever asked; a connection taken just before a hand-over was closed unheard.

Change: the difference of two settings files by element, with line and column; keys, classes of keys, waits, bounds, budgets, rates and prices are applied in flight, anything else needs a successor and then nothing is applied. In a drain, clients that have asked nothing yet are heard for half a second.

--- a/crates/api/src/keys.rs
+++ b/crates/api/src/keys.rs
@@ -47,6 +47,18 @@
         Ok(())
     }
 
+    /// The same keys under other owners; those of owners that there are no more are dropped.
+    #[must_use]
+    pub fn owned_by(&self, owner: impl Fn(Owner) -> Option<Owner>) -> Self {
+        let mut keys: BTreeMap<[u8; 4], Vec<(blake3::Hash, Owner)>> = BTreeMap::new();
+        for (hash, old) in self.keys.values().flatten() {
+            if let Some(new) = owner(*old) {
+                keys.entry(bucket(hash)).or_default().push((*hash, new));
+            }
+        }
+        Self { salt: self.salt, keys }
+    }
+
     /// The owner of a key. Hashes are compared in constant time (that is how BLAKE3's compare).
     pub fn owner(&self, key: &str) -> Option<Owner> {
         let hash = blake3::keyed_hash(&self.salt, key.as_bytes());
@@ -72,5 +84,7 @@
         assert_eq!(KeyRing::new([8; 32]).owner("secret"), None);
         assert_ne!(KeyRing::new([8; 32]).hash("secret"), hash);
         assert_eq!(format!("{ring:?}"), "KeyRing(1 keys)");
+        assert_eq!(ring.owned_by(|owner| (owner == 3).then_some(7)).owner("secret"), Some(7));
+        assert_eq!(ring.owned_by(|_| None).owner("secret"), None);
     }
 }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -24,6 +24,7 @@
 use serde_json::{json, Value};
 use tracing::{info, warn};
 
+use crate::reload::Reloader;
 use crate::{logs, Format, Trouble};
 
 /// Longest question.
@@ -70,7 +71,12 @@
 
 /// Listens on the control socket. One that a dead router has left is taken over; a living one's only by its
 /// successor.
-pub fn serve(path: &Path, handle: Handle, successor: bool) -> Result<Server, Trouble> {
+pub fn serve(
+    path: &Path,
+    handle: Handle,
+    reloader: Arc<Reloader>,
+    successor: bool,
+) -> Result<Server, Trouble> {
     let wrong = |e: std::io::Error| Trouble::CouldNotRun(format!("control socket {}: {e}", path.display()));
     if !successor && UnixStream::connect(path).is_ok() {
         return Err(Trouble::CouldNotRun(format!(
@@ -99,7 +105,7 @@
             match stream {
                 // One after the other: each has its bound in bytes and time.
                 Ok(stream) => {
-                    let talked = talk(&stream, &handle, &flag);
+                    let talked = talk(&stream, &handle, &reloader, &flag);
                     if let Err(e) = talked {
                         warn!(target: "control", "{e}");
                     }
@@ -119,7 +125,12 @@
     Ok(Server { path: path.into(), handed, said })
 }
 
-fn talk(stream: &UnixStream, handle: &Handle, handed: &AtomicBool) -> std::io::Result<()> {
+fn talk(
+    stream: &UnixStream,
+    handle: &Handle,
+    reloader: &Reloader,
+    handed: &AtomicBool,
+) -> std::io::Result<()> {
     stream.set_read_timeout(Some(WAIT))?;
     stream.set_write_timeout(Some(WAIT))?;
     let mut line = String::new();
@@ -133,7 +144,7 @@
             }
             None => json!({"error": "this router has nothing to give: it is not ready"}).to_string(),
         },
-        Ok(call) => answer(call, handle),
+        Ok(call) => answer(call, handle, reloader),
         Err(e) => json!({"error": format!("not understood: {e}")}).to_string(),
     };
     let mut stream = stream;
@@ -205,7 +216,7 @@
     Ok(Taken { listener, before })
 }
 
-fn answer(call: Call, handle: &Handle) -> String {
+fn answer(call: Call, handle: &Handle, reloader: &Reloader) -> String {
     let late = || json!({"error": "the router's loop did not answer in time"}).to_string();
     let ask = |question| handle.ask(question, WAIT).unwrap_or_else(late);
     let tell = |event, what: &str| {
@@ -223,7 +234,17 @@
         Call::Trace { id } => ask(Question::Trace(id)),
         Call::Drain {} => tell(Event::Drain, "drain"),
         Call::Undrain {} => tell(Event::Undrain, "undrain"),
-        Call::Reload {} => tell(Event::Reload, "reload"),
+        // What it changes is told at once; the loop takes it whole, or nothing of it.
+        Call::Reload {} => match reloader.look() {
+            Err(why) => json!({"error": format!("not reloaded, all stays as it was: {why}")}).to_string(),
+            Ok((changes, ..)) => {
+                let late = changes.iter().any(|c| !c.in_flight);
+                if !late {
+                    tell(Event::Reload, "reload");
+                }
+                json!({"reloaded": !late, "items": changes, "more": 0}).to_string()
+            }
+        },
         Call::TakeOver {} => json!({"error": "only a router takes over"}).to_string(),
         Call::Stop {} => tell(Event::Terminate, "stop"),
         Call::LogLevel { level } => match logs::set_level(&level) {
@@ -256,6 +277,11 @@
             Format::Json => println!("{answer}"),
             Format::Text => print!("{}", text(&answer)),
         }
+        if answer.get("reloaded") == Some(&Value::Bool(false)) {
+            return Err(Trouble::BadInput(
+                "not reloaded: some of this needs a successor (run --take-over)".into(),
+            ));
+        }
         let Some(seconds) = watch else { return Ok(ExitCode::SUCCESS) };
         std::thread::sleep(Duration::from_secs(seconds));
         println!();
--- a/crates/daemon/src/keeping.rs
+++ b/crates/daemon/src/keeping.rs
@@ -3,11 +3,12 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io::Read;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use chalkyard_budget::{Figures, Grant, Keeper, Key, Plan, Record, Settled, State, Time};
+use chalkyard_budget::{Figures, Grant, Keeper, Key, Record, Settled, State, Time};
 use chalkyard_ledger::{Folder, Limits, Writer};
 use chalkyard_router::shell::{News, Sink};
 use chalkyard_router::Finished;
@@ -16,6 +17,7 @@
 
 use crate::budget_settings::Budgets;
 use crate::logs::Log;
+use crate::reload::Reloader;
 use crate::{notify, Trouble};
 
 /// A grant is looked for so often.
@@ -23,7 +25,9 @@
 /// Bytes of a grant's file that are read.
 const GRANT_BYTES: u64 = 64 * 1024 * 1024;
 /// Grants and plans that wait for the loop; a newer one follows anyway.
-const WAITING: usize = 4;
+pub const WAITING: usize = 4;
+/// Without a ledger, news are looked for so often.
+const PERIOD: Duration = Duration::from_millis(200);
 /// Longest line of the life before.
 const SETTLED_BYTES: u64 = 64 * 1024;
 /// Settlements that wait for the successor: as many as requests can be open.
@@ -55,7 +59,6 @@
     writer: Writer<Folder>,
     sync: Duration,
     told: bool,
-    news: Receiver<News>,
     failing: bool,
 }
 
@@ -68,8 +71,6 @@
     pub keeper: Keeper,
     /// To go on writing.
     pub ledger: Ledger,
-    /// Where plans for the loop are put.
-    pub plans: SyncSender<News>,
 }
 
 /// Opens the ledger and restores the budgets' state from it; before the first request is taken.
@@ -79,6 +80,7 @@
     router: &str,
     now: Time,
     before: Option<Before>,
+    news: &SyncSender<News>,
 ) -> Result<Recovered, Trouble> {
     let at = budgets.ledger.display();
     let folder = Folder::writer(&budgets.ledger).map_err(|e| match e.kind() {
@@ -100,9 +102,8 @@
     state.sequence = opened.report.next - 1;
     let records = opened.report.records;
     info!(target: "ledger", records, open = state.open.len(), took_us = start.elapsed().as_micros() as u64, "recovered");
-    let (plans, news) = sync_channel(WAITING);
     if let (Some(file), Some(key)) = (&budgets.grants, &budgets.key_file) {
-        let (file, key, news) = (file.clone(), read_key(key)?, plans.clone());
+        let (file, key, news) = (file.clone(), read_key(key)?, news.clone());
         let watch = move || watch(&file, &key, &news);
         let thread = std::thread::Builder::new().name("grants".into()).spawn(watch);
         thread.map_err(|e| Trouble::CouldNotRun(format!("starting: {e}")))?;
@@ -110,15 +111,15 @@
     let keeper = match before {
         None => Keeper::new(router, budgets.plan.clone(), state, now),
         Some(before) => {
-            let news = plans.clone();
+            let news = news.clone();
             let listen = move || inherit(before, &news);
             let thread = std::thread::Builder::new().name("inherit".into()).spawn(listen);
             thread.map_err(|e| Trouble::CouldNotRun(format!("starting: {e}")))?;
             Keeper::succeed(router, budgets.plan.clone(), state, now)
         }
     };
-    let ledger = Ledger { writer: opened.writer, sync: budgets.sync, told: true, news, failing: false };
-    Ok(Recovered { keeper, ledger, plans })
+    let ledger = Ledger { writer: opened.writer, sync: budgets.sync, told: true, failing: false };
+    Ok(Recovered { keeper, ledger })
 }
 
 /// Gives the loop what the life before settles, until it is over.
@@ -167,7 +168,7 @@
 
 impl Ledger {
     fn housekeep(&mut self) -> Vec<News> {
-        let mut out: Vec<News> = self.news.try_iter().take(WAITING).collect();
+        let mut out = Vec::new();
         if let Err(e) = self.writer.sync() {
             warn!(target: "ledger", "syncing: {e}");
         }
@@ -224,8 +225,10 @@
     pub ready: bool,
     /// When the process began.
     pub began: Instant,
-    /// The settings' file, the budgets it had at the start, and where others are put.
-    pub reloads: Option<(PathBuf, Budgets, SyncSender<News>)>,
+    /// Reads the settings again.
+    pub reloader: Arc<Reloader>,
+    /// What other threads have for the loop.
+    pub news: Receiver<News>,
 }
 
 impl Sink for Keeping {
@@ -272,11 +275,8 @@
 
     /// Beside the loop: files are read.
     fn reload(&mut self) {
-        let Some((file, budgets, plans)) = self.reloads.clone() else {
-            info!(target: "router", "no budgets are kept here: nothing to reload");
-            return;
-        };
-        let read = move || reload(&file, &budgets, &plans);
+        let reloader = self.reloader.clone();
+        let read = move || reloader.reload();
         if let Err(e) = std::thread::Builder::new().name("reload".into()).spawn(read) {
             warn!(target: "router", "not reloaded: {e}");
         }
@@ -303,11 +303,13 @@
     }
 
     fn period(&self) -> Option<Duration> {
-        self.ledger.as_ref().map(|l| l.sync)
+        Some(self.ledger.as_ref().map_or(PERIOD, |l| l.sync))
     }
 
     fn housekeep(&mut self) -> Vec<News> {
-        self.ledger.as_mut().map(Ledger::housekeep).unwrap_or_default()
+        let mut out: Vec<News> = self.news.try_iter().take(WAITING).collect();
+        out.extend(self.ledger.as_mut().map(Ledger::housekeep).unwrap_or_default());
+        out
     }
 
     fn figures(&mut self, figures: &BTreeMap<Box<str>, Figures>) {
@@ -325,31 +327,6 @@
     }
 }
 
-/// Reads the settings again and gives the loop its budgets; what else changed waits for a restart.
-pub fn reload(file: &Path, old: &Budgets, plans: &SyncSender<News>) {
-    let fresh = match crate::load(&file.to_path_buf()) {
-        Ok(settings) => settings,
-        Err(Trouble::BadInput(why) | Trouble::CouldNotRun(why)) => {
-            warn!(target: "budget", "not reloaded, all stays as it was: {why}");
-            return;
-        }
-    };
-    let Some(budgets) = fresh.budgets else {
-        warn!(target: "budget", "not reloaded: {} has no <budgets> any more; that needs a restart", file.display());
-        return;
-    };
-    let moved =
-        budgets.ledger != old.ledger || budgets.grants != old.grants || budgets.key_file != old.key_file;
-    if moved || budgets.plan.mode != old.plan.mode {
-        warn!(target: "budget", "not reloaded: another ledger, key or way of sharing needs a restart");
-        return;
-    }
-    let plan: Plan = budgets.plan;
-    if plans.try_send(News::Replan(Box::new(plan))).is_err() {
-        warn!(target: "budget", "not reloaded: the loop is busy; signal again");
-    }
-}
-
 /// The time of day.
 pub fn now() -> Time {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -14,13 +14,14 @@
 mod keeping;
 mod logs;
 mod notify;
+mod reload;
 mod replay;
 mod run;
 mod settings;
 mod settle;
 mod xml;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -82,7 +83,7 @@
     Drain(At),
     /// Have it take requests again.
     Undrain(At),
-    /// Have it read its budgets, rates and prices again.
+    /// Have it read its settings again: applied whole, or not at all; shows what differs.
     Reload(At),
     /// Have it end once all that is open has ended; asked again, at once.
     Stop(At),
@@ -208,7 +209,11 @@
 }
 
 fn load(file: &PathBuf) -> Result<settings::Settings, Trouble> {
-    settings::read(&read(file)?).map_err(|errors| {
+    load_text(file, &read(file)?)
+}
+
+fn load_text(file: &Path, text: &str) -> Result<settings::Settings, Trouble> {
+    settings::read(text).map_err(|errors| {
         let lines: Vec<String> = errors.iter().map(|e| format!("{}:{e}", file.display())).collect();
         Trouble::BadInput(lines.join("\n"))
     })
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -5,6 +5,8 @@
 use std::io::{BufWriter, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::mpsc::sync_channel;
+use std::sync::{Arc, Mutex};
 
 use chalkyard_budget::Time;
 use chalkyard_router::shell::{granularity, Clock, Place, Shell};
@@ -15,6 +17,7 @@
 use tracing::{info, warn};
 
 use crate::keeping::{self, Keeping};
+use crate::reload::Reloader;
 use crate::{control, logs, Trouble};
 
 /// The first line of a decisions file: what the module was started with.
@@ -52,7 +55,9 @@
 ) -> Result<ExitCode, Trouble> {
     logs::start();
     let began = std::time::Instant::now();
-    let settings = crate::load(file)?;
+    let text = crate::read(file)?;
+    let settings = crate::load_text(file, &text)?;
+    let tenants = settings.config.tenants.iter().map(|t| t.name.clone()).collect();
     let could_not = |what: &str, e: std::io::Error| Trouble::CouldNotRun(format!("{what}: {e}"));
     let clock = Clock::new();
     let seed = seed.unwrap_or(clock.now().0);
@@ -72,12 +77,12 @@
     let name = config.name.clone();
     let mut core = Core::new(config, seed, clock.now());
     // All that was spent is known before the first request is taken.
-    let (mut ledger, mut plans) = (None, None);
+    let (told, news) = sync_channel(keeping::WAITING);
+    let mut ledger = None;
     if let Some(budgets) = &settings.budgets {
-        let recovered = keeping::recover(budgets, &name, Time(clock.now().0), before)?;
+        let recovered = keeping::recover(budgets, &name, Time(clock.now().0), before, &told)?;
         core.keep_budgets(recovered.keeper);
         ledger = Some(recovered.ledger);
-        plans = Some((recovered.plans, budgets.clone()));
     }
     if let Some(file) = decisions {
         let out = File::create(&file).map_err(|e| could_not(&file.display().to_string(), e))?;
@@ -93,6 +98,7 @@
         (Some(file), None) => std::fs::read_to_string(file).ok(),
         (None, None) => None,
     };
+    let reloader = Arc::new(Reloader { file: file.clone(), text: Mutex::new(text), tenants, news: told });
     let keeping = Keeping {
         log: logs::Log { list_file: settings.list_file },
         ledger,
@@ -102,13 +108,16 @@
         seed,
         ready: false,
         began,
-        reloads: plans.map(|(plans, budgets)| (file.clone(), budgets, plans)),
+        reloader: reloader.clone(),
+        news,
     };
     let terms = Terms { start: START, drain: settings.drain_for.as_micros() as u64, farewell: FAREWELL };
     let mut shell = Shell::new(core, keeping, clock, place, terms).map_err(|e| could_not("starting", e))?;
     let handle = shell.handle();
-    let control =
-        settings.control.map(|path| control::serve(&path, handle.clone(), take_over)).transpose()?;
+    let control = settings
+        .control
+        .map(|path| control::serve(&path, handle.clone(), reloader.clone(), take_over))
+        .transpose()?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| could_not("signals", e))?;
     std::thread::spawn(move || {
         for signal in signals.forever() {
--- a/crates/daemon/tests/life.rs
+++ b/crates/daemon/tests/life.rs
@@ -184,6 +184,74 @@
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
 
+const KEY: &str = "39fe13e0bf950340857a4fbd9be7c32c105ffc710546947de0573092bf6b5710";
+
+/// Keys, waits and bounds change while streams are open; what can't is told with its place, and nothing changes.
+#[test]
+fn settings_are_reloaded_whole_or_not_at_all() {
+    let mut l = life("reload", "3s");
+    let plain = std::fs::read_to_string(&l.file).unwrap();
+    let tenants = format!(
+        "<tenants salt=\"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\">\
+         <tenant name=\"nord\"><key hash=\"{KEY}\"/></tenant></tenants>\n  <engines>"
+    );
+    let with = plain.replacen("<engines>", &tenants, 1);
+    std::fs::write(&l.file, &with).unwrap();
+    l.router.signal("-KILL");
+    l.router.wait_end();
+    l.router = Running::start(&l.file, None, &[]);
+    let asked = |l: &Life| {
+        let mut client = l.router.connect();
+        let call = text(&ask(true)).replacen("Host: a\r\n", "Host: a\r\nX-Api-Key: example-key\r\n", 1);
+        client.write_all(call.as_bytes()).unwrap();
+        client
+    };
+    let mut open = asked(&l);
+    let mut answer = l.engine.begin();
+    read_until(&mut open, "message.delta");
+    let socket = l.socket.to_str().unwrap().to_owned();
+    let reload = |l: &Life, xml: &str| {
+        std::fs::write(&l.file, xml).unwrap();
+        let out = chalkyard(&["reload", &socket]);
+        (out.status.code().unwrap(), text(&out.stdout) + &text(&out.stderr))
+    };
+    // Broken, and what can't be taken over in flight: nothing of it holds, not even the key that is gone too.
+    let without_key = with.replacen(&format!("<key hash=\"{KEY}\"/>"), "", 1);
+    let (code, told) = reload(&l, &without_key.replacen("</kinds>", "", 1));
+    assert!(code == 1 && told.contains("r1.xml:"), "{told}");
+    let (code, told) = reload(&l, &without_key.replacen("aim=\"1s\"", "aim=\"2s\"", 1));
+    assert!(
+        code == 2 && told.contains("chalkyard/classes/class[report]") && told.contains("line 4"),
+        "{told}"
+    );
+    let _still = asked(&l);
+    let _taken = l.engine.begin();
+    // The key goes; the stream that it opened goes on.
+    let (code, told) = reload(&l, &without_key);
+    assert!(code == 0 && told.contains("is gone"), "{told}");
+    l.router.wait_log("\"reloaded\"");
+    let start = std::time::Instant::now();
+    while !read_until(&mut asked(&l), "error").starts_with("HTTP/1.1 401") {
+        assert!(start.elapsed() < Duration::from_secs(5));
+    }
+    Engine::end(&mut answer);
+    assert!(read_until(&mut open, "message.closed").contains("message.closed"));
+    // Twice at once, and back.
+    l.router.signal("-HUP");
+    l.router.signal("-HUP");
+    let (code, told) = reload(&l, &with);
+    assert!(code == 0, "{told}");
+    let start = std::time::Instant::now();
+    loop {
+        let mut client = asked(&l);
+        client.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+        if !read_until(&mut client, "error").contains("401") {
+            break;
+        }
+        assert!(start.elapsed() < Duration::from_secs(5));
+    }
+}
+
 /// Connects, asks for the router's health and expects an answer, over and over; how often, and what failed.
 fn hammer(
     at: std::net::SocketAddr,
@@ -228,6 +296,15 @@
     serde_json::json!([bill["bill"]["endings"], bill["bill"]["open"]])
 }
 
+/// The old life's last settlements reach the ledger a little later.
+fn wait_endings(file: &std::path::Path, expected: &serde_json::Value) {
+    let start = std::time::Instant::now();
+    while endings(file) != *expected {
+        assert!(start.elapsed() < Duration::from_secs(5), "{}", endings(file));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// The socket goes from process to process under load: no connection is refused or reset, streams of the old one
 /// end there, and their settlements reach the ledger that the new one has.
 #[test]
@@ -272,7 +349,7 @@
     }
     assert!(asked > 100, "{asked}");
     new.wait_log("finished");
-    assert_eq!(endings(&file), serde_json::json!([{"served": 2}, 0]));
+    wait_endings(&file, &serde_json::json!([{"served": 2}, 0]));
     // The new one answers at the control socket, which the old one has left alone.
     let out = chalkyard(&["stop", dir.join("r1.sock").to_str().unwrap()]);
     assert_eq!(out.status.code(), Some(0), "{}", text(&out.stderr));
@@ -292,11 +369,7 @@
     assert_eq!(endings(&file)[1], 1);
     old.signal("-KILL");
     old.wait_end();
-    let start = std::time::Instant::now();
-    while endings(&file) != serde_json::json!([{"orphaned": 1}, 0]) {
-        assert!(start.elapsed() < Duration::from_secs(5), "{}", endings(&file));
-        std::thread::sleep(Duration::from_millis(20));
-    }
+    wait_endings(&file, &serde_json::json!([{"orphaned": 1}, 0]));
     drop(new);
     // Nobody to take over from.
     let out = chalkyard(&["run", file.to_str().unwrap(), "--take-over"]);
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -56,7 +56,7 @@
     let mut answer = engine.begin();
     read_until(&mut client, "message.delta");
     router.signal("-TERM");
-    router.wait_log("drain");
+    router.wait_log("takes nothing new");
     std::thread::sleep(Duration::from_millis(100));
     assert!(TcpStream::connect(router.at).is_err(), "no longer listening");
     Engine::end(&mut answer);
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -121,6 +121,19 @@
     }
 }
 
+/// What a running core can be told anew. Requests that are open go on as they were taken.
+#[derive(Debug, Clone)]
+pub struct Tuned {
+    /// Keys, by the places of the tenants that the core was started with.
+    pub keys: KeyRing,
+    /// By those places: the classes that a tenant's keys may ask for; none: all.
+    pub classes: Vec<Option<Vec<usize>>>,
+    /// Bounds: of connections, for those that come.
+    pub bounds: Bounds,
+    /// Waits: for what begins.
+    pub waits: Waits,
+}
+
 /// All that a [`crate::Core`] is told.
 #[derive(Debug, Clone)]
 pub struct Config {
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -19,6 +19,9 @@
     Serving(p::RequestId),
 }
 
+/// A client that connected just before a drain has so long to begin its request.
+const JUST_COME: Micros = Micros(500_000);
+
 /// A client's connection.
 #[derive(Debug)]
 pub(super) struct Client {
@@ -34,6 +37,8 @@
     wrong: Option<chalkyard_proto::Error>,
     /// So much waits for it that nothing more is read from it.
     held_up: bool,
+    /// It has had an answer: it may be closed between two requests, as it knows.
+    used: bool,
 }
 
 impl Client {
@@ -69,11 +74,26 @@
             last: false,
             wrong: None,
             held_up: false,
+            used: false,
         };
         self.clients.insert(conn, client);
         self.arm_client(conn, self.config.waits.idle);
     }
 
+    /// Idle clients are closed; one that has just come is about to ask, and is heard first.
+    pub(super) fn close_idle_clients(&mut self) {
+        let idle: Vec<(ConnId, bool)> =
+            self.clients.iter().filter(|(_, c)| c.is_idle()).map(|(id, c)| (*id, c.used)).collect();
+        for (conn, used) in idle {
+            if used {
+                self.drop_client(conn);
+                self.out.push(Output::Close(conn));
+            } else {
+                self.arm_client(conn, JUST_COME);
+            }
+        }
+    }
+
     fn arm_client(&mut self, conn: ConnId, wait: Micros) {
         let Some(client) = self.clients.get_mut(&conn) else { return };
         if let Some(key) = client.timer.take() {
@@ -342,6 +362,7 @@
         let keep = self.keeps(conn);
         let Some(client) = self.clients.get_mut(&conn) else { return };
         client.phase = Phase::Head;
+        client.used = true;
         if !keep && client.wrong.is_none() {
             return self.close_client(conn);
         }
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -16,7 +16,7 @@
 use chalkyard_policy as p;
 use chalkyard_policy::{Action, Event, Micros};
 
-use crate::config::Config;
+use crate::config::{Config, Tuned};
 use crate::identity::Identities;
 use crate::register;
 use crate::timers::Timers;
@@ -56,6 +56,8 @@
     Checkpoint,
     /// Other budgets, rates and prices.
     Replan(Box<Plan>),
+    /// Other keys, bounds and waits.
+    Retune(Box<Tuned>),
     /// The life before has ended a request that it had taken.
     Inherited(Box<Settled>),
     /// The life before is over.
@@ -223,6 +225,7 @@
             Input::Writable(writable) => self.writable(writable),
             Input::Checkpoint => self.checkpoint(),
             Input::Replan(plan) => self.replan(*plan),
+            Input::Retune(tuned) => self.retune(*tuned),
             Input::Inherited(settled) => self.inherited(&settled),
             Input::InheritedAll => self.inherited_all(),
         }
@@ -239,19 +242,25 @@
         self.timers.next_due()
     }
 
-    /// Takes no new requests; what is open goes on. Idle clients are closed.
+    /// Takes no new requests; what is open goes on. Idle clients are closed, those that have just come are heard first.
     pub fn drain(&mut self, now: Micros, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         self.draining = true;
-        let idle: Vec<ConnId> = self.clients.iter().filter(|(_, c)| c.is_idle()).map(|(id, _)| *id).collect();
-        for conn in idle {
-            self.drop_client(conn);
-            self.out.push(Output::Close(conn));
-        }
+        self.close_idle_clients();
         self.pump();
         out.append(&mut self.out);
     }
 
+    fn retune(&mut self, tuned: Tuned) {
+        let Tuned { keys, classes, bounds, waits } = tuned;
+        for (tenant, may) in self.config.tenants.iter_mut().zip(classes) {
+            tenant.classes = may;
+        }
+        self.config.keys = keys;
+        self.config.bounds = bounds;
+        self.config.waits = waits;
+    }
+
     /// Takes requests again.
     pub fn undrain(&mut self) {
         self.draining = false;
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -15,7 +15,7 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 use slab::Slab;
 
-use crate::{ConnId, Core, Finished, Input, Output};
+use crate::{ConnId, Core, Finished, Input, Output, Tuned};
 
 const LISTENER: Token = Token(0);
 const WAKER: Token = Token(1);
@@ -88,6 +88,8 @@
     Checkpoint,
     /// Other budgets.
     Replan(Box<Plan>),
+    /// Other keys, bounds and waits.
+    Retune(Box<Tuned>),
     /// The life before has ended a request.
     Inherited(Box<Settled>),
     /// The life before is over.
@@ -537,6 +539,7 @@
                 News::Grant(grant) => self.feed(Input::Granted(&grant)),
                 News::Checkpoint => self.feed(Input::Checkpoint),
                 News::Replan(plan) => self.feed(Input::Replan(plan)),
+                News::Retune(tuned) => self.feed(Input::Retune(tuned)),
                 News::Inherited(settled) => self.feed(Input::Inherited(settled)),
                 News::InheritedAll => self.feed(Input::InheritedAll),
             }
