--- a/crates/budget/src/keeper.rs
+++ b/crates/budget/src/keeper.rs
@@ -194,6 +194,11 @@
         into.append(&mut self.out);
     }
 
+    /// The same, one by one.
+    pub fn drain_records(&mut self) -> impl Iterator<Item = (u64, Record)> + '_ {
+        self.out.drain(..)
+    }
+
     /// The ledger can or can't be written from now on.
     pub fn set_writable(&mut self, writable: bool) {
         self.writable = writable;
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -41,23 +41,21 @@
     /// Gives out the keeper's records: what follows in the outputs follows them.
     pub(super) fn write_records(&mut self) {
         let Some(keeper) = &mut self.keeper else { return };
-        let mut records = Vec::new();
-        keeper.take_records(&mut records);
-        self.out.extend(records.into_iter().map(|(number, record)| Output::Record(number, Box::new(record))));
+        let records = keeper.drain_records();
+        self.out.extend(records.map(|(number, record)| Output::Record(number, Box::new(record))));
     }
 
     /// Reserves for a request, and cuts or lowers it where that is agreed; or refuses it.
     pub(super) fn reserve(&mut self, job: &mut Job) -> Result<(), (u16, ErrorBody)> {
         let now = self.time();
-        let Some(keeper) = &mut self.keeper else { return Ok(()) };
-        let name = |list: Option<&str>| list.unwrap_or_default().to_owned();
-        let tenant = job.request.tenant.and_then(|t| self.config.tenants.get(t.0));
-        let class = name(self.config.classes.get(job.request.class.0).map(|c| c.name.as_str()));
+        let Self { keeper: Some(keeper), config, .. } = self else { return Ok(()) };
+        let tenant = job.request.tenant.and_then(|t| config.tenants.get(t.0));
+        let class = config.classes.get(job.request.class.0).map_or("", |c| c.name.as_str());
         let id = job.request.id.0.clone();
         let ask = Ask {
             id: &id,
             tenant: tenant.map_or("", |t| t.name.as_str()),
-            class: &class,
+            class,
             identity: job.identity_key(),
             prompt: job.request.prompt_tokens,
             output: job.request.max_output,
