--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -31,7 +31,7 @@
 /// Which budget.
 #[derive(Debug, Args)]
 pub struct Which {
-    /// Settings, as XML, with <budgets> and <settlement>.
+    /// Settings, as XML, with `<budgets>` and `<settlement>`.
     file: PathBuf,
     /// Tenant.
     #[arg(long)]
@@ -59,7 +59,7 @@
 pub enum Command {
     /// Show what is spent, reserved and stranded of each budget in its present period, and the audit trail.
     Show {
-        /// Settings, as XML, with <budgets> and <settlement>.
+        /// Settings, as XML, with `<budgets>` and `<settlement>`.
         file: PathBuf,
         /// How to print it.
         #[arg(long, value_enum, default_value_t = Format::Text)]
@@ -87,7 +87,7 @@
     },
     /// Put an amount on a bill, or (less than 0) take it off.
     Adjust {
-        /// Settings, as XML, with <budgets> and <settlement>.
+        /// Settings, as XML, with `<budgets>` and `<settlement>`.
         file: PathBuf,
         /// Tenant.
         #[arg(long)]
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -124,7 +124,7 @@
     },
     /// Run the settlement job: leases of the token budgets for all routers, from their ledgers.
     Settle {
-        /// Settings, as XML, with <budgets> and <settlement>.
+        /// Settings, as XML, with `<budgets>` and `<settlement>`.
         file: PathBuf,
         /// Stop after so many rounds.
         #[arg(long)]
@@ -135,7 +135,7 @@
     Budget(budgets::Command),
     /// Make bills from ledgers and engines' records of tokens; exit code 3 if they don't agree.
     Bill {
-        /// Settings, as XML, with <budgets>.
+        /// Settings, as XML, with `<budgets>`.
         file: PathBuf,
         /// Month, day or hour, such as 2026-12, 2026-12-01 or 2026-12-01T14, in the budgets' zone.
         #[arg(long)]
@@ -152,7 +152,7 @@
     },
     /// Keep the sums of a ledger's old periods and drop their records.
     Compact {
-        /// Settings, as XML, with <budgets>.
+        /// Settings, as XML, with `<budgets>`.
         file: PathBuf,
         /// The router's ledger.
         #[arg(long)]
