Test: who has just come is heard in a drain, who has had an answer is closed

Need: the flow's drain test still expected that all idle clients are closed.

Change: it checks the three cases.

Measured: the router's tests pass.

--- a/crates/router/tests/flow.rs
+++ b/crates/router/tests/flow.rs
@@ -439,11 +439,16 @@
 #[test]
 fn draining_answers_what_is_open_and_takes_nothing_new() {
     let mut y = yard();
-    let idle = y.client();
+    let (idle, just_come, silent) = (y.client(), y.client(), y.client());
+    y.bytes(idle, b"GET /health HTTP/1.1\r\nHost: a\r\n\r\n");
     let (client, pull) = pulling(&mut y, "report");
     let mut out = Vec::new();
     y.core.drain(y.now, &mut out);
-    assert_eq!(out, [Output::Close(idle)]);
+    assert_eq!(out, [Output::Close(idle)], "who has had an answer knows that it may be closed");
+    y.ask_with(just_come, "help", None, true, 10);
+    assert_eq!(y.error(just_come), (503, "refused".into(), false), "who has just come is heard");
+    y.advance(ms(600));
+    assert!(y.closed.contains(&silent));
     let late = y.client();
     assert_eq!(y.error(late), (503, "refused".into(), false));
     y.begin_stream(pull.conn);
