Ledger: a failed rotation goes on in the old segment; old periods and leases have bounds

Cause: when a new segment could not be begun, the writer went on appending to the file it had just removed, and what followed was lost. Periods were forgotten only when a lease was taken, so equal shares by the hour grew without end; leases went on being recorded while the disk was full; rotation and the space kept aside were synced on the loop.

Change: the old segment is opened again; a new period puts an old one out, by tenant; no lease is taken that can't be recorded; syncs of old segments and of the folder go to the sync thread. A lease names only what a router holds or gets.

Measured: tests that fail without the change: rotation without room at 0, 1 and 19 bytes, 200 hours of periods, a lease while unwritable.

--- a/crates/budget/src/keeper.rs
+++ b/crates/budget/src/keeper.rs
@@ -89,6 +89,8 @@
     Old,
     /// Its time is over.
     Expired,
+    /// The ledger can't be written: what is taken could not be told.
+    NoLedger,
 }
 
 /// A tenant's figures at this router, in units but for `refused`.
@@ -190,12 +192,7 @@
     }
 
     /// Records to be kept, with their numbers: before anything that follows from them leaves the router.
-    pub fn take_records(&mut self, into: &mut Vec<(u64, Record)>) {
-        into.append(&mut self.out);
-    }
-
-    /// The same, one by one.
-    pub fn drain_records(&mut self) -> impl Iterator<Item = (u64, Record)> + '_ {
+    pub fn take_records(&mut self) -> impl Iterator<Item = (u64, Record)> + '_ {
         self.out.drain(..)
     }
 
@@ -364,7 +361,7 @@
     /// Takes a grant whose signature was checked.
     ///
     /// # Errors
-    /// If it is not this router's, not newer than the newest, or over.
+    /// If it is not this router's, not newer than the newest, or over; or if it can't be recorded.
     pub fn adopt(&mut self, now: Time, grant: &Grant) -> Result<(), NotAdopted> {
         let now = self.time(now);
         if grant.router != self.router {
@@ -376,6 +373,10 @@
         if grant.until <= now {
             return Err(NotAdopted::Expired);
         }
+        // Nothing new is taken meanwhile, and records that wait for the disk stay as many as requests are open.
+        if !self.writable {
+            return Err(NotAdopted::NoLedger);
+        }
         let mut ceilings = Vec::with_capacity(grant.allowances.len());
         for a in &grant.allowances {
             // What is used can't be given back; the grantor learns it from the record.
--- a/crates/budget/src/lease_test.rs
+++ b/crates/budget/src/lease_test.rs
@@ -114,7 +114,7 @@
 
     fn drain(&mut self) {
         for (keeper, ledger) in self.keepers.iter_mut().zip(&mut self.ledgers) {
-            keeper.take_records(ledger);
+            ledger.extend(keeper.take_records());
         }
     }
 
--- a/crates/budget/src/record.rs
+++ b/crates/budget/src/record.rs
@@ -277,10 +277,15 @@
         }
         if !charge.slots.is_empty() {
             let of_tenant = self.held.of_tenant_mut(&charge.tenant);
+            let known = of_tenant.len();
             for place in &charge.slots {
                 let held = of_tenant.entry(place.clone()).or_default();
                 held.reserved = held.reserved.plus(charge.amount);
             }
+            // A period that is new puts an old one out.
+            if of_tenant.len() > known {
+                forget_old(of_tenant);
+            }
         }
         let open = Open {
             tenant: charge.tenant.clone(),
@@ -325,29 +330,27 @@
         self.last = self.last.max(adopted.at);
         self.lease = (adopted.number, adopted.until);
         for (key, span, ceiling) in &adopted.ceilings {
-            let place = Place::new(key, span.start);
-            self.held.of_tenant_mut(&key.tenant).entry(place).or_default().ceiling = Some(*ceiling);
+            let of_tenant = self.held.of_tenant_mut(&key.tenant);
+            let known = of_tenant.len();
+            of_tenant.entry(Place::new(key, span.start)).or_default().ceiling = Some(*ceiling);
+            if of_tenant.len() > known {
+                forget_old(of_tenant);
+            }
         }
         self.wanted = adopted.wanted.iter().map(|(k, sum, most)| (k.clone(), (*sum, *most))).collect();
-        self.forget_old();
         true
     }
+}
 
-    /// Drops periods that are over, beyond those remembered.
-    pub fn forget_old(&mut self) {
-        for places in self.held.0.values_mut() {
-            if places.len() <= PERIODS {
-                continue;
-            }
-            let mut periods: BTreeMap<(Option<Box<str>>, Kind), usize> = BTreeMap::new();
-            let newest_first: Vec<Place> = places.keys().rev().cloned().collect();
-            for place in newest_first {
-                let n = periods.entry((place.class.clone(), place.kind)).or_default();
-                *n += 1;
-                if *n > PERIODS && places.get(&place).is_some_and(|h| h.reserved == Units(0)) {
-                    places.remove(&place);
-                }
-            }
+/// Drops a tenant's periods beyond those remembered, unless something is open in them.
+fn forget_old(places: &mut BTreeMap<Place, Held>) {
+    let mut periods: BTreeMap<(Option<Box<str>>, Kind), usize> = BTreeMap::new();
+    let newest_first: Vec<Place> = places.keys().rev().cloned().collect();
+    for place in newest_first {
+        let n = periods.entry((place.class.clone(), place.kind)).or_default();
+        *n += 1;
+        if *n > PERIODS && places.get(&place).is_some_and(|h| h.reserved == Units(0)) {
+            places.remove(&place);
         }
     }
 }
--- a/crates/budget/src/settler.rs
+++ b/crates/budget/src/settler.rs
@@ -250,7 +250,8 @@
             let named = self.unanswered(router, seen, &place).is_some();
             let nothing_new =
                 held.ceiling == Some(ceiling) || (held.ceiling.is_none() && ceiling == Units(0));
-            if named || !nothing_new || !alive {
+            // After a lease's end the next one would bring back what it does not name.
+            if named || !nothing_new || (!alive && held.ceiling.is_some()) {
                 let elsewhere = total.minus(held.used());
                 let allowance = Allowance { key: key.clone(), span, ceiling, limit, elsewhere };
                 out.push((router.clone(), allowance));
--- a/crates/budget/tests/budgets.rs
+++ b/crates/budget/tests/budgets.rs
@@ -59,9 +59,7 @@
 }
 
 fn records(k: &mut Keeper) -> Vec<(u64, Record)> {
-    let mut out = Vec::new();
-    k.take_records(&mut out);
-    out
+    k.take_records().collect()
 }
 
 #[test]
@@ -142,6 +140,22 @@
     assert_eq!((second.spent, second.reserved), (Units(0), Units::tokens(500)));
 }
 
+/// With equal shares as with leases: a long life remembers few periods, and all in which something is open.
+#[test]
+fn old_periods_are_forgotten() {
+    let mut k = one(vec![(key(Kind::Hour), limit(1_000)), (key(Kind::Day), limit(100_000))]);
+    k.admit(noon(), ask("stays open", 10, 1)).unwrap();
+    for hour in 0..200 {
+        let (now, id) = (noon().after(hour * 3_600 * S), format!("q{hour}"));
+        k.admit(now, ask(&id, 10, 1)).unwrap();
+        served(&mut k, now, &id, 10, 0, 1);
+    }
+    // Four of each kind, and the two in which one is open.
+    assert_eq!(k.state().held.iter().count(), 4 + 4 + 2);
+    let first = k.reservation("stays open").unwrap().slots[0].start;
+    assert_eq!(k.state().held.get(&key(Kind::Hour), first).reserved, Units::tokens(14));
+}
+
 #[test]
 fn the_hour_that_is_shown_twice_has_two_budgets_and_its_day_one() {
     let mut k = one(vec![(key(Kind::Hour), limit(500)), (key(Kind::Day), limit(1_000))]);
@@ -249,6 +263,7 @@
     k.admit(noon(), ask("a", 10, 10)).unwrap();
     k.set_writable(false);
     assert_eq!(k.admit(noon(), ask("b", 10, 10)).unwrap_err().why, Why::Ledger);
+    assert_eq!(k.adopt(noon(), &grant(1, noon().after(S), 10)), Err(NotAdopted::NoLedger));
     assert!(served(&mut k, noon(), "a", 10, 0, 10), "what is open still ends");
     k.set_writable(true);
     assert!(k.admit(noon(), ask("b", 10, 10)).is_ok());
--- a/crates/ledger/src/volume.rs
+++ b/crates/ledger/src/volume.rs
@@ -7,6 +7,9 @@
 use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
 use std::sync::Arc;
 
+/// Files that wait to be synced: one of each that is written, the one before, and the folder.
+const SYNCS: usize = 4;
+
 /// The name of a segment by its number.
 pub fn segment_name(number: u64) -> String {
     format!("{number:012}.ledger")
@@ -69,8 +72,9 @@
             std::fs::TryLockError::WouldBlock => io::Error::from(io::ErrorKind::WouldBlock),
             std::fs::TryLockError::Error(e) => e,
         })?;
-        // One wait at the disk covers all that was written before it: more need not queue.
-        let (syncer, wanted) = sync_channel::<File>(1);
+        // A wait at the disk that has not begun covers all that is written before it does: when the queue is full,
+        // nothing is missed.
+        let (syncer, wanted) = sync_channel::<File>(SYNCS);
         let failed = Arc::new(AtomicBool::new(false));
         let flag = failed.clone();
         std::thread::Builder::new().name("ledger-sync".into()).spawn(move || {
@@ -83,13 +87,11 @@
         Ok(Self { path: path.into(), file: None, syncer, failed, _lock: Some(lock) })
     }
 
-    /// The folder.
-    pub fn path(&self) -> &Path {
-        &self.path
-    }
-
-    fn sync_folder(&self) -> io::Result<()> {
-        File::open(&self.path)?.sync_all()
+    fn sync_later(&self, file: File) -> io::Result<()> {
+        match self.syncer.try_send(file) {
+            Ok(()) | Err(TrySendError::Full(_)) => Ok(()),
+            Err(TrySendError::Disconnected(_)) => Err(io::Error::other("no thread syncs to the disk")),
+        }
     }
 
     fn current(&mut self) -> io::Result<&mut File> {
@@ -118,9 +120,10 @@
     fn create(&mut self, name: &str) -> io::Result<()> {
         let file = OpenOptions::new().append(true).create_new(true).open(self.path.join(name))?;
         if let Some(old) = self.file.replace(file) {
-            old.sync_data()?;
+            self.sync_later(old)?;
         }
-        self.sync_folder()
+        // The folder has a new name to keep.
+        self.sync_later(File::open(&self.path)?)
     }
 
     fn open(&mut self, name: &str, length: u64) -> io::Result<()> {
@@ -144,10 +147,7 @@
             return Err(io::Error::other("syncing to the disk failed"));
         }
         let file = self.current()?.try_clone()?;
-        match self.syncer.try_send(file) {
-            Ok(()) | Err(TrySendError::Full(_)) => Ok(()),
-            Err(TrySendError::Disconnected(_)) => Err(io::Error::other("no thread syncs to the disk")),
-        }
+        self.sync_later(file)
     }
 
     fn set_aside(&mut self, name: &str, bytes: usize) -> io::Result<()> {
@@ -156,10 +156,7 @@
             return Ok(());
         }
         // Written, since a hole takes no space.
-        let filled = File::create(&path).and_then(|mut f| {
-            f.write_all(&vec![0x5a; bytes])?;
-            f.sync_data()
-        });
+        let filled = File::create(&path).and_then(|mut f| f.write_all(&vec![0x5a; bytes]));
         if filled.is_err() {
             let _ = std::fs::remove_file(&path);
         }
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -38,9 +38,11 @@
     segment: u64,
     length: u64,
     next: u64,
+    /// Frames that the system has not taken.
     waiting: Vec<u8>,
-    /// Records in `waiting`, for the number of a segment that begins there.
+    /// Something was written since the last sync.
     unsynced: bool,
+    /// What was kept aside is let go.
     full: bool,
 }
 
@@ -99,11 +101,6 @@
         self.next
     }
 
-    /// Where it is kept.
-    pub fn volume(&mut self) -> &mut V {
-        &mut self.volume
-    }
-
     /// Whether new work may rely on it: there is room and nothing waits for long.
     pub fn is_writable(&self) -> bool {
         !self.full && self.waiting.len() < self.limits.waiting
@@ -183,13 +180,18 @@
     /// Begins a new segment whose first record is the checkpoint.
     ///
     /// # Errors
-    /// The file system's; the old segment goes on then.
+    /// The file system's; the old segment goes on then, and the checkpoint was not taken.
     pub fn rotate(&mut self, checkpoint: &impl Serialize) -> Result<(), Error> {
-        self.flush().map_err(|e| Error::Io(segment_name(self.segment), e))?;
+        let old = segment_name(self.segment);
+        self.flush().map_err(|e| Error::Io(old.clone(), e))?;
         let name = segment_name(self.segment + 1);
-        let length =
-            begin(&mut self.volume, self.segment + 1, self.next).map_err(|e| Error::Io(name.clone(), e))?;
-        (self.segment, self.length) = (self.segment + 1, length);
+        match begin(&mut self.volume, self.segment + 1, self.next) {
+            Ok(length) => (self.segment, self.length) = (self.segment + 1, length),
+            Err(e) => {
+                self.volume.open(&old, self.length).map_err(|e| Error::Io(old, e))?;
+                return Err(Error::Io(name, e));
+            }
+        }
         self.append(checkpoint)?;
         self.flush().map_err(|e| Error::Io(name, e))
     }
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -202,6 +202,28 @@
     assert_eq!(report.trouble(), None);
 }
 
+/// No room for a new segment's head: the old one goes on, and nothing that is written later is lost.
+#[test]
+fn a_rotation_that_fails_leaves_the_old_segment() {
+    let volume = Memory::new(1 << 20);
+    let (mut w, ..) = open(volume.clone(), LIMITS);
+    for i in 0..10 {
+        w.append(&rec(i)).unwrap();
+    }
+    w.flush().unwrap();
+    for left in [0, 1, 19] {
+        *volume.room.borrow_mut() = volume.used() + left;
+        assert!(w.rotate(&rec(99)).is_err(), "{left}");
+        assert_eq!(volume.list().unwrap(), [segment_name(1), "ballast".into()], "{left}");
+    }
+    *volume.room.borrow_mut() = 1 << 20;
+    w.append(&rec(10)).unwrap();
+    w.flush().unwrap();
+    drop(w);
+    let (_, report, got) = open(volume, LIMITS);
+    assert_eq!((got.len(), report.trouble()), (11, None));
+}
+
 #[test]
 fn a_checkpoint_is_where_reading_begins() {
     let volume = Memory::new(1 << 20);
--- a/crates/load/src/budgets.rs
+++ b/crates/load/src/budgets.rs
@@ -72,7 +72,6 @@
         start.elapsed().as_secs_f64() * 1e3
     );
     let (mut admit, mut settle) = (Histogram::<u64>::new(3)?, Histogram::<u64>::new(3)?);
-    let mut records = Vec::new();
     let mut draw = 88_172_645_463_325_252_u64;
     let mut refused = 0_u64;
     for n in 0..requests {
@@ -91,8 +90,7 @@
         let start = Instant::now();
         keeper.settle(NOW.after(n), &id, Ending::Served, usage, (Some(0), Some(1)), true);
         settle.record(start.elapsed().as_nanos() as u64)?;
-        records.clear();
-        keeper.take_records(&mut records);
+        keeper.take_records().for_each(drop);
     }
     println!(
         "{requests} requests of {tenants} tenants, {refused} refused; decision µs: p50 {:.2}, p99 {:.2}, p99.9 {:.2}; settlement µs: p50 {:.2}, p99 {:.2}",
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -41,7 +41,7 @@
     /// Gives out the keeper's records: what follows in the outputs follows them.
     pub(super) fn write_records(&mut self) {
         let Some(keeper) = &mut self.keeper else { return };
-        let records = keeper.drain_records();
+        let records = keeper.take_records();
         self.out.extend(records.map(|(number, record)| Output::Record(number, Box::new(record))));
     }
 
