Read-through: one kind of news, reloads one after the other, settlement reads what is new

Cause: reading the change once more. Four news at a time let a predecessor's settlements wait for seconds; a succession whose asker had stopped waiting ended the router for nobody; two reloads at once could leave one file's settings under another's name; a reload of the zone began periods anew; a full disk was tried twenty times a second on the loop; the settlement job read all adjustments and its own last round each epoch.

--- a/crates/daemon/src/bill.rs
+++ b/crates/daemon/src/bill.rs
@@ -1,6 +1,6 @@
-//! `chalkyard bill`: statements from ledgers and engines' records; `chalkyard ledger compact`.
+//! `chalkyard bill`: statements from ledgers and engines' records; `chalkyard compact`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::BufRead;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -10,7 +10,7 @@
 use chalkyard_ledger::{read, segment_number, Folder, Volume};
 
 use crate::budget_settings::Budgets;
-use crate::settle::{read_adjustments, Change};
+use crate::settle::{Adjustments, Change};
 use crate::{Format, Trouble};
 
 /// Longest line of an engine's record.
@@ -102,9 +102,10 @@
 fn by_hand(budgets: &Budgets) -> Result<ByHand, Trouble> {
     let mut out = ByHand::new();
     let Some(settlement) = &budgets.settlement else { return Ok(out) };
-    for (number, a) in read_adjustments(settlement)? {
-        if let Change::Bill { tenant, class, day, amount } = a.what {
-            out.entry((tenant, class, day)).or_default().push((number, amount, a.why));
+    for (number, a) in Adjustments::new(settlement).read()? {
+        if let Change::Bill { tenant, class, day, amount } = &a.what {
+            let place = (tenant.clone(), class.clone(), day.clone());
+            out.entry(place).or_default().push((*number, *amount, a.why.clone()));
         }
     }
     Ok(out)
@@ -197,7 +198,7 @@
     }
 }
 
-/// `chalkyard ledger compact`: sums of whole months are kept, their records go.
+/// `chalkyard compact`: sums of whole months are kept, their records go.
 pub fn compact(budgets: &Budgets, folder: &Path, before: &str) -> Result<ExitCode, Trouble> {
     let (_, cut) =
         budgets.plan.calendar.named(before).map_err(|why| Trouble::BadInput(format!("--before: {why}")))?;
@@ -206,14 +207,9 @@
     let wrong = |e: chalkyard_ledger::Error| Trouble::BadInput(format!("{}: {e}", folder.display()));
     // A segment may go if a later one begins with a checkpoint and no record in it is as late as the cut.
     let (mut old, mut biller, mut records) = (Vec::new(), Biller::default(), 0_u64);
-    let mut open: BTreeMap<Box<str>, ()> = BTreeMap::new();
-    for (i, name) in names.iter().enumerate() {
-        let later = names.get(i + 1..).unwrap_or_default();
-        let restarts =
-            chalkyard_ledger::last_segments(&volume, crate::keeping::is_checkpoint).map_err(wrong)?;
-        if later.is_empty() || !restarts.first().is_some_and(|r| later.contains(r)) {
-            break;
-        }
+    let mut open: BTreeSet<Box<str>> = BTreeSet::new();
+    let restart = chalkyard_ledger::last_segments(&volume, crate::keeping::is_checkpoint).map_err(wrong)?;
+    for name in names.iter().take_while(|n| restart.first().is_some_and(|r| *n < r)) {
         let (mut late, mut taken) = (false, Vec::new());
         read(&volume, std::slice::from_ref(name), |n, r: Record| {
             let at = match &r {
@@ -232,7 +228,7 @@
         }
         for (n, r) in taken {
             match &r {
-                Record::Reserved(c) => drop(open.insert(c.id.clone(), ())),
+                Record::Reserved(c) => drop(open.insert(c.id.clone())),
                 Record::Settled(s) => drop(open.remove(&s.id)),
                 _ => {}
             }
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -8,7 +8,9 @@
 
 use crate::budget_settings::{Budgets, Settlement};
 use crate::keeping::now;
-use crate::settle::{add_adjustment, parts, read_adjustments, settler, Adjustment, Change, Journal, Sums};
+use crate::settle::{
+    add_adjustment, adjusted, parts, settler, Adjustment, Adjustments, Change, Journal, Sums,
+};
 use crate::{Format, Trouble};
 
 #[derive(Debug, Clone, Copy, ValueEnum)]
@@ -178,15 +180,15 @@
 
 fn show(budgets: &Budgets, format: Format) -> Result<ExitCode, Trouble> {
     let (settlement, key) = parts(budgets)?;
-    let mut settler = settler(&budgets.plan, settlement)?;
     let journal = Journal::open(&settlement.journal, key)
         .map_err(|e| Trouble::CouldNotRun(format!("{}: {e}", settlement.journal.display())))?;
-    if let Some(newest) = journal.newest().map_err(Trouble::CouldNotRun)? {
-        settler.learn(&newest);
-    }
+    let mut settler = settler(&budgets.plan, settlement, &journal)?;
+    let mut by_hand = Adjustments::new(settlement);
+    let changes = by_hand.read()?;
+    let (plan, extra) = adjusted(&budgets.plan, changes);
+    settler.replan(plan, extra);
     Sums::new(settlement).read(&mut settler);
     let standings = settler.standings(now());
-    let changes = read_adjustments(settlement)?;
     match format {
         Format::Json => {
             let trail: Vec<serde_json::Value> =
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -237,7 +237,7 @@
         // What it changes is told at once; the loop takes it whole, or nothing of it.
         Call::Reload {} => match reloader.look() {
             Err(why) => json!({"error": format!("not reloaded, all stays as it was: {why}")}).to_string(),
-            Ok((changes, ..)) => {
+            Ok(changes) => {
                 let late = changes.iter().any(|c| !c.in_flight);
                 if !late {
                     tell(Event::Reload, "reload");
--- a/crates/daemon/src/keeping.rs
+++ b/crates/daemon/src/keeping.rs
@@ -24,8 +24,10 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// Bytes of a grant's file that are read.
 const GRANT_BYTES: u64 = 64 * 1024 * 1024;
-/// Grants and plans that wait for the loop; a newer one follows anyway.
-pub const WAITING: usize = 4;
+/// News that wait for the loop, and that it takes at a time; who has more waits.
+pub const WAITING: usize = 1_024;
+/// A full disk, and a segment that is full, are looked at so often.
+const AGAIN: Duration = Duration::from_secs(1);
 /// Without a ledger, news are looked for so often.
 const PERIOD: Duration = Duration::from_millis(200);
 /// Longest line of the life before.
@@ -60,6 +62,8 @@
     sync: Duration,
     told: bool,
     failing: bool,
+    /// What failed is tried again from then on.
+    again: Instant,
 }
 
 /// What the life before still has to say: one settlement a line, as JSON.
@@ -118,7 +122,13 @@
             Keeper::succeed(router, budgets.plan.clone(), state, now)
         }
     };
-    let ledger = Ledger { writer: opened.writer, sync: budgets.sync, told: true, failing: false };
+    let ledger = Ledger {
+        writer: opened.writer,
+        sync: budgets.sync,
+        told: true,
+        failing: false,
+        again: Instant::now(),
+    };
     Ok(Recovered { keeper, ledger })
 }
 
@@ -156,7 +166,7 @@
         }
         match key.open_grant(&bytes) {
             Ok(grant) => {
-                if news.send(News::Grant(grant)).is_err() {
+                if news.send(News::Granted(Box::new(grant))).is_err() {
                     return;
                 }
             }
@@ -172,12 +182,17 @@
         if let Err(e) = self.writer.sync() {
             warn!(target: "ledger", "syncing: {e}");
         }
-        self.writer.heal();
+        // Each try is work for the loop: the space kept aside is written, all sums are copied.
+        let again = self.again <= Instant::now();
+        if again {
+            self.again = Instant::now() + AGAIN;
+            self.writer.heal();
+        }
         if self.told != self.writer.is_writable() {
             self.told = self.writer.is_writable();
             out.push(News::Writable(self.told));
         }
-        if self.writer.wants_rotation() {
+        if again && self.writer.wants_rotation() {
             out.push(News::Checkpoint);
         }
         out
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -65,7 +65,7 @@
             let part = third.starts_with("key") || third.starts_with("may");
             part || (attribute.is_none() && !added && second.starts_with("tenant"))
         }
-        ("budgets", Some(name)) if second.is_empty() => matches!(name, "margin" | "zone"),
+        ("budgets", Some(name)) if second.is_empty() => name == "margin",
         // Of the settlement job alone; a whole part that comes or goes is another way of keeping budgets.
         ("budgets", _) => !second.is_empty(),
         _ => false,
@@ -144,7 +144,12 @@
 
 impl Reloader {
     /// What a reload would change; an error: the file can't be read, or is wrong.
-    pub fn look(&self) -> Result<(Vec<Change>, Settings, String), String> {
+    pub fn look(&self) -> Result<Vec<Change>, String> {
+        let held = self.text.lock().map_err(|_| "another reload failed".to_string())?;
+        self.compare(&held).map(|(changes, ..)| changes)
+    }
+
+    fn compare(&self, held: &str) -> Result<(Vec<Change>, Settings, String), String> {
         let name = self.file.display();
         let bytes = crate::keeping::read_some(&self.file, FILE_BYTES).map_err(|e| format!("{name}: {e}"))?;
         let text = String::from_utf8(bytes).map_err(|_| format!("{name}: not UTF-8"))?;
@@ -152,13 +157,13 @@
             let lines: Vec<String> = wrong.iter().map(|w| format!("{name}:{w}")).collect();
             lines.join("; ")
         })?;
-        let old = self.text.lock().map_err(|_| "another reload failed".to_string())?.clone();
-        Ok((differences(&old, &text)?, fresh, text))
+        Ok((differences(held, &text)?, fresh, text))
     }
 
-    /// Reloads: all that changed, or nothing.
+    /// Reloads: all that changed, or nothing. One after the other: the last one's file is the one that holds.
     pub fn reload(&self) {
-        let (changes, fresh, text) = match self.look() {
+        let Ok(mut held) = self.text.lock() else { return };
+        let (changes, fresh, text) = match self.compare(&held) {
             Ok(looked) => looked,
             Err(why) => {
                 warn!(target: "router", what = "reload", "not reloaded, all stays as it was: {why}");
@@ -195,9 +200,7 @@
             info!(target: "router", what = "reload", "{}: {}", c.path, c.what);
         }
         info!(target: "router", what = "reload", changes = changes.len(), "reloaded");
-        if let Ok(mut held) = self.text.lock() {
-            *held = text;
-        }
+        *held = text;
     }
 }
 
@@ -223,6 +226,7 @@
         };
         one("tokens=\"2000000\"", "tokens=\"9\"", "chalkyard/budgets/budget[nord help hour]", true);
         one("margin=\"0.1\"", "margin=\"0.2\"", "chalkyard/budgets", true);
+        one("zone=\"Europe/Zurich\"", "zone=\"UTC\"", "chalkyard/budgets", false);
         one("sync=\"50ms\"", "sync=\"20ms\"", "chalkyard/budgets", false);
         one("ledger=\"state/r1\"", "ledger=\"state/r9\"", "chalkyard/budgets", false);
         one("aim=\"5s\"", "aim=\"6s\"", "chalkyard/classes/class[later]", false);
--- a/crates/daemon/src/settle.rs
+++ b/crates/daemon/src/settle.rs
@@ -58,21 +58,38 @@
     settlement.journal.join("adjustments")
 }
 
-/// All adjustments with their numbers, oldest first.
-pub fn read_adjustments(settlement: &Settlement) -> Result<Vec<(u64, Adjustment)>, Trouble> {
-    let folder = adjustments(settlement);
-    if !folder.exists() {
-        return Ok(Vec::new());
+/// All adjustments with their numbers, oldest first; each is read once.
+pub struct Adjustments {
+    follower: Follower,
+    folder: PathBuf,
+    read: Vec<(u64, Adjustment)>,
+}
+
+impl Adjustments {
+    /// Of a settlement, which need not have any yet.
+    pub fn new(settlement: &Settlement) -> Self {
+        let folder = adjustments(settlement);
+        Self { follower: Follower::new(&folder), folder, read: Vec::new() }
     }
-    let volume = Folder::reader(&folder);
-    let wrong = |e| Trouble::CouldNotRun(format!("{}: {e}", folder.display()));
-    let names = chalkyard_ledger::last_segments(&volume, |_: &Adjustment| false).map_err(wrong)?;
-    let mut out = Vec::new();
-    let report = chalkyard_ledger::read(&volume, &names, |n, a| out.push((n, a))).map_err(wrong)?;
-    if let Some(trouble) = report.trouble() {
-        return Err(Trouble::CouldNotRun(format!("{}: {trouble}", folder.display())));
+
+    /// Reads what is new; all there are. An error leaves what was read.
+    pub fn read(&mut self) -> Result<&[(u64, Adjustment)], Trouble> {
+        if self.folder.exists() {
+            let read = &mut self.read;
+            let told = self.follower.poll(
+                |_: &Adjustment| false,
+                |item| match item {
+                    Item::Again => read.clear(),
+                    Item::Record(number, adjustment) => read.push((number, adjustment)),
+                },
+            );
+            let wrong = |what: String| Trouble::CouldNotRun(format!("{}: {what}", self.folder.display()));
+            if let Some(trouble) = told.map_err(|e| wrong(e.to_string()))? {
+                return Err(wrong(trouble));
+            }
+        }
+        Ok(&self.read)
     }
-    Ok(out)
 }
 
 /// Adds one. It holds from the next round on.
@@ -145,10 +162,12 @@
         Ok(out)
     }
 
-    /// The newest round; none: the journal is empty.
-    pub fn newest(&self) -> Result<Option<Round>, String> {
+    /// The newest round, if it is newer than this one.
+    pub fn newer(&self, than: u64) -> Result<Option<Round>, String> {
         let wrong = |e: std::io::Error| format!("{}: {e}", self.folder.display());
-        let Some(number) = self.numbers().map_err(wrong)?.pop() else { return Ok(None) };
+        let Some(number) = self.numbers().map_err(wrong)?.pop().filter(|n| *n > than) else {
+            return Ok(None);
+        };
         let path = self.folder.join(round_file(number));
         let bytes = read_some(&path, ROUND_BYTES).map_err(|e| format!("{}: {e}", path.display()))?;
         let round = self.key.open_round(&bytes).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -235,15 +254,21 @@
     Ok((settlement, read_key(key)?))
 }
 
-/// A settler for these settings, with what was changed by hand.
-pub fn settler(plan: &Plan, settlement: &Settlement) -> Result<Settler, Trouble> {
+/// A settler for these settings, as the journal's newest round leaves it.
+pub fn settler(plan: &Plan, settlement: &Settlement, journal: &Journal) -> Result<Settler, Trouble> {
     let names: Vec<&str> = settlement.routers.iter().map(|(n, _)| n.as_str()).collect();
     let mut settler = Settler::new(plan.clone(), settlement.terms, &names);
-    let (plan, extra) = adjusted(plan, &read_adjustments(settlement)?);
-    settler.replan(plan, extra);
+    catch_up(&mut settler, journal)?;
     Ok(settler)
 }
 
+fn catch_up(settler: &mut Settler, journal: &Journal) -> Result<(), Trouble> {
+    if let Some(newest) = journal.newer(settler.head()).map_err(Trouble::CouldNotRun)? {
+        settler.learn(&newest);
+    }
+    Ok(())
+}
+
 /// Runs rounds until it is told to stop; SIGHUP reads the settings again.
 pub fn settle(file: &PathBuf, rounds: Option<u64>) -> Result<ExitCode, Trouble> {
     logs::start();
@@ -253,7 +278,8 @@
     let settlement = settlement.clone();
     let journal = Journal::open(&settlement.journal, key)
         .map_err(|e| Trouble::CouldNotRun(format!("{}: {e}", settlement.journal.display())))?;
-    let mut settler = settler(&budgets.plan, &settlement)?;
+    let mut settler = settler(&budgets.plan, &settlement, &journal)?;
+    let mut by_hand = Adjustments::new(&settlement);
     let mut sums = Sums::new(&settlement);
     let mut signals =
         Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| Trouble::CouldNotRun(e.to_string()))?;
@@ -279,9 +305,9 @@
         }
         next = Instant::now() + epoch;
         done += 1;
-        match read_adjustments(&settlement) {
+        match by_hand.read() {
             Ok(changes) => {
-                let (plan, extra) = adjusted(&budgets.plan, &changes);
+                let (plan, extra) = adjusted(&budgets.plan, changes);
                 settler.replan(plan, extra);
             }
             Err(Trouble::BadInput(why) | Trouble::CouldNotRun(why)) => warn!(target: "settle", "{why}"),
@@ -294,11 +320,7 @@
 /// One round: read, decide, let it stand, deliver. Should another job be first under the number, its round is
 /// learnt and the next one tried at the next epoch.
 fn one_round(settler: &mut Settler, sums: &mut Sums, journal: &Journal) -> Result<(), Trouble> {
-    match journal.newest() {
-        Ok(Some(newest)) => settler.learn(&newest),
-        Ok(None) => {}
-        Err(why) => return Err(Trouble::CouldNotRun(why)),
-    }
+    catch_up(settler, journal)?;
     sums.read(settler);
     let round = settler.next(now()).map_err(|fork| Trouble::CouldNotRun(fork.to_string()))?;
     match journal.stand(&round) {
--- a/crates/load/src/budgets.rs
+++ b/crates/load/src/budgets.rs
@@ -13,7 +13,7 @@
 use hdrhistogram::Histogram;
 
 use crate::clients::{self, Style};
-use crate::{free, Error, Pinned};
+use crate::{free, settings, Error, Pinned};
 
 const NOW: Time = Time(1_796_100_000_000_000);
 
@@ -207,23 +207,10 @@
     Ok(())
 }
 
-fn settings(listen: std::net::SocketAddr, engine: std::net::SocketAddr, budgets: &str) -> String {
+fn tenants() -> String {
     let salt = "00".repeat(32);
     let hash = KeyRing::new([0; 32]).hash(clients::KEY);
-    format!(
-        r#"<chalkyard xmlns="urn:chalkyard:settings:1">
-  <router name="r1" listen="{listen}"/>
-  <rules self-prefill="false" reports="off"/>
-  <bounds engine-connections="40000" engine-idle="1024" clients="40000" open="40000"/>
-  <waits stream="60s" idle="2min" connect="2s"/>
-  <kinds><kind name="reader" role="reader"/><kind name="writer" role="writer"/></kinds>
-  <classes default="help"><class name="help" aim="20s" deadline="60s" effect="free"/></classes>
-  <tenants salt="{salt}"><tenant name="nord"><key hash="{hash}"/></tenant></tenants>
-  {budgets}
-  <engines><engine id="read" kind="reader" address="{engine}"/><engine id="write" kind="writer" address="{engine}"/></engines>
-</chalkyard>
-"#
-    )
+    format!(r#"<tenants salt="{salt}"><tenant name="nord"><key hash="{hash}"/></tenant></tenants>"#)
 }
 
 /// Two-stage requests a second of a router with budgets over one without, by turns.
@@ -249,7 +236,8 @@
                 ledger.display()
             );
             let file = folder.join("r1.xml");
-            std::fs::write(&file, settings(at, engine, if with { &budgets } else { "" }))?;
+            let parts = tenants() + if with { &budgets } else { "" };
+            std::fs::write(&file, settings(at, engine, &parts))?;
             let router = Pinned::start(program, &["run", file.to_str().ok_or("path")?], at, "0")?;
             let plan = clients::Plan { style: Style::Messages, events: 2, rate: None, seconds, connections };
             let before = router.used()?;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -115,7 +115,8 @@
     Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
 }
 
-fn settings(listen: SocketAddr, reader: SocketAddr, writer: SocketAddr) -> String {
+/// A router's settings, with further parts.
+fn settings(listen: SocketAddr, engine: SocketAddr, parts: &str) -> String {
     format!(
         r#"<chalkyard xmlns="urn:chalkyard:settings:1">
   <router name="r1" listen="{listen}"/>
@@ -124,7 +125,8 @@
   <waits stream="60s" idle="2min" connect="2s"/>
   <kinds><kind name="reader" role="reader"/><kind name="writer" role="writer"/></kinds>
   <classes default="help"><class name="help" aim="20s" deadline="60s" effect="free"/></classes>
-  <engines><engine id="read" kind="reader" address="{reader}"/><engine id="write" kind="writer" address="{writer}"/></engines>
+  {parts}
+  <engines><engine id="read" kind="reader" address="{engine}"/><engine id="write" kind="writer" address="{engine}"/></engines>
 </chalkyard>
 "#
     )
@@ -142,7 +144,7 @@
     std::fs::create_dir_all(&folder)?;
     let file = folder.join("r1.xml");
     let (router_at, relay_at) = (free()?, free()?);
-    std::fs::write(&file, settings(router_at, engine, engine))?;
+    std::fs::write(&file, settings(router_at, engine, ""))?;
     let relay_args = ["relay".to_owned(), relay_at.to_string(), engine.to_string()];
     let relay_args: Vec<&str> = relay_args.iter().map(String::as_str).collect();
     let router_args = ["run", file.to_str().ok_or("path")?];
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -301,8 +301,7 @@
     ];
     day.budgets = Some(BudgetSpec { sharing, tenants, skew: 10.0, margin: 100 });
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let length = day.length as f64;
-    let plan: [(Kind, f64, f64, f64); 9] = [
+    let plan = [
         (Kind::Volley, 0.04, 0.0, 96.0),
         (Kind::BalancerRoll, 0.15, 0.06, 3.0),
         (Kind::SettlementKilled, 0.25, 0.08, 0.0),
@@ -313,12 +312,7 @@
         (Kind::SettlementKilled, 0.52, 0.08, 0.0),
         (Kind::Crash, 0.60, 0.08, 0.0),
     ];
-    for (kind, at, len, size) in plan {
-        let at = (at + rng.random_range(-0.02..0.02)).max(0.03);
-        let on = strike(kind, size, &day, &mut rng);
-        day.faults.push(Fault { kind, at: (at * length) as u64, len: (len * length) as u64, on, size });
-    }
-    day.faults.sort_by_key(|f| f.at);
+    play(&mut day, &mut rng, &plan);
     day
 }
 
@@ -326,8 +320,7 @@
 fn bad_day(seed: u64, seconds: u64) -> Day {
     let mut day = base("bad-day", seed, seconds * S);
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let length = day.length as f64;
-    let plan: [(Kind, f64, f64, f64); 21] = [
+    let plan = [
         (Kind::Crash, 0.06, 0.08, 0.0),
         (Kind::HotKey, 0.08, 0.15, 0.25),
         (Kind::Slow, 0.12, 0.18, 4.0),
@@ -350,13 +343,19 @@
         (Kind::SlowClients, 0.74, 0.12, 0.1),
         (Kind::Ageing, 0.76, 0.16, 5.0),
     ];
-    for (kind, at, len, size) in plan {
+    play(&mut day, &mut rng, &plan);
+    day
+}
+
+/// Adds faults: kind, beginning and length as shares of the day, size. Each begins a little earlier or later.
+fn play(day: &mut Day, rng: &mut ChaCha8Rng, plan: &[(Kind, f64, f64, f64)]) {
+    let length = day.length as f64;
+    for (kind, at, len, size) in plan.iter().copied() {
         let at = (at + rng.random_range(-0.02..0.02)).max(0.03);
-        let on = strike(kind, size, &day, &mut rng);
+        let on = strike(kind, size, day, rng);
         day.faults.push(Fault { kind, at: (at * length) as u64, len: (len * length) as u64, on, size });
     }
     day.faults.sort_by_key(|f| f.at);
-    day
 }
 
 /// Whom a fault strikes: one engine, all of a role in a restart of a whole kind, or some routers.
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -49,7 +49,7 @@
     /// Time has passed.
     Tick,
     /// A lease of the budgets; its signature was checked.
-    Granted(&'a Grant),
+    Granted(Box<Grant>),
     /// The ledger can, or can't, be written from now on.
     Writable(bool),
     /// The ledger wants all state, for the head of a new segment.
@@ -221,7 +221,7 @@
             Input::Eof(conn) => self.link_eof(conn),
             Input::Wrote(conn, bytes) => self.wrote(conn, bytes),
             Input::Tick => {}
-            Input::Granted(grant) => self.granted(grant),
+            Input::Granted(grant) => self.granted(&grant),
             Input::Writable(writable) => self.writable(writable),
             Input::Checkpoint => self.checkpoint(),
             Input::Replan(plan) => self.replan(*plan),
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -4,18 +4,19 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::{AsFd, OwnedFd};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use chalkyard_budget::{Figures, Grant, Plan, Record, Settled};
+use chalkyard_budget::{Figures, Record, Settled};
 use chalkyard_policy::Micros;
 use chalkyard_state::{Act, Event as LifeEvent, Life, Phase, Stop, Terms};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
 use slab::Slab;
 
-use crate::{ConnId, Core, Finished, Input, Output, Tuned};
+use crate::{ConnId, Core, Finished, Input, Output};
 
 const LISTENER: Token = Token(0);
 const WAKER: Token = Token(1);
@@ -78,23 +79,7 @@
 }
 
 /// What a [`Sink`] has for the core.
-#[derive(Debug)]
-pub enum News {
-    /// A lease.
-    Grant(Grant),
-    /// The ledger can, or can't, be written.
-    Writable(bool),
-    /// The ledger wants a checkpoint.
-    Checkpoint,
-    /// Other budgets.
-    Replan(Box<Plan>),
-    /// Other keys, bounds and waits.
-    Retune(Box<Tuned>),
-    /// The life before has ended a request.
-    Inherited(Box<Settled>),
-    /// The life before is over.
-    InheritedAll,
-}
+pub type News = Input<'static>;
 
 /// What a successor gets.
 #[derive(Debug)]
@@ -161,7 +146,8 @@
 enum Word {
     Life(LifeEvent),
     Ask(Question, SyncSender<String>),
-    Succeed(SyncSender<Heritage>),
+    /// With who was first: the loop, which gives, or the asker, who has stopped waiting.
+    Succeed(SyncSender<Heritage>, Arc<AtomicBool>),
 }
 
 /// Words from other threads that wait for the loop; one more is not taken.
@@ -199,7 +185,15 @@
     /// does not answer in time.
     pub fn succeed(&self, within: Duration) -> Option<Heritage> {
         let (answer, got) = sync_channel(1);
-        self.put(Word::Succeed(answer)).then(|| got.recv_timeout(within).ok()).flatten()
+        let decided = Arc::new(AtomicBool::new(false));
+        if !self.put(Word::Succeed(answer, decided.clone())) {
+            return None;
+        }
+        match got.recv_timeout(within) {
+            // The loop was first: it is about to answer, or its end drops the other side.
+            Err(RecvTimeoutError::Timeout) if decided.swap(true, Ordering::SeqCst) => got.recv().ok(),
+            other => other.ok(),
+        }
     }
 
     fn take(&self) -> Vec<Word> {
@@ -385,7 +379,11 @@
                     Word::Life(event) => self.live(event),
                     // Nobody may be waiting any more.
                     Word::Ask(question, answer) => drop(answer.try_send(self.answer(&question))),
-                    Word::Succeed(answer) => self.succeed(&answer),
+                    Word::Succeed(answer, decided) => {
+                        if !decided.swap(true, Ordering::SeqCst) {
+                            self.succeed(&answer);
+                        }
+                    }
                 }
             }
             self.housekeep();
@@ -535,13 +533,8 @@
         self.housekeep_at = Instant::now() + period;
         for news in self.sink.housekeep() {
             match news {
-                News::Writable(now) => self.writable(now),
-                News::Grant(grant) => self.feed(Input::Granted(&grant)),
-                News::Checkpoint => self.feed(Input::Checkpoint),
-                News::Replan(plan) => self.feed(Input::Replan(plan)),
-                News::Retune(tuned) => self.feed(Input::Retune(tuned)),
-                News::Inherited(settled) => self.feed(Input::Inherited(settled)),
-                News::InheritedAll => self.feed(Input::InheritedAll),
+                Input::Writable(now) => self.writable(now),
+                other => self.feed(other),
             }
         }
         if self.figures_at <= Instant::now() {
--- a/crates/router/tests/budgets.rs
+++ b/crates/router/tests/budgets.rs
@@ -126,10 +126,7 @@
 #[test]
 fn a_retry_reserves_once_and_names_the_attempt_that_won() {
     let mut yard = yard_with(plan(100_000, AtHard::Refuse));
-    let client = yard.ask("help");
-    let read = yard.call();
-    yard.parsed(&read);
-    let write = yard.call();
+    let (client, write) = yard.pulling("help");
     yard.reply(write.conn, 500, "{}");
     let second = yard.call();
     assert_eq!(used(&yard), WORST);
@@ -154,10 +151,7 @@
 fn what_breaks_or_fails_costs_nothing_and_who_leaves_midway_pays_for_what_came() {
     // Broken midway.
     let mut yard = yard_with(plan(100_000, AtHard::Refuse));
-    let client = yard.ask("report");
-    let read = yard.call();
-    yard.parsed(&read);
-    let write = yard.call();
+    let (client, write) = yard.pulling("report");
     yard.begin_stream(write.conn);
     yard.token(write.conn, "a");
     yard.input(Input::Lost(write.conn));
@@ -165,10 +159,7 @@
     assert_eq!((settled(&yard)[0].0, used(&yard)), (Ending::Broken, 0));
 
     // All tokens came, the end marker did not: the client is told that it broke, so nobody pays.
-    let client = yard.ask("report");
-    let read = yard.call();
-    yard.parsed(&read);
-    let write = yard.call();
+    let (client, write) = yard.pulling("report");
     yard.begin_stream(write.conn);
     yard.token(write.conn, "a");
     yard.event(write.conn, r#"{"choices":[],"usage":{"prompt_tokens":4000,"completion_tokens":1}}"#);
@@ -181,10 +172,7 @@
     yard.input(Input::Lost(client));
     assert_eq!((settled(&yard)[2].0, used(&yard)), (Ending::LeftEarly, 0));
     yard.calls.clear();
-    let client = yard.ask("help");
-    let read = yard.call();
-    yard.parsed(&read);
-    let write = yard.call();
+    let (client, write) = yard.pulling("help");
     yard.begin_stream(write.conn);
     yard.token(write.conn, "a");
     yard.token(write.conn, "b");
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -290,6 +290,18 @@
         conn
     }
 
+    /// A request that was read and is being pulled: its client, and the writer's call.
+    pub fn pulling(&mut self, class: &str) -> (ConnId, Call) {
+        let client = self.ask(class);
+        let read = self.call();
+        assert_eq!(read.port, 1);
+        assert_eq!(read.body["kv_transfer_params"]["do_remote_decode"], true);
+        self.parsed(&read);
+        let pull = self.call();
+        assert_ne!(pull.port, 1);
+        (client, pull)
+    }
+
     /// The next completion call; there must be one.
     pub fn call(&mut self) -> Call {
         let at = self.calls.iter().position(|c| c.target == "/v1/completions");
--- a/crates/router/tests/flow.rs
+++ b/crates/router/tests/flow.rs
@@ -11,22 +11,10 @@
     Yard::new(config(), &usual())
 }
 
-/// A request that was read and is being pulled: its client, and the writer's call.
-fn pulling(yard: &mut Yard, class: &str) -> (ConnId, Call) {
-    let client = yard.ask(class);
-    let read = yard.call();
-    assert_eq!(read.port, 1);
-    assert_eq!(read.body["kv_transfer_params"]["do_remote_decode"], true);
-    yard.parsed(&read);
-    let pull = yard.call();
-    assert_ne!(pull.port, 1);
-    (client, pull)
-}
-
 #[test]
 fn a_request_is_read_handed_over_written_and_streamed() {
     let mut y = yard();
-    let (client, pull) = pulling(&mut y, "help");
+    let (client, pull) = y.pulling("help");
     assert_eq!(pull.body["kv_transfer_params"]["remote_engine_id"], "read");
     assert_eq!(pull.header("via"), "1.1 r1");
     y.begin_stream(pull.conn);
@@ -70,7 +58,7 @@
         let mut y =
             Yard::new(config(), &[entry("read", "reader", 1, "in"), entry("write", "writer", 2, "in")]);
         // A first request leaves an idle connection at the writer.
-        let (_, pull) = pulling(&mut y, "report");
+        let (_, pull) = y.pulling("report");
         y.begin_stream(pull.conn);
         y.token(pull.conn, "a");
         y.end_stream(pull.conn);
@@ -98,7 +86,7 @@
 #[test]
 fn a_second_reply_on_a_connection_spoils_it_and_nothing_else() {
     let mut y = yard();
-    let (client, pull) = pulling(&mut y, "help");
+    let (client, pull) = y.pulling("help");
     y.begin_stream(pull.conn);
     y.token(pull.conn, "a");
     y.end_stream(pull.conn);
@@ -106,7 +94,7 @@
     assert!(y.closed.contains(&pull.conn));
     assert_eq!(y.answer(client).0, 200);
     // Both at once: the second must not be taken for the answer to the next request.
-    let (client, pull) = pulling(&mut y, "help");
+    let (client, pull) = y.pulling("help");
     let mut both = chalkyard_proto::encode::response(429, &[], b"{}", true);
     both.extend(both.clone());
     y.bytes(pull.conn, &both);
@@ -117,7 +105,7 @@
 #[test]
 fn a_lost_answer_of_a_single_shot_is_failed_and_never_sent_again() {
     let mut y = yard();
-    let (client, pull) = pulling(&mut y, "report");
+    let (client, pull) = y.pulling("report");
     y.input(Input::Eof(pull.conn));
     let (status, kind, ran) = y.error(client);
     assert_eq!((status, kind.as_str(), ran), (504, "failed", true));
@@ -185,7 +173,7 @@
 #[test]
 fn a_reader_that_dies_with_the_state_sends_the_request_to_be_read_again() {
     let mut y = yard();
-    let (client, pull) = pulling(&mut y, "report");
+    let (client, pull) = y.pulling("report");
     y.reply(pull.conn, 409, r#"{"error":{"type":"no_state","message":"gone"}}"#);
     assert_eq!(y.outcomes(), [Outcome::Parsed, Outcome::Refused { no_state: true }]);
     y.advance(ms(100));
@@ -197,7 +185,7 @@
 #[test]
 fn a_stream_that_stops_midway_ends_as_broken_once() {
     let mut y = yard();
-    let (client, pull) = pulling(&mut y, "report");
+    let (client, pull) = y.pulling("report");
     y.begin_stream(pull.conn);
     y.token(pull.conn, "a");
     y.advance(ms(60_000));
@@ -216,7 +204,7 @@
         [(&b"zz\r\n"[..], Outcome::ServerError), (&b"0\r\n\r\n"[..], Outcome::ConnectionLost)]
     {
         let mut y = yard();
-        let (client, pull) = pulling(&mut y, "help");
+        let (client, pull) = y.pulling("help");
         y.begin_stream(pull.conn);
         y.token(pull.conn, "a");
         y.bytes(pull.conn, bytes);
@@ -258,7 +246,7 @@
     };
     y.begin_stream(watch.conn);
     event(&mut y, "snapshot", &list(5, &usual()));
-    let (client, pull) = pulling(&mut y, "help");
+    let (client, pull) = y.pulling("help");
     let gone = if pull.port == 2 { "write-1" } else { "write-2" };
     event(&mut y, "change", &list(6, &[entry(gone, "writer", pull.port, "draining")]));
     y.begin_stream(pull.conn);
@@ -266,7 +254,7 @@
     y.end_stream(pull.conn);
     assert_eq!(y.answer(client).0, 200);
     for _ in 0..6 {
-        let (_, next) = pulling(&mut y, "help");
+        let (_, next) = y.pulling("help");
         assert_ne!(next.port, pull.port, "nothing new to a draining worker");
         y.begin_stream(next.conn);
         y.token(next.conn, "a");
@@ -286,7 +274,7 @@
     let mut y = Yard::new(config, &usual());
     let watch = y.calls.remove(0);
     y.input(Input::Lost(watch.conn));
-    let (client, pull) = pulling(&mut y, "help");
+    let (client, pull) = y.pulling("help");
     y.begin_stream(pull.conn);
     y.token(pull.conn, "a");
     y.end_stream(pull.conn);
@@ -315,7 +303,7 @@
 #[test]
 fn a_silent_engine_is_answered_for_at_the_deadline() {
     let mut y = yard();
-    let (client, _) = pulling(&mut y, "report");
+    let (client, _) = y.pulling("report");
     y.advance(ms(3_960));
     assert!(y.answers(client).is_empty());
     y.advance(ms(30));
@@ -327,7 +315,7 @@
 #[test]
 fn a_slow_client_stops_its_engine_and_is_then_cut() {
     let mut y = yard();
-    let (client, pull) = pulling(&mut y, "help");
+    let (client, pull) = y.pulling("help");
     y.begin_stream(pull.conn);
     y.token(pull.conn, "a");
     y.stuck.insert(client);
@@ -351,7 +339,7 @@
 #[test]
 fn half_closed_clients_are_taken_to_leave_and_get_one_answer() {
     let mut y = yard();
-    let (client, pull) = pulling(&mut y, "report");
+    let (client, pull) = y.pulling("report");
     y.input(Input::Eof(client));
     assert_eq!(y.error(client), (400, "failed".into(), true));
     assert!(y.closed.contains(&client) && y.closed.contains(&pull.conn));
@@ -441,7 +429,7 @@
     let mut y = yard();
     let (idle, just_come, silent) = (y.client(), y.client(), y.client());
     y.bytes(idle, b"GET /health HTTP/1.1\r\nHost: a\r\n\r\n");
-    let (client, pull) = pulling(&mut y, "report");
+    let (client, pull) = y.pulling("report");
     let mut out = Vec::new();
     y.core.drain(y.now, &mut out);
     assert_eq!(out, [Output::Close(idle)], "who has had an answer knows that it may be closed");
@@ -462,7 +450,7 @@
 fn the_module_given_the_same_events_does_the_same() {
     let mut y = yard();
     for _ in 0..5 {
-        let (_, pull) = pulling(&mut y, "help");
+        let (_, pull) = y.pulling("help");
         y.begin_stream(pull.conn);
         y.token(pull.conn, "a");
         y.end_stream(pull.conn);
@@ -495,7 +483,7 @@
     assert_eq!(y.error(client), (503, "refused".into(), false));
     // Once there is room again, nobody is benched.
     y.unconnected = false;
-    let (_, pull) = pulling(&mut y, "report");
+    let (_, pull) = y.pulling("report");
     assert!(pull.port > 1);
 }
 
--- a/crates/state/src/lifecycle.rs
+++ b/crates/state/src/lifecycle.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// How long things last, µs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Terms {
     /// The router listens without a list of engines after this.
     pub start: u64,
@@ -123,10 +123,11 @@
     phase: Phase,
     /// When the present phase is over by itself.
     until: Option<u64>,
-    /// An end that came while starting, and settings to be read once ready.
+    /// Settings are to be read once ready.
     reload: bool,
+    /// Why it ends, once it does.
     stop: Stop,
-    terms: [u64; 3],
+    terms: Terms,
 }
 
 impl Life {
@@ -137,7 +138,7 @@
             until: Some(now.saturating_add(terms.start)),
             reload: false,
             stop: Stop::Drained,
-            terms: [terms.start, terms.drain, terms.farewell],
+            terms,
         }
     }
 
@@ -153,7 +154,7 @@
 
     /// Takes an event.
     pub fn handle(&mut self, now: u64, event: Event, acts: &mut Vec<Act>) {
-        let [_, drain, farewell] = self.terms;
+        let Terms { drain, farewell, .. } = self.terms;
         let late = self.until.is_some_and(|at| at <= now);
         match (self.phase, event) {
             (Phase::Over, _) => {}
