Bounded tables age by use: at their bound, new homes are learnt and no rate is forgotten

Seen: with 32,768 homes noted within 30 s, each ended stream walked the whole table, freed nothing, and neither a new session got a home nor a moved one its new home: its next short turn went to a reader. The 4,097th beginning made the router forget all rates at once: a beginning with half of the traffic was held to 3 of 12 readers for a while. Ruled out: ageing by what was poured over a writer (single router, short prompts) and health. At fault: the insert behind retain in Router::verdict, beginnings.clear() in Router::request. Change: one table type for both: two halves, the older goes when the newer is full, what is noted again stays. No walk of the table is left; an age constant is gone.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -89,9 +89,8 @@
 const ASK_AGAIN: f64 = 0.1;
 /// A tenant may save up this many seconds of its share.
 const BUCKET_S: f64 = 2.0;
-/// Bounds of the session table, where older notes go when it is full, and of beginnings with a rate.
+/// Bounds of the session table and of beginnings with a rate.
 const HOMES_MOST: usize = 32_768;
-const HOME_AGE: Micros = Micros(30_000_000);
 const BEGINNINGS_MOST: usize = 4_096;
 
 // ---- What is known.
@@ -138,6 +137,26 @@
     }
 }
 
+/// At most so many entries: when the newer half is full, the older goes, with what was not noted since.
+#[derive(Debug, Clone, Default)]
+struct Recent<K, V, const MOST: usize> {
+    newer: BTreeMap<K, V>,
+    older: BTreeMap<K, V>,
+}
+
+impl<K: Ord, V, const MOST: usize> Recent<K, V, MOST> {
+    fn get(&self, key: &K) -> Option<&V> {
+        self.newer.get(key).or_else(|| self.older.get(key))
+    }
+
+    fn note(&mut self, key: K, value: V) {
+        if self.newer.len() >= MOST / 2 {
+            self.older = std::mem::take(&mut self.newer);
+        }
+        self.newer.insert(key, value);
+    }
+}
+
 /// A worker and what this router has seen of it.
 #[derive(Debug, Default)]
 struct Server {
@@ -196,7 +215,7 @@
 }
 
 /// Where a session's text is kept.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 struct Home {
     worker: WorkerId,
     kept: u64,
@@ -278,7 +297,7 @@
     /// First tokens, what we are asked, and of that what has a shared beginning, by beginning.
     firsts: Rate,
     asked: Rate,
-    beginnings: BTreeMap<PrefixId, Rate>,
+    beginnings: Recent<PrefixId, Rate, BEGINNINGS_MOST>,
     /// What a warm worker of a role finishes for us, over those there were at the time: the first to
     /// come back finds none beside it.
     finished: BTreeMap<Role, Rate>,
@@ -292,7 +311,7 @@
     now: Micros,
     servers: BTreeMap<WorkerId, Server>,
     jobs: BTreeMap<RequestId, Job>,
-    homes: BTreeMap<SessionId, Home>,
+    homes: Recent<SessionId, Home, HOMES_MOST>,
     /// What each timer wakes: a request, or asking for the list again.
     timers: BTreeMap<TimerId, Option<RequestId>>,
     next_timer: u64,
@@ -385,10 +404,9 @@
         self.seen.prompt.add(req.prompt_tokens as f64);
         self.seen.asked.add(self.now, HOT_SPAN, 1.0);
         if let Some(p) = &req.prefix {
-            self.seen.beginnings.entry(p.clone()).or_default().add(self.now, HOT_SPAN, 1.0);
-            if self.seen.beginnings.len() > BEGINNINGS_MOST {
-                self.seen.beginnings.clear();
-            }
+            let mut rate = self.seen.beginnings.get(p).copied().unwrap_or_default();
+            rate.add(self.now, HOT_SPAN, 1.0);
+            self.seen.beginnings.note(p.clone(), rate);
         }
         let (tries, held, now) = (Vec::new(), None, self.now);
         let job = Job { req, arrived: now, aim, tries, held, held_since: now, streaming: false, done: false };
@@ -818,12 +836,7 @@
             if let (Outcome::Served, Some(session)) = (outcome, &job.req.session) {
                 let (worker, kept) = (t.worker.clone(), job.req.prompt_tokens);
                 let home = Home { worker, kept, noted: now, poured: s.poured };
-                if self.homes.len() >= HOMES_MOST {
-                    self.homes.retain(|_, h| h.noted + HOME_AGE > now);
-                }
-                if self.homes.len() < HOMES_MOST {
-                    self.homes.insert(session.clone(), home);
-                }
+                self.homes.note(session.clone(), home);
             }
         }
         if let Some(role) = warm {
