Counts and news of a worker belong to the life that an attempt was sent to

Seen, in fed runs: (1) after a worker's restart was told, the ends of its old life's streams were taken off the new life's count (it got 19 of 31), were held against its health, and one noted a home there for text that went with the old process; (2) a whole answer that broke and was tried again left its writer with one 'pending' too many for good: without reports it got 0 of 60 new requests; (3) an attempt at a worker off the list was never called back, however silent; (4) a start that the list puts an hour ahead kept a worker cold for an hour: 0 of 40. Ruled out: (1) by what others pour, (2) by a bench (60 s passed), (4) by the cold budget (warm peers finish plenty). At fault: Router::verdict, streaming and mark_overdue took the record by id alone; Job::streaming was never taken back; Server::cold trusted the told start. Change: a record knows when its life began; an attempt counts for it if sent since, and those between a start and its news are counted when the news comes. Counters of refusals and benches stop at the power they are used for.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -161,6 +161,8 @@
 #[derive(Debug, Default)]
 struct Server {
     info: Worker,
+    /// When this life of it began: as told, but no later than it was told. What was sent before is not its.
+    begun: Micros,
     /// Our reads and writing attempts that are out, and those of the latter without a first token.
     reads: u32,
     read_tokens: u64,
@@ -204,7 +206,21 @@
     }
 
     fn cold(&self, now: Micros, cold_for: Micros) -> Option<Micros> {
-        self.info.started.map(|t| now - t).filter(|age| *age < cold_for)
+        self.info.started.map(|_| now - self.begun).filter(|age| *age < cold_for)
+    }
+
+    /// Counts an attempt that is out here.
+    fn count(&mut self, stage: Stage, prompt: u64) {
+        match stage {
+            Stage::Read => {
+                self.reads += 1;
+                self.read_tokens = self.read_tokens.saturating_add(prompt);
+            }
+            Stage::Write => {
+                self.streams += 1;
+                self.pending += 1;
+            }
+        }
     }
 
     /// Room as last reported.
@@ -374,7 +390,15 @@
                 }
                 Some(s) if s.info.started == w.started => s.info = w,
                 _ => {
-                    let fresh = Server { void_before: self.now, info: w, ..Server::default() };
+                    let begun = w.started.unwrap_or(self.now).min(self.now);
+                    let mut fresh = Server { begun, void_before: self.now, info: w, ..Server::default() };
+                    // Attempts since its start are out at this life, though we are told of it only now.
+                    for job in self.jobs.values() {
+                        let here = |t: &&Try| t.open && t.worker == fresh.info.id && t.sent >= begun;
+                        let Some(stage) = job.tries.iter().find(here).map(|t| t.stage) else { continue };
+                        fresh.count(stage, job.req.prompt_tokens);
+                        fresh.pending -= u32::from(job.streaming).min(fresh.pending);
+                    }
                     self.servers.insert(fresh.info.id.clone(), fresh);
                 }
             }
@@ -708,15 +732,10 @@
         s.sends.retain(|t| *t + self.set.fall_after > now);
         s.sends.push(now);
         s.poured = s.poured.saturating_add(job.req.prompt_tokens);
+        s.count(stage, job.req.prompt_tokens);
         let usual = match stage {
-            Stage::Read => {
-                s.reads += 1;
-                s.read_tokens = s.read_tokens.saturating_add(job.req.prompt_tokens);
-                self.seen.read_s
-            }
+            Stage::Read => self.seen.read_s,
             Stage::Write => {
-                s.streams += 1;
-                s.pending += 1;
                 s.since += job.req.prompt_tokens as f64;
                 if job.held.is_some() {
                     self.seen.pull_s
@@ -767,7 +786,7 @@
         self.seen.wait.add_at(self.now, wait.min(WAIT_CLIP));
         let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
         t.due = None;
-        if let Some(s) = self.servers.get_mut(&t.worker) {
+        if let Some(s) = life(&mut self.servers, t) {
             s.pending = s.pending.saturating_sub(1);
             s.refusals = 0;
             s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
@@ -784,7 +803,7 @@
         t.ran = t.stage == Stage::Write && !outcome.proves_not_run();
         job.held_since = self.now;
         let now = self.now;
-        if let Some(s) = self.servers.get_mut(&t.worker) {
+        if let Some(s) = life(&mut self.servers, t) {
             let (read, write) = (u32::from(t.stage == Stage::Read), u32::from(t.stage == Stage::Write));
             s.reads = s.reads.saturating_sub(read);
             s.read_tokens = s.read_tokens.saturating_sub(job.req.prompt_tokens * u64::from(read));
@@ -804,8 +823,8 @@
             }
             match outcome {
                 Outcome::Refused { no_state: false } => {
-                    s.full_until = now + Micros(FULL_WAIT.0 << s.refusals.min(FULL_DOUBLINGS));
-                    s.refusals += 1;
+                    s.full_until = now + Micros(FULL_WAIT.0 << s.refusals);
+                    s.refusals = (s.refusals + 1).min(FULL_DOUBLINGS);
                 }
                 Outcome::Served | Outcome::Parsed => {
                     s.refusals = 0;
@@ -851,6 +870,8 @@
             Outcome::Refused { no_state: true } => job.held = None,
             _ => {}
         }
+        // A whole answer that broke may be tried again, and has then not begun.
+        job.streaming = false;
     }
 
     fn bench(&self) -> Micros {
@@ -868,10 +889,13 @@
                 continue;
             }
             t.due = Some(now + (now - t.sent).max(self.set.tick));
-            let Some(s) = self.servers.get_mut(&t.worker) else { continue };
-            s.overdue += u32::from(!std::mem::replace(&mut t.overdue, true));
+            let mut heard = false;
+            if let Some(s) = life(&mut self.servers, t) {
+                s.overdue += u32::from(!std::mem::replace(&mut t.overdue, true));
+                heard = s.heard > t.sent;
+            }
             let again = t.stage == Stage::Read || free;
-            if s.heard <= t.sent && !seldom && again && !done && self.set.may_cancel {
+            if !heard && !seldom && again && !done && self.set.may_cancel {
                 out.push(Action::Cancel { id: id.clone(), attempt: AttemptNo(i as u32) });
                 t.due = None;
             }
@@ -1012,12 +1036,17 @@
     (-(age.as_secs_f64() / span.as_secs_f64().max(1e-6))).exp()
 }
 
+/// The life of a worker to which an attempt was sent; a later one has nothing of it.
+fn life<'a>(servers: &'a mut BTreeMap<WorkerId, Server>, t: &Try) -> Option<&'a mut Server> {
+    servers.get_mut(&t.worker).filter(|s| s.begun <= t.sent)
+}
+
 /// A failure; enough of them bench the worker, each time for longer.
 fn strike(s: &mut Server, now: Micros, weight: f64, bench: Micros) {
     s.failing += (1.0 - s.failing) * weight;
     if s.failing >= FAILING && now >= s.benched_until {
         let longest = Micros(BENCH.0 << BENCH_DOUBLINGS);
-        s.benched_until = now + Micros(bench.0 << s.benches.min(BENCH_DOUBLINGS)).min(longest);
-        s.benches += 1;
+        s.benched_until = now + Micros(bench.0 << s.benches).min(longest);
+        s.benches = (s.benches + 1).min(BENCH_DOUBLINGS);
     }
 }
--- a/crates/policy/tests/bounds.rs
+++ b/crates/policy/tests/bounds.rs
@@ -101,7 +101,189 @@
         }
     }
     // In any twenty-five in a row, once it has been seen to be hot.
-    let narrowest = width[100..].windows(25).map(|w| w.iter().collect::<std::collections::BTreeSet<_>>().len());
+    let narrowest =
+        width[100..].windows(25).map(|w| w.iter().collect::<std::collections::BTreeSet<_>>().len());
     let narrowest = narrowest.min().unwrap();
     assert!(narrowest >= 5, "at one time it was held to {narrowest} readers");
 }
+
+// ---- Counters.
+
+/// Without reports, two writers alike.
+fn unreported() -> Rig {
+    let workers = ["w0", "w1"].map(|w| worker(w, Role::Writer, 0));
+    let set = Settings { reports: Reports::Off, routers: 1, cold_for: secs(0.01), ..settings() };
+    Rig::new(set, workers.to_vec())
+}
+
+#[test]
+fn an_answer_that_broke_and_was_tried_again_leaves_no_count_behind() {
+    let mut rig = unreported();
+    let mut counts = std::collections::BTreeMap::<String, usize>::new();
+    for i in 0..40 {
+        // A whole answer: it began, broke, and its next attempts did not begin.
+        let id = format!("{i}");
+        let mut actions = rig.ask(&id, &id, FREE, 10);
+        rig.stream(&id, 0);
+        for attempt in 0..4 {
+            let Some((to, _)) = sent(&actions) else { break };
+            // Only one of the two fails so.
+            let how = if to == "w0" { Outcome::NotSent } else { Outcome::Served };
+            actions = rig.end(&id, attempt, if attempt == 0 { Outcome::ServerError } else { how }, 0);
+        }
+        rig.feed(Event::ClientGone(id.as_str().into()));
+        rig.wait(3.0);
+    }
+    rig.wait(60.0);
+    for i in 0..60 {
+        let id = format!("z{i}");
+        let to = sent(&rig.ask(&id, &id, FREE, 10)).unwrap().0;
+        rig.stream(&id, 0);
+        *counts.entry(to).or_default() += 1;
+    }
+    let of = |w: &str| counts.get(w).copied().unwrap_or(0);
+    assert!(of("w0").abs_diff(of("w1")) <= 2, "none is out at either, yet {counts:?}");
+}
+
+#[test]
+fn what_an_earlier_life_of_a_worker_had_is_not_counted_for_the_next() {
+    let mut rig = unreported();
+    let ask = |rig: &mut Rig, name: &str, n: usize| -> Vec<(String, String)> {
+        let ids = (0..n).map(|i| format!("{name}{i}"));
+        let one = |id: String| {
+            let to = sent(&rig.ask(&id, &id, SINGLE, 10)).unwrap().0;
+            rig.stream(&id, 0);
+            (to, id)
+        };
+        ids.map(one).collect()
+    };
+    let old = ask(&mut rig, "old", 20);
+    rig.wait(0.1);
+    let restarted = Worker { started: Some(rig.now), ..worker("w0", Role::Writer, 0) };
+    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![restarted] });
+    rig.wait(0.1);
+    let new = ask(&mut rig, "new", 12);
+    // The old life's streams break only now: its new life has all of its own still.
+    for (_, id) in old.iter().filter(|(w, _)| w == "w0") {
+        rig.feed(Event::Verdict {
+            id: id.as_str().into(),
+            attempt: AttemptNo(0),
+            outcome: Outcome::ConnectionLost,
+            elapsed: secs(0.3),
+            over: true,
+            kept: 0,
+            report: None,
+        });
+    }
+    let last = ask(&mut rig, "last", 8);
+    let at = |all: &[(String, String)]| all.iter().filter(|(w, _)| w == "w0").count();
+    let out = (at(&new) + at(&last), new.len() + last.len() - at(&new) - at(&last) + old.len() - at(&old));
+    assert!(out.0.abs_diff(out.1) <= 1, "as many out at each, by what it has itself: {out:?}");
+}
+
+#[test]
+fn what_was_sent_between_a_start_and_its_news_is_counted() {
+    let mut rig = unreported();
+    let started = rig.now;
+    rig.wait(0.1);
+    let one = |rig: &mut Rig, id: &str| {
+        let to = sent(&rig.ask(id, id, SINGLE, 10)).unwrap().0;
+        rig.stream(id, 0);
+        to
+    };
+    let early = (0..20).filter(|i| one(&mut rig, &format!("e{i}")) == "w0").count();
+    // The list tells of the start only now, and all of these are out at the new life.
+    let restarted = Worker { started: Some(started), ..worker("w0", Role::Writer, 0) };
+    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![restarted] });
+    let late = (0..20).filter(|i| one(&mut rig, &format!("l{i}")) == "w0").count();
+    assert!((early + late).abs_diff(20) <= 1, "{early} and {late} of 20 each");
+}
+
+#[test]
+fn what_an_earlier_life_served_is_no_home_in_the_next() {
+    let mut rig = Rig::new(settings(), fleet());
+    rig.ask("a", "s", FREE, LONG);
+    let home = sent(&rig.end("a", 0, Outcome::Parsed, 0)).unwrap().0;
+    rig.stream("a", 1);
+    rig.wait(0.5);
+    let restarted = Worker { started: Some(rig.now), ..worker(&home, Role::Writer, 0) };
+    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![restarted] });
+    rig.wait(0.5);
+    rig.end("a", 1, Outcome::Served, 0);
+    assert!(next_turn(&mut rig, "s").starts_with('r'), "its text went with the old life");
+}
+
+#[test]
+fn what_is_out_at_a_worker_off_the_list_is_called_back_when_silent() {
+    let mut rig = Rig::new(settings(), fleet());
+    let asked = rig.ask("a", "s", FREE, LONG);
+    let reader = sent(&asked).unwrap().0;
+    let gone = Worker { lifecycle: Lifecycle::Out, ..worker(&reader, Role::Reader, 0) };
+    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![gone] });
+    let late = rig.fire(&asked);
+    assert!(late.iter().any(|a| matches!(a, Action::Cancel { .. })), "{late:?}");
+}
+
+// ---- Clocks and days.
+
+#[test]
+fn a_start_that_the_list_puts_into_the_future_keeps_nobody_cold_for_longer() {
+    let mut rig = Rig::new(settings(), fleet());
+    let ahead = Worker { started: Some(rig.now + secs(3_600.0)), ..worker("w9", Role::Writer, 0) };
+    rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![ahead] });
+    rig.wait(11.0);
+    let to = |rig: &mut Rig, i: usize| {
+        let id = format!("{i}");
+        rig.ask(&id, &id, FREE, LONG);
+        rig.wait(0.01);
+        let to = sent(&rig.end(&id, 0, Outcome::Parsed, 0)).unwrap().0;
+        rig.stream(&id, 1);
+        to
+    };
+    let at = (0..40).filter(|i| to(&mut rig, *i) == "w9").count();
+    assert!(at >= 5, "warm ten seconds after it was told of, but it got {at} of 40");
+}
+
+#[test]
+fn days_of_churn_leave_nothing_behind_and_the_mechanism_as_it_was() {
+    let mut rig = Rig::new(settings(), fleet());
+    let mut sizes = Vec::new();
+    for day in 0..6_u64 {
+        // A day of 1,440 minutes, in each a worker that was never seen before comes and another goes.
+        for minute in 0..1_440_u64 {
+            let n = day * 1_440 + minute;
+            let fresh = worker(&format!("w{}", n + 10), Role::Writer, n % 2);
+            let fresh = Worker { started: Some(rig.now), ..fresh };
+            let gone = worker(&format!("w{}", n + 5), Role::Writer, 0);
+            let gone = Worker { lifecycle: Lifecycle::Out, ..gone };
+            rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![fresh, gone] });
+            let id = format!("{n}");
+            let mut actions = rig.ask(&id, &format!("s{}", n % 7), FREE, LONG);
+            let reads = sent(&actions).unwrap().0.starts_with('r');
+            if reads {
+                actions.extend(rig.end(&id, 0, Outcome::Parsed, 0));
+            }
+            rig.stream(&id, u32::from(reads));
+            actions.extend(rig.end(&id, u32::from(reads), Outcome::Served, 0));
+            let next = rig.now + secs(60.0);
+            rig.fire(&actions);
+            rig.now = next;
+        }
+        sizes.push(format!("{:?}", rig.router).len());
+    }
+    assert!(sizes[5] <= sizes[1] + sizes[1] / 10, "{sizes:?}");
+    let (_, home) = rig.whole("z", "z", LONG);
+    assert_eq!(next_turn(&mut rig, "z"), home);
+}
+
+#[test]
+fn the_end_of_the_clock_is_no_panic() {
+    let mut rig = Rig::new(settings(), fleet());
+    rig.now = Micros(u64::MAX - 3_000_000);
+    for i in 0..40 {
+        let id = format!("{i}");
+        let asked = rig.ask(&id, &id, FREE, if i % 2 == 0 { LONG } else { u64::MAX });
+        rig.end(&id, 0, if i % 3 == 0 { Outcome::TimedOut } else { Outcome::Parsed }, u64::MAX);
+        rig.fire(&asked);
+    }
+}
