Interface: booking, probes, peers' messages, one-off reloads and log lines are gone

Change: Book, Booked, Probe, Probed, Tell, Peer, CloseIdle, Reload and Log, with their calls in the core, the seat of a request, the engine's targets and the adapter's messages. The wire's answers to them are passed over. Kept as interface: Move, resume and came_back, which the issue on continuing streams builds on.

--- a/crates/adapter/src/session.rs
+++ b/crates/adapter/src/session.rs
@@ -81,7 +81,6 @@
                 translate::request(names, &job)
             }
             "Streaming" => Ok(translate::streaming(&read(kind, raw)?)),
-            "AnswerAhead" => Ok(translate::booked(&read(kind, raw)?)),
             "Verdict" => translate::verdict(&read(kind, raw)?),
             "CancelledByClient" => {
                 let gone: wire::CancelledByClient = read(kind, raw)?;
@@ -91,8 +90,8 @@
                 let fired: wire::TimeoutFired = read(kind, raw)?;
                 Ok(Event::Timer(TimerId(fired.name)))
             }
-            "Health" => Ok(translate::probed(&read(kind, raw)?)),
-            "PeerData" => translate::peer(&read(kind, raw)?),
+            // Answers to what this module never asks for.
+            "AnswerAhead" | "Health" | "PeerData" => return Ok(()),
             other => {
                 if self.unknown.insert(other.to_owned()) {
                     eprintln!("chalkyard-adapter: passed over: unknown message kind `{other}`");
--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -204,37 +204,6 @@
     })
 }
 
-/// Reads the answer to a booking.
-pub fn booked(w: &wire::AnswerAhead) -> p::Event {
-    p::Event::Booked { id: w.call.as_str().into(), worker: w.worker.as_str().into(), held: w.sort == 1 }
-}
-
-/// Reads the answer to a probe.
-pub fn probed(w: &wire::Health) -> p::Event {
-    p::Event::Probed {
-        worker: w.worker.as_str().into(),
-        ok: w.status == "served",
-        elapsed: secs(w.elapsed_s),
-        report: w.stats.as_ref().map(report),
-    }
-}
-
-/// Reads a message from a peer.
-pub fn peer(w: &wire::PeerData) -> Result<p::Event, String> {
-    Ok(p::Event::Peer { from: w.sender, bytes: unhex(&w.msg).ok_or("field `msg`: not hex digits")? })
-}
-
-fn unhex(s: &str) -> Option<Vec<u8>> {
-    let digits: Option<Vec<u8>> =
-        s.chars().map(|c| c.to_digit(16).and_then(|d| u8::try_from(d).ok())).collect();
-    let digits = digits.filter(|d| d.len() % 2 == 0)?;
-    Some(digits.chunks(2).map(|c| c.iter().fold(0, |a, d| a << 4 | d)).collect())
-}
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|b| format!("{b:02x}")).collect()
-}
-
 /// Writes an action.
 pub fn deed(action: p::Action) -> wire::Deed {
     let call = |id: p::RequestId| id.0.to_string();
@@ -251,18 +220,10 @@
         }
         p::Action::Fail(id) => wire::Deed::DropRequest { call: call(id) },
         p::Action::Move(id) => wire::Deed::Transfer { call: call(id) },
-        p::Action::Book { id, worker } => wire::Deed::BookSeat { call: call(id), worker: name(worker) },
         p::Action::LetGo(id) => wire::Deed::Unhold { call: call(id) },
         p::Action::SetTimer { timer, after } => {
             wire::Deed::SetTimer { name: timer.0, in_s: after.as_secs_f64() }
         }
-        p::Action::Probe(worker) => wire::Deed::Check { worker: name(worker) },
-        p::Action::CloseIdle(worker) => wire::Deed::Release { worker: name(worker) },
         p::Action::Subscribe => wire::Deed::Tail { enable: true },
-        p::Action::Reload => wire::Deed::Reload,
-        p::Action::Tell { to, bytes } => {
-            wire::Deed::Share { dest: to.map_or(wire::Dest::All("all"), wire::Dest::One), msg: hex(&bytes) }
-        }
-        p::Action::Log(line) => wire::Deed::SayLog { line },
     }
 }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -136,13 +136,6 @@
     pub x1: Option<f64>,
 }
 
-#[derive(Debug, Deserialize)]
-pub struct AnswerAhead {
-    pub call: String,
-    pub sort: u64,
-    pub worker: String,
-}
-
 #[derive(Debug, Deserialize)]
 pub struct CancelledByClient {
     pub call: String,
@@ -153,22 +146,6 @@
     pub name: u64,
 }
 
-#[derive(Debug, Deserialize)]
-pub struct Health {
-    pub worker: String,
-    pub status: String,
-    #[serde(default)]
-    pub elapsed_s: f64,
-    #[serde(default)]
-    pub stats: Option<Stats>,
-}
-
-#[derive(Debug, Deserialize)]
-pub struct PeerData {
-    pub sender: u32,
-    pub msg: String,
-}
-
 /// The settings; keys that are not named here are passed over.
 #[derive(Debug, Deserialize)]
 pub struct Params {
@@ -327,10 +304,6 @@
     Transfer {
         call: String,
     },
-    BookSeat {
-        call: String,
-        worker: String,
-    },
     Unhold {
         call: String,
     },
@@ -338,29 +311,7 @@
         name: u64,
         in_s: f64,
     },
-    Check {
-        worker: String,
-    },
-    Release {
-        worker: String,
-    },
     Tail {
         enable: bool,
     },
-    Reload,
-    Share {
-        dest: Dest,
-        msg: String,
-    },
-    SayLog {
-        line: String,
-    },
-}
-
-/// Receiver of a message between instances.
-#[derive(Debug, Serialize)]
-#[serde(untagged)]
-pub enum Dest {
-    One(u32),
-    All(&'static str),
 }
--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -171,7 +171,7 @@
         (batch(2, 1.0, &[no_rules]), "rules"),
         (batch(2, 1.0, &[odd_status]), "lifecycle"),
         (batch(2, 1.0, &[json!({"kind": "TimeoutFired", "name": 1})]), "who"),
-        (batch(2, 1.0, &[json!({"kind": "PeerData", "who": 1, "sender": 1, "msg": "6x"})]), "msg"),
+        (batch(2, 1.0, &[json!({"kind": "Verdict", "who": 1, "call": "a", "status": "perhaps"})]), "status"),
     ] {
         let out = run(&(batch(1, 1.0, &[init(1)]) + &line));
         assert!(!out.status.success(), "{line}");
--- a/crates/api/src/engine.rs
+++ b/crates/api/src/engine.rs
@@ -1,8 +1,8 @@
 //! What is said to engines and what they say: the OpenAI-compatible completion call with
 //! `kv_transfer_params` as vLLM publishes it, and load reports as ORCA's `endpoint-load-metrics` header.
 //!
-//! Calls of our own, which an engine offers beside it: `POST /v1/kv/release` lets go of a request's read
-//! state, `POST /v1/seats` holds a place. Refusals: status 429 says that nothing has run; 409 with the
+//! A call of our own, which an engine offers beside it: `POST /v1/kv/release` lets go of a request's read
+//! state. Refusals: status 429 says that nothing has run; 409 with the
 //! error type `no_state` says that, and that there is no state to pull.
 
 use serde::{Deserialize, Serialize};
@@ -14,10 +14,6 @@
 pub const COMPLETIONS: &str = "/v1/completions";
 /// Target of the release call.
 pub const RELEASE: &str = "/v1/kv/release";
-/// Target of the seat call.
-pub const SEATS: &str = "/v1/seats";
-/// Target of the probe.
-pub const HEALTH: &str = "/health";
 /// The request's id, the same in all calls for it.
 pub const REQUEST_ID: &str = "x-request-id";
 /// The attempt's number within its request, so that an engine's record of tokens can be joined with a bill.
@@ -77,7 +73,7 @@
     serde_json::to_vec(&call).unwrap_or_default()
 }
 
-/// The body of the release and the seat call.
+/// The body of the release call.
 pub fn naming(request_id: &str) -> Vec<u8> {
     serde_json::to_vec(&serde_json::json!({ "request_id": request_id })).unwrap_or_default()
 }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -179,7 +179,7 @@
 pub enum Discovery {
     /// Changes come unasked.
     Push,
-    /// Changes come only after [`Action::Subscribe`] or [`Action::Reload`].
+    /// Changes come only after [`Action::Subscribe`].
     Ask,
 }
 
@@ -431,37 +431,10 @@
         /// The worker's load.
         report: Option<Report>,
     },
-    /// Answer to [`Action::Book`].
-    Booked {
-        /// The request.
-        id: RequestId,
-        /// The worker asked.
-        worker: WorkerId,
-        /// Whether the place is held.
-        held: bool,
-    },
     /// The client has left; nothing more is owed.
     ClientGone(RequestId),
     /// A timer has come due.
     Timer(TimerId),
-    /// Answer to [`Action::Probe`].
-    Probed {
-        /// The worker.
-        worker: WorkerId,
-        /// It answered.
-        ok: bool,
-        /// Time since the probe was sent.
-        elapsed: Micros,
-        /// The worker's load.
-        report: Option<Report>,
-    },
-    /// A message from another router.
-    Peer {
-        /// Its number.
-        from: u32,
-        /// What it says.
-        bytes: Vec<u8>,
-    },
 }
 
 /// What a router does.
@@ -495,14 +468,7 @@
     Fail(RequestId),
     /// End a running stream so that it goes on elsewhere.
     Move(RequestId),
-    /// Hold a place for a request at a writer.
-    Book {
-        /// The request.
-        id: RequestId,
-        /// The writer.
-        worker: WorkerId,
-    },
-    /// Let go of all state and places held for a request.
+    /// Let go of all state held for a request.
     LetGo(RequestId),
     /// Ask for an [`Event::Timer`] after this span.
     SetTimer {
@@ -511,21 +477,6 @@
         /// Span from now.
         after: Micros,
     },
-    /// Probe a worker.
-    Probe(WorkerId),
-    /// Close idle connections to a worker.
-    CloseIdle(WorkerId),
     /// Subscribe to changes of the list of workers.
     Subscribe,
-    /// Ask for the list of workers once.
-    Reload,
-    /// Send a message to one other router, or to all.
-    Tell {
-        /// The router; none: all.
-        to: Option<u32>,
-        /// At most 256 bytes.
-        bytes: Vec<u8>,
-    },
-    /// A line for the log.
-    Log(String),
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -374,7 +374,6 @@
                     }
                 }
             },
-            Event::Probed { .. } | Event::Booked { .. } | Event::Peer { .. } => {}
         }
     }
 
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -578,7 +578,6 @@
                 }
                 self.reply(i, conn, 200, b"{}", net);
             }
-            "/health" => self.reply(i, conn, 200, b"{}", net),
             _ => self.reply(i, conn, 404, b"{}", net),
         }
     }
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -87,8 +87,6 @@
     attempts: Vec<Attempt>,
     /// The reader that holds its state, and the parameters for the writer.
     held: Option<(WorkerId, Box<RawValue>)>,
-    /// The writer at which a place may be held.
-    pub seat: Option<WorkerId>,
     /// When an answer is overdue.
     pub backstop: Option<Key>,
     answer: Answer,
@@ -121,7 +119,6 @@
             arrived,
             attempts: Vec::new(),
             held: None,
-            seat: None,
             backstop: None,
             answer: Answer::Owed,
             first_token: None,
@@ -332,8 +329,7 @@
 
     pub(super) fn let_go(&mut self, id: &RequestId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        let held = job.held.take().map(|(worker, _)| worker);
-        for worker in held.into_iter().chain(job.seat.take()) {
+        if let Some((worker, _)) = job.held.take() {
             self.release(id.clone(), worker, self.now);
         }
         self.forget_done(id);
@@ -380,8 +376,7 @@
             let more = match &link.task {
                 Task::Attempt(..) => self.attempt_part(conn, part),
                 Task::Watch(_) => self.watch_part(conn, part),
-                Task::Fetch(_) => self.fetch_part(conn, part),
-                Task::Release(..) | Task::Seat(_) | Task::Probe(_) => self.call_part(conn, part),
+                Task::Release(..) => self.release_part(conn, part),
                 Task::Rest => {
                     if part == Part::End {
                         self.park(conn);
@@ -441,32 +436,22 @@
     fn task_lost(&mut self, task: Task, worker: Option<WorkerId>) {
         match (task, worker) {
             (Task::Release(id, since), Some(worker)) => self.release_again(id, worker, since),
-            (Task::Probe(since), Some(worker)) => self.probed(worker, false, self.now - since, None),
-            (Task::Seat(id), Some(worker)) => {
-                self.events.push_back(Event::Booked { id, worker, held: false })
-            }
-            (Task::Fetch(_) | Task::Watch(_), _) => self.register_lost(),
+            (Task::Watch(_), _) => self.register_lost(),
             _ => {}
         }
     }
 
-    /// A part of the answer to a small call; true: more is to come.
-    fn call_part(&mut self, conn: ConnId, part: Part) -> bool {
-        let now = self.now;
+    /// A part of the answer to a call to let go; true: more is to come.
+    fn release_part(&mut self, conn: ConnId, part: Part) -> bool {
         let Some(link) = self.links.get_mut(&conn) else { return false };
         let Part::Head(head) = part else {
             return part != Part::End;
         };
         let ok = matches!(head.start, Start::Response { status: 200..=299 });
-        let load = report(head.header(engine::LOAD));
         let worker = link.worker.clone().unwrap_or_default();
-        match std::mem::replace(&mut link.task, Task::Rest) {
-            Task::Probe(since) => self.probed(worker, ok, now - since, load),
-            Task::Seat(id) => self.events.push_back(Event::Booked { id, worker, held: ok }),
-            // Nothing is held under this id there: that is what was wanted.
-            Task::Release(..) if ok => {}
-            Task::Release(id, since) => self.release_again(id, worker, since),
-            _ => {}
+        // Nothing is held under this id there: that is what was wanted.
+        if let (Task::Release(id, since), false) = (std::mem::replace(&mut link.task, Task::Rest), ok) {
+            self.release_again(id, worker, since);
         }
         true
     }
@@ -620,7 +605,6 @@
             job.first_token = Some(now);
             // With the first token the state has moved, and whatever else was held goes by itself.
             job.held = None;
-            job.seat = None;
         }
         job.pieces += u64::from(!chunk.text.is_empty());
         let client = job.client;
@@ -896,8 +880,7 @@
 
     /// Once nothing is owed, out or held, the request is told of and forgotten.
     fn forget_done(&mut self, id: &RequestId) {
-        let done =
-            self.jobs.get(id).is_some_and(|j| j.over() && !j.out() && j.held.is_none() && j.seat.is_none());
+        let done = self.jobs.get(id).is_some_and(|j| j.over() && !j.out() && j.held.is_none());
         if !done {
             return;
         }
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -309,18 +309,11 @@
             Action::Refuse { id, retry_after } => self.refuse(&id, retry_after),
             Action::Fail(id) => self.fail(&id),
             Action::Move(id) => self.move_on(&id),
-            Action::Book { id, worker } => self.book(&id, worker),
             Action::LetGo(id) => self.let_go(&id),
             Action::SetTimer { timer, after } => {
                 self.timers.set(self.now + after, Due::Module(timer));
             }
-            Action::Probe(worker) => self.probe(worker),
-            Action::CloseIdle(worker) => self.close_idle(&worker),
             Action::Subscribe => self.watch_register(),
-            Action::Reload => self.fetch_list(),
-            // The settings can't allow it yet: there is no way to name peers.
-            Action::Tell { .. } => self.note("tell", "messages to other routers are not allowed here".into()),
-            Action::Log(line) => self.note("module", line),
         }
     }
 
--- a/crates/router/src/core/pool.rs
+++ b/crates/router/src/core/pool.rs
@@ -33,16 +33,10 @@
     Attempt(p::RequestId, p::AttemptNo, Reply),
     /// Carries a call to let go of what is held for a request; the first such call was made then.
     Release(p::RequestId, Micros),
-    /// Asks for a seat.
-    Seat(p::RequestId),
-    /// Probes, since then.
-    Probe(Micros),
     /// Its attempt is over; the rest of the reply is read so that it can be used again.
     Rest,
     /// Watches the register.
     Watch(Box<chalkyard_proto::sse::Reader>),
-    /// Fetches the list.
-    Fetch(Vec<u8>),
 }
 
 /// A connection of ours.
@@ -119,7 +113,7 @@
                 }
             }
             // A call that is no attempt has no time-out of the module's.
-            Task::Release(..) | Task::Seat(_) | Task::Probe(_) | Task::Fetch(_) => self.limit(conn),
+            Task::Release(..) => self.limit(conn),
             Task::Attempt(..) | Task::Rest => {}
         }
         if let Some(bytes) = bytes {
--- a/crates/router/src/core/sources.rs
+++ b/crates/router/src/core/sources.rs
@@ -1,4 +1,4 @@
-//! The register, probes and seats: calls of ours that carry no request.
+//! The register: what is said and heard of the list of workers.
 
 use chalkyard_api::engine;
 use chalkyard_policy as p;
@@ -9,7 +9,7 @@
 use super::{ConnId, Core, Due, Output};
 use crate::register::{Named, Wrong};
 
-/// Bytes of a list that is fetched whole.
+/// Bytes of a list.
 const LIST_BYTES: usize = 16 * 1024 * 1024;
 
 pub(super) fn report(header: Option<&str>) -> Option<p::Report> {
@@ -72,10 +72,6 @@
         self.register = self.register_call("/v1/workers?watch=1", Task::Watch(reader));
     }
 
-    pub(super) fn fetch_list(&mut self) {
-        self.register_call("/v1/workers", Task::Fetch(Vec::new()));
-    }
-
     /// The register is lost: the module says when it is asked again.
     pub(super) fn register_lost(&mut self) {
         self.register = None;
@@ -159,63 +155,4 @@
         self.out.push(Output::KeepList(self.held.text()));
         self.events.push_back(Event::Workers { kind, workers });
     }
-
-    /// A part of a fetched list; true: more is to come.
-    pub(super) fn fetch_part(&mut self, conn: ConnId, part: Part) -> bool {
-        let Some(Task::Fetch(body)) = self.links.get_mut(&conn).map(|l| &mut l.task) else { return false };
-        match part {
-            Part::Head(head) if head.start == (Start::Response { status: 200 }) => return true,
-            Part::Data(data) if body.len() + data.len() <= LIST_BYTES => {
-                body.extend(data);
-                return true;
-            }
-            Part::End => {
-                let text = String::from_utf8(std::mem::take(body)).unwrap_or_default();
-                self.abort_link(conn);
-                match self.held.snapshot(&text, &self.config) {
-                    Ok(named) => self.news(named, p::ListKind::Full),
-                    Err(wrong) => {
-                        self.note("register", format!("list not taken: {wrong:?}"));
-                        self.register_lost();
-                    }
-                }
-            }
-            _ => {
-                self.abort_link(conn);
-                self.register_lost();
-            }
-        }
-        false
-    }
-
-    pub(super) fn probe(&mut self, worker: p::WorkerId) {
-        let bytes = encode::request("GET", engine::HEALTH, &self.host(&worker), &[("via", &self.via)], &[]);
-        match self.call(&worker, Task::Probe(self.now), bytes, 1) {
-            Some(conn) => self.limit(conn),
-            None => self.probed(worker, false, Micros(0), None),
-        }
-    }
-
-    pub(super) fn probed(
-        &mut self,
-        worker: p::WorkerId,
-        ok: bool,
-        elapsed: Micros,
-        report: Option<p::Report>,
-    ) {
-        self.events.push_back(Event::Probed { worker, ok, elapsed, report });
-    }
-
-    pub(super) fn book(&mut self, id: &p::RequestId, worker: p::WorkerId) {
-        let fields =
-            [("content-type", "application/json"), ("via", &*self.via), (engine::REQUEST_ID, &*id.0)];
-        let body = engine::naming(&id.0);
-        let bytes = encode::request("POST", engine::SEATS, &self.host(&worker), &fields, &body);
-        if let Some(conn) = self.call(&worker, Task::Seat(id.clone()), bytes, 1) {
-            self.limit(conn);
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.seat = Some(worker);
-            }
-        }
-    }
 }
