Settings that nothing reads are gone; max-attempts and must-ask-in are checked

Change: these are gone from interface, adapter, settings, schema, examples and the kit's settings; an old file gets the attribute's line and column. A class's effect, a worker's zone and the interface's resume stay. The two are refused with their place. Result: settings tests with four more wrong words, example.xml valid against the schema.

--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -58,9 +58,6 @@
             aim: secs(c.goal_time_s),
             aim_per_1000_tokens: secs(at(&w.family_info.aim_us_per_1000_prompt_tokens) / 1e6),
             deadline: secs(c.deadline_s),
-            token_aim: secs(at(&w.family_info.token_aim_s)),
-            worth: c.points,
-            late_worth: c.late_worth,
             effect,
             dedup_window: secs(c.dedup_window_s),
         });
@@ -70,35 +67,26 @@
     }
     let settings = p::Settings {
         routers: w.balancers,
-        zone: w.zone.as_ref().and_then(|z| names.zones.get(z)).copied(),
         classes,
         tenants: w.tenants.iter().map(|t| p::Tenant { allowance_per_s: t.allowance_per_s }).collect(),
         discovery: if w.discovery == "ask" { p::Discovery::Ask } else { p::Discovery::Push },
         must_ask_in: secs(w.rules.must_ask_in_s),
         self_prefill: w.family_info.self_prefill,
-        may_book: w.family_info.ahead,
         resume: w.family_info.resume,
         release: secs(w.family_info.release_s),
         max_attempts: w.limits.max_attempts,
-        parallel_tries: w.limits.parallel_tries,
         may_cancel: w.limits.cancel,
-        may_probe: w.limits.may_probe,
-        may_tell: w.limits.may_tell,
         max_retry_after: if w.limits.retry_after { secs(w.limits.max_retry_after_s) } else { p::Micros(0) },
-        drain_grace: secs(w.rules.drain_grace_s),
         fall_multiple: w.rules.fall_multiple,
         fall_after: secs(w.rules.fall_s),
         cold_from: w.rules.cold_from,
         cold_for: secs(w.rules.cold_s),
         answer_slack: secs(w.rules.answer_slack_s),
         tick: secs(w.tick_s),
-        over_share_worth: w.over_share_worth,
-        far_price: w.family_info.far_price,
-        cross_zone_price: w.prices.cross_zone,
         weighted: !w.weights.is_empty() && w.weights != "off",
         reports: match w.reporting.how.as_str() {
             "inline" => p::Reports::InAnswers,
-            "on_probe" => p::Reports::InProbes,
+            // With answers to probes only, which are never sent: none.
             _ => p::Reports::Off,
         },
     };
@@ -147,24 +135,17 @@
         tenant: tenant.and_then(|t| names.tenants.get(t)).copied(),
         session: w.session_id.as_ref().and_then(wire::Key::text).map(Into::into),
         prefix: w.system_prompt.as_ref().and_then(wire::Key::text).map(Into::into),
-        prefix_tokens: tokens(w.n_prefix),
         prompt_tokens: tokens(w.prompt_tokens),
         max_output: tokens(w.output_cap),
-        hint: w.effort_s.filter(|h| *h > 0.0).map(secs),
         deadline: secs(w.client_deadline_s),
-        retry: w.retry,
         came_back: w.came_back,
     }))
 }
 
 fn report(s: &wire::Stats) -> p::Report {
     p::Report {
-        in_flight: s.concurrent,
         queued: s.depth,
         slots_used: s.load_share,
-        latency: s.mean_ms.map(|ms| secs(ms / 1e3)),
-        served_per_s: s.tps,
-        errors_per_s: s.err_ps,
         kv_used: s.x0,
         waiting_tokens: s.x1.map(|k| k * 1e3),
     }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -54,20 +54,14 @@
     #[serde(default)]
     pub prompt_tokens: f64,
     #[serde(default)]
-    pub effort_s: Option<f64>,
-    #[serde(default)]
     pub output_cap: f64,
     pub qos: String,
     #[serde(default)]
-    pub n_prefix: f64,
-    #[serde(default)]
     pub system_prompt: Option<Key>,
     #[serde(default)]
     pub realm: Option<Key>,
     pub client_deadline_s: f64,
     #[serde(default)]
-    pub retry: bool,
-    #[serde(default)]
     pub session_id: Option<Key>,
     #[serde(default)]
     pub came_back: bool,
@@ -118,19 +112,11 @@
 
 #[derive(Debug, Deserialize)]
 pub struct Stats {
-    #[serde(default)]
-    pub concurrent: Option<f64>,
     #[serde(default)]
     pub depth: Option<f64>,
     #[serde(default)]
     pub load_share: Option<f64>,
     #[serde(default)]
-    pub mean_ms: Option<f64>,
-    #[serde(default)]
-    pub tps: Option<f64>,
-    #[serde(default)]
-    pub err_ps: Option<f64>,
-    #[serde(default)]
     pub x0: Option<f64>,
     #[serde(default)]
     pub x1: Option<f64>,
@@ -161,10 +147,6 @@
     pub kinds: Vec<String>,
     pub limits: Limits,
     #[serde(default)]
-    pub over_share_worth: f64,
-    #[serde(default)]
-    pub prices: Prices,
-    #[serde(default)]
     pub reporting: Reporting,
     pub rules: Rules,
     #[serde(default)]
@@ -173,8 +155,6 @@
     pub tick_s: f64,
     #[serde(default)]
     pub weights: String,
-    #[serde(default)]
-    pub zone: Option<String>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -186,22 +166,14 @@
     pub dedup_window_s: f64,
     #[serde(default)]
     pub group: String,
-    #[serde(default)]
-    pub late_worth: f64,
-    #[serde(default)]
-    pub points: f64,
     pub repeat: String,
 }
 
 #[derive(Debug, Default, Deserialize)]
 pub struct FamilyInfo {
-    #[serde(default)]
-    pub ahead: bool,
     #[serde(default)]
     pub aim_us_per_1000_prompt_tokens: Vec<f64>,
     #[serde(default)]
-    pub far_price: f64,
-    #[serde(default)]
     pub kv_tokens: Vec<f64>,
     #[serde(default)]
     pub release_s: f64,
@@ -211,8 +183,6 @@
     pub role_by_kind: Vec<String>,
     #[serde(default)]
     pub self_prefill: bool,
-    #[serde(default)]
-    pub token_aim_s: Vec<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -223,21 +193,9 @@
     #[serde(default)]
     pub max_retry_after_s: f64,
     #[serde(default)]
-    pub may_probe: bool,
-    #[serde(default)]
-    pub may_tell: bool,
-    #[serde(default)]
-    pub parallel_tries: bool,
-    #[serde(default)]
     pub retry_after: bool,
 }
 
-#[derive(Debug, Default, Deserialize)]
-pub struct Prices {
-    #[serde(default)]
-    pub cross_zone: f64,
-}
-
 #[derive(Debug, Default, Deserialize)]
 pub struct Reporting {
     #[serde(default)]
@@ -250,7 +208,6 @@
     pub answer_slack_s: f64,
     pub cold_from: f64,
     pub cold_s: f64,
-    pub drain_grace_s: f64,
     pub fall_multiple: f64,
     pub fall_s: f64,
     #[serde(default)]
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -127,7 +127,7 @@
 words!(RoleWord: p::Role { "reader" => p::Role::Reader, "writer" => p::Role::Writer, "mixed" => p::Role::Mixed });
 words!(DiscoveryWord: p::Discovery { "push" => p::Discovery::Push, "ask" => p::Discovery::Ask });
 words!(ReportsWord: p::Reports {
-    "off" => p::Reports::Off, "in-answers" => p::Reports::InAnswers, "in-probes" => p::Reports::InProbes,
+    "off" => p::Reports::Off, "in-answers" => p::Reports::InAnswers,
 });
 words!(GroupWord: p::Group { "all" => p::Group::All, "zone" => p::Group::Zone, "cell" => p::Group::Cell });
 
@@ -159,31 +159,22 @@
     }
     let mut settings = p::Settings {
         routers: routers as u32,
-        zone: None,
         classes: Vec::new(),
         tenants: Vec::new(),
         discovery: p::Discovery::Push,
         must_ask_in: Micros(10_000_000),
         self_prefill: true,
-        may_book: false,
         resume: false,
         release: Micros(1_000_000),
         max_attempts: 4,
-        parallel_tries: false,
         may_cancel: true,
-        may_probe: false,
-        may_tell: false,
         max_retry_after: Micros(2_000_000),
-        drain_grace: Micros(1_000_000),
         fall_multiple: 3.0,
         fall_after: Micros(2_000_000),
         cold_from: 0.3,
         cold_for: Micros(10_000_000),
         answer_slack: Micros(100_000),
         tick: Micros(2_000),
-        over_share_worth: 0.2,
-        far_price: 0.0,
-        cross_zone_price: 0.0,
         weighted: false,
         reports: p::Reports::InAnswers,
     };
@@ -192,27 +183,27 @@
     s.discovery = r.or("discovery", DiscoveryWord(s.discovery), errors).0;
     s.must_ask_in = r.or("must-ask-in", Span(s.must_ask_in), errors).0;
     s.self_prefill = r.or("self-prefill", s.self_prefill, errors);
-    s.may_book = r.or("may-book", s.may_book, errors);
-    s.resume = r.or("resume", s.resume, errors);
     s.release = r.or("release", Span(s.release), errors).0;
-    s.max_attempts = r.or("max-attempts", u64::from(s.max_attempts), errors).clamp(1, 100) as u32;
+    let attempts = r.or("max-attempts", u64::from(s.max_attempts), errors);
+    if !(1..=100).contains(&attempts) {
+        r.wrong(Some("max-attempts"), "max-attempts must be 1 to 100", errors);
+    }
+    s.max_attempts = attempts.clamp(1, 100) as u32;
     s.may_cancel = r.or("may-cancel", s.may_cancel, errors);
-    s.may_probe = r.or("may-probe", s.may_probe, errors);
     s.max_retry_after = r.or("max-retry-after", Span(s.max_retry_after), errors).0;
-    s.drain_grace = r.or("drain-grace", Span(s.drain_grace), errors).0;
     s.fall_multiple = r.or("fall-multiple", Positive(s.fall_multiple), errors).0;
     s.fall_after = r.or("fall-after", Span(s.fall_after), errors).0;
     s.cold_from = r.or("cold-from", Share(s.cold_from), errors).0;
     s.cold_for = r.or("cold-for", Span(s.cold_for), errors).0;
     s.answer_slack = r.or("answer-slack", Span(s.answer_slack), errors).0;
-    s.over_share_worth = r.or("over-share-worth", Share(s.over_share_worth), errors).0;
-    s.far_price = r.or("far-price", Share(s.far_price), errors).0;
-    s.cross_zone_price = r.or("cross-zone-price", Share(s.cross_zone_price), errors).0;
     s.weighted = r.or("weighted", s.weighted, errors);
     s.reports = r.or("reports", ReportsWord(s.reports), errors).0;
-    for (name, span) in [("release", s.release), ("fall-after", s.fall_after), ("cold-for", s.cold_for)] {
-        if span < Micros(10_000) {
-            r.wrong(Some(name), format!("{name} must be at least 10ms"), errors);
+    let ms = |n: u64| Micros(n * 1_000);
+    // A register that is down is asked again after a tenth of must-ask-in.
+    let least = [("release", s.release, 10), ("fall-after", s.fall_after, 10), ("cold-for", s.cold_for, 10)];
+    for (name, span, least) in least.into_iter().chain([("must-ask-in", s.must_ask_in, 1_000)]) {
+        if span < ms(least) {
+            r.wrong(Some(name), format!("{name} must be at least {least}ms"), errors);
         }
     }
     r.done(errors);
@@ -239,9 +230,6 @@
         aim,
         aim_per_1000_tokens: e.or("aim-per-1000-tokens", Span(Micros(0)), errors).0,
         deadline,
-        token_aim: e.or("token-aim", Span(Micros(50_000)), errors).0,
-        worth: e.or("worth", Positive(1.0), errors).0,
-        late_worth: e.or("late-worth", Share(0.2), errors).0,
         effect: match effect {
             EffectKind::Free => p::Effect::Free,
             EffectKind::Guarded => p::Effect::Guarded(group.unwrap_or(p::Group::Cell)),
@@ -357,12 +345,6 @@
     }
     let zones: BTreeMap<String, p::ZoneId> =
         zone_names.iter().enumerate().map(|(i, z)| (z.clone(), p::ZoneId(i))).collect();
-    if let Some(zone) = router.maybe::<Name>("zone", e) {
-        policy.zone = zones.get(&zone.0).copied();
-        if policy.zone.is_none() {
-            router.wrong(Some("zone"), format!("no <zone name=\"{}\">", zone.0), e);
-        }
-    }
 
     let mut kinds = BTreeMap::new();
     if let Some(list) = parts.remove("kinds") {
--- a/crates/daemon/tests/budgets.rs
+++ b/crates/daemon/tests/budgets.rs
@@ -62,7 +62,8 @@
         assert_eq!(out.status.code(), Some(2), "{to}");
         assert!(told.contains(&format!(":{line}:")), "{to}: {told}");
     }
-    let other = EXAMPLE.replacen("worth=\"0.3\" effect=\"free\"", "effect=\"single-shot\"", 1);
+    let other =
+        EXAMPLE.replacen("deadline=\"20s\" effect=\"free\"", "deadline=\"20s\" effect=\"single-shot\"", 1);
     let file = folder.join("effect.xml");
     std::fs::write(&file, other).unwrap();
     let out = chalkyard(&["check", file.to_str().unwrap()]);
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -38,7 +38,10 @@
         ("max-attempts=\"4\"", "max-attempts=\"-4\"", "max-attempts"),
         ("self-prefill=\"true\"", "self-prefill=\"yes\"", "self-prefill"),
         ("listen=\"127.0.0.1:8400\"", "listen=\"localhost\"", "listen=\"localhost"),
-        ("zone=\"hall\" listen", "zone=\"hell\" listen", "zone=\"hell\""),
+        ("max-attempts=\"4\"", "max-attempts=\"0\"", "max-attempts"),
+        ("max-attempts=\"4\"", "max-attempts=\"101\"", "max-attempts"),
+        ("max-attempts=\"4\"", "must-ask-in=\"0s\"", "must-ask-in"),
+        ("kind=\"reader\" zone=\"hall\"", "kind=\"reader\" zone=\"hell\"", "zone=\"hell\""),
         ("role=\"reader\"", "role=\"raeder\"", "role=\"raeder"),
         ("default=\"help\"", "default=\"halp\"", "default=\"halp"),
         ("name=\"report\"", "name=\"help\"", "name=\"help\" aim=\"2s\""),
@@ -66,7 +69,7 @@
 
 #[test]
 fn all_errors_are_told_at_once_and_a_file_that_is_no_settings_is_said_so() {
-    let xml = EXAMPLE.replace("1s", "1x").replace("role=\"reader\"", "role=\"r\"");
+    let xml = EXAMPLE.replace("1s", "1x").replace("role=\"reader\"", "role=\"r\"").replace("250ms", "250x");
     let (_, _, err) = check("many", &xml);
     assert!(err.lines().count() >= 4, "{err}");
     let (code, _, err) = check("other", "<html/>");
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -153,12 +153,6 @@
     pub aim_per_1000_tokens: Micros,
     /// A client's whole waiting time, over all its tries.
     pub deadline: Micros,
-    /// Aim for the time between two tokens.
-    pub token_aim: Micros,
-    /// Worth of an answer, and the share of it that a late one still earns.
-    pub worth: f64,
-    /// See `worth`.
-    pub late_worth: f64,
     /// Where it may be repeated.
     pub effect: Effect,
     /// For guarded classes: how long repeats are discarded, from the first send that may have run.
@@ -189,10 +183,8 @@
 pub enum Reports {
     /// Not at all.
     Off,
-    /// With outcomes and with answers to probes.
+    /// With outcomes.
     InAnswers,
-    /// With answers to probes only.
-    InProbes,
 }
 
 /// What the site tells a router when it starts.
@@ -201,8 +193,6 @@
 pub struct Settings {
     /// Number of routers, this one included.
     pub routers: u32,
-    /// This router's zone.
-    pub zone: Option<ZoneId>,
     /// Classes of requests.
     pub classes: Vec<Class>,
     /// Tenants; may be empty.
@@ -213,26 +203,16 @@
     pub must_ask_in: Micros,
     /// Writers read a prompt by themselves when there is no state to pull.
     pub self_prefill: bool,
-    /// Places may be booked ahead at a writer.
-    pub may_book: bool,
     /// A broken stream goes on elsewhere, and a running one may be moved.
     pub resume: bool,
     /// Held state or place must be taken or let go within this span.
     pub release: Micros,
     /// At most this many attempts for a request.
     pub max_attempts: u32,
-    /// Two attempts of one request may be out at the same time.
-    pub parallel_tries: bool,
     /// An attempt may be cancelled.
     pub may_cancel: bool,
-    /// Workers may be probed.
-    pub may_probe: bool,
-    /// Messages to the other routers are allowed.
-    pub may_tell: bool,
     /// Clients are told when to come back, at most this far ahead; zero: they are not.
     pub max_retry_after: Micros,
-    /// Nothing is sent later than this after a worker was told to be draining or gone.
-    pub drain_grace: Micros,
     /// A cold worker falls over when sent this multiple of its present capacity ...
     pub fall_multiple: f64,
     /// ... for this long.
@@ -245,12 +225,6 @@
     pub answer_slack: Micros,
     /// The smallest step of the clock.
     pub tick: Micros,
-    /// Worth of a request beyond its tenant's share, as a share of its class's worth.
-    pub over_share_worth: f64,
-    /// Price of moving all prompt tokens out of their cells, as a share of the result.
-    pub far_price: f64,
-    /// Price of an attempt that crosses zones, as a share of the result.
-    pub cross_zone_price: f64,
     /// Whether worker weights mean anything.
     pub weighted: bool,
     /// How workers report their load.
@@ -310,18 +284,10 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Report {
-    /// Requests being handled, waiting state included.
-    pub in_flight: Option<f64>,
     /// Requests that wait.
     pub queued: Option<f64>,
     /// Share of its slots in use, 0 to 1.
     pub slots_used: Option<f64>,
-    /// Recent time to the end of a read or to the first token.
-    pub latency: Option<Micros>,
-    /// Requests served a second.
-    pub served_per_s: Option<f64>,
-    /// Errors a second.
-    pub errors_per_s: Option<f64>,
     /// Share of its memory held, 0 to 1.
     pub kv_used: Option<f64>,
     /// Prompt tokens that wait to be read or pulled.
@@ -376,18 +342,12 @@
     pub session: Option<SessionId>,
     /// The beginning that it shares with other sessions.
     pub prefix: Option<PrefixId>,
-    /// Prompt tokens of that beginning.
-    pub prefix_tokens: u64,
     /// Prompt tokens in all.
     pub prompt_tokens: u64,
     /// The longest answer allowed, in tokens.
     pub max_output: u64,
-    /// A guess at the answer's time at the token aim, where the site gives one.
-    pub hint: Option<Micros>,
     /// When the client gives this try up.
     pub deadline: Micros,
-    /// The client says that it has tried before.
-    pub retry: bool,
     /// The client returns after a stream that broke or was moved.
     pub came_back: bool,
 }
--- a/crates/rehearsal/src/routers.rs
+++ b/crates/rehearsal/src/routers.rs
@@ -52,8 +52,8 @@
     let f = &day.figures;
     let mut xml = format!(
         r#"<chalkyard xmlns="urn:chalkyard:settings:1">
-  <router name="{name}" routers="{}" zone="yard" listen="{listen}" shared-port="true" register="{register}" list-file="{list}" drain="10s" control="{}/{name}.sock"/>
-  <rules release="{}us" drain-grace="{}us" fall-multiple="{}" fall-after="{}us" cold-from="{}" cold-for="{}us"
+  <router name="{name}" routers="{}" listen="{listen}" shared-port="true" register="{register}" list-file="{list}" drain="10s" control="{}/{name}.sock"/>
+  <rules release="{}us" fall-multiple="{}" fall-after="{}us" cold-from="{}" cold-for="{}us"
          answer-slack="{}us" max-attempts="4" reports="in-answers" self-prefill="true"/>
   <waits stream="5s" slow-client="2s" register="5s"/>
   <zones><zone name="yard"/></zones>
@@ -66,7 +66,6 @@
         day.routers,
         folder.display(),
         f.release_us,
-        f.grace_us,
         f.fall_multiple,
         f.fall_us,
         f.cold_from,
@@ -86,8 +85,8 @@
             }
         };
         xml.push_str(&format!(
-            "    <class name=\"{}\" aim=\"{}us\" aim-per-1000-tokens=\"{}us\" deadline=\"{}us\" token-aim=\"{}us\" worth=\"{}\" {effect}/>\n",
-            c.name, c.aim_us, c.aim_per_1000_us, c.deadline_us, c.token_aim_us, c.worth
+            "    <class name=\"{}\" aim=\"{}us\" aim-per-1000-tokens=\"{}us\" deadline=\"{}us\" {effect}/>\n",
+            c.name, c.aim_us, c.aim_per_1000_us, c.deadline_us
         ));
     }
     xml.push_str("  </classes>\n");
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -331,12 +331,9 @@
                 p::SessionId(format!("{owner}/{s}").into())
             }),
             prefix: call.prefix.as_ref().map(|(hash, _)| hash.as_str().into()),
-            prefix_tokens: call.prefix.as_ref().map_or(0, |(_, tokens)| *tokens),
             prompt_tokens: call.prompt_tokens,
             max_output: call.max_tokens,
-            hint: None,
             deadline: self.now + (asked - self.config.waits.reply_margin.min(asked.mul_f64(0.5))),
-            retry: call.retry,
             came_back: call.came_back,
         };
         Job::new(conn, request, call, identity, self.now)
--- a/crates/router/src/core/sources.rs
+++ b/crates/router/src/core/sources.rs
@@ -2,7 +2,7 @@
 
 use chalkyard_api::engine;
 use chalkyard_policy as p;
-use chalkyard_policy::{Event, Micros};
+use chalkyard_policy::Event;
 use chalkyard_proto::{encode, sse, Part, Start};
 
 use super::pool::{Engine, Task};
@@ -16,12 +16,8 @@
     let load = engine::load(header?)?;
     let named = load.named_metrics;
     Some(p::Report {
-        in_flight: named.in_flight,
         queued: named.queue_depth,
         slots_used: load.cpu_utilization,
-        latency: named.latency_ms.map(|ms| Micros::from_secs_f64(ms / 1e3)),
-        served_per_s: load.rps_fractional,
-        errors_per_s: load.eps,
         kv_used: load.mem_utilization,
         waiting_tokens: named.waiting_tokens,
     })
