--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -158,7 +158,7 @@
 }
 
 /// A worker and what this router has seen of it.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Server {
     info: Worker,
     /// When this life of it began: as told, but no later than it was told. What was sent before is not its.
@@ -254,7 +254,7 @@
 type End = (Outcome, Micros, u64, Option<Report>);
 
 /// One attempt.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Try {
     worker: WorkerId,
     stage: Stage,
@@ -269,7 +269,7 @@
 }
 
 /// A request from arrival to its last verdict.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Job {
     req: Request,
     arrived: Micros,
@@ -298,7 +298,7 @@
 }
 
 /// What requests of all kinds took lately.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Seen {
     /// Time from arrival to the first token over the tightest aim; prompt tokens of a request; tokens a
     /// second of local reads.
@@ -320,7 +320,7 @@
 }
 
 /// The decision module of one router.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Router {
     set: Settings,
     seed: u64,
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A hand-fed router: settings of an invented site, events in, actions out.
 #![allow(dead_code, clippy::unwrap_used, clippy::panic, missing_docs)]
 
+pub mod audit;
+
 use chalkyard_policy::*;
 
 pub fn secs(s: f64) -> Micros {
@@ -72,6 +74,7 @@
     all
 }
 
+#[derive(Debug, Clone)]
 pub struct Rig {
     pub router: Router,
     pub now: Micros,
