Health: one sick worker of two is left out; half of a pool may be benched, not less

Ruled out: the bench itself (it was benched within two requests) and the choice of another for the next attempt. At fault: Router::pool used all workers as soon as the fit were exactly half. Change: the sick are left out while at least half of the pool is fit. A test failed before.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -936,14 +936,14 @@
     // ---- Health and the guards of the rules.
 
     /// The workers that may get this request's next attempt. Benched and silent ones are left out unless
-    /// they are half of the pool or more: then the trouble is elsewhere. One where nobody listens stays
+    /// they are more than half of the pool: then the trouble is elsewhere. One where nobody listens stays
     /// out in any case: it would eat every attempt.
     fn pool(&self, job: &Job, role: impl Fn(Role) -> bool) -> Vec<&Server> {
         let serves = |s: &&Server| s.info.lifecycle == Lifecycle::In && role(s.info.role);
         let answers = |s: &&Server| !s.down || self.fit(s) || s.failing < FAILING;
         let all: Vec<&Server> = self.servers.values().filter(serves).filter(answers).collect();
         let fit: Vec<&Server> = all.iter().copied().filter(|s| self.fit(s)).collect();
-        let judged = if fit.len() * 2 > all.len() { fit } else { all };
+        let judged = if fit.len() * 2 >= all.len() { fit } else { all };
         // One that turns away looks empty and is not sick: it is left alone for a moment, longer each time.
         let ready = |s: &&Server| self.now >= s.full_until && self.may_send(job, s);
         let allowed: Vec<&Server> = judged.into_iter().filter(ready).collect();
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -271,6 +271,26 @@
     assert!(again, "a way to recover");
 }
 
+#[test]
+fn one_of_two_that_fails_is_left_out() {
+    let mut rig = Rig::new(settings(), pair());
+    let mut failed = 0;
+    for i in 0..40 {
+        let id = format!("{i}");
+        rig.ask(&id, &id, SINGLE, LONG);
+        let writer = sent(&rig.end(&id, 0, Outcome::Parsed, 0)).unwrap().0;
+        if writer == "w0" {
+            rig.end(&id, 1, Outcome::ServerError, 0);
+            failed += 1;
+        } else {
+            rig.stream(&id, 1);
+            rig.end(&id, 1, Outcome::Served, 0);
+        }
+        rig.wait(0.05);
+    }
+    assert!(failed <= 4, "{failed} of 40 single shots were spent on a writer that fails each time");
+}
+
 #[test]
 fn a_pool_that_fails_as_a_whole_is_still_used() {
     let mut rig = Rig::new(settings(), vec![worker("r0", Role::Reader, 0), worker("w0", Role::Writer, 0)]);
