--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -677,7 +677,9 @@
                     // One that has no first token yet tells of a queue there.
                     -(f64::from(s.streams) + f64::from(s.pending) * PENDING) / weight
                 } else {
-                    s.room(self.set.routers, mean)
+                    // One that has just started is known to be empty.
+                    let empty = s.cold(self.now, self.set.cold_for).is_some();
+                    s.room(self.set.routers, if empty { 1.0 } else { mean })
                 };
                 let near = match at {
                     Some(_) if cell == Some(s.info.cell) => NEAR,
