--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use chalkyard_router::shell::{Handle, Heritage, Question};
 use chalkyard_state::Event;
@@ -134,7 +134,8 @@
     stream.set_read_timeout(Some(WAIT))?;
     stream.set_write_timeout(Some(WAIT))?;
     let mut line = String::new();
-    BufReader::new(stream.take(LINE_BYTES)).read_line(&mut line)?;
+    let patient = Patient { stream, until: Instant::now() + WAIT };
+    BufReader::new(patient.take(LINE_BYTES)).read_line(&mut line)?;
     let answer = match serde_json::from_str(&line) {
         Ok(Call::TakeOver {}) => match handle.succeed(WAIT) {
             Some(heritage) => {
@@ -152,6 +153,24 @@
     stream.write_all(b"\n")
 }
 
+/// Reads until a time: a peer that says a byte now and then has no more of it than one that says nothing.
+struct Patient<'a> {
+    stream: &'a UnixStream,
+    until: Instant,
+}
+
+impl Read for Patient<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let left = self.until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(std::io::ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(left))?;
+        let mut stream = self.stream;
+        stream.read(buffer)
+    }
+}
+
 /// Gives the listening socket with one line, then a line for each settlement until the life ends.
 fn give(mut stream: &UnixStream, heritage: Heritage) -> std::io::Result<()> {
     let line = json!({"ledger": heritage.settled.is_some()}).to_string() + "\n";
--- a/crates/daemon/tests/life.rs
+++ b/crates/daemon/tests/life.rs
@@ -96,6 +96,25 @@
     drop(again);
 }
 
+#[test]
+fn one_that_speaks_a_byte_at_a_time_holds_the_control_socket_no_longer_than_one_that_is_silent() {
+    let l = life("drip", "3s");
+    let mut slow = UnixStream::connect(&l.socket).unwrap();
+    let drip = std::thread::spawn(move || {
+        // Ends when the router has cut it, or after twelve seconds.
+        for _ in 0..40 {
+            if slow.write_all(b" ").is_err() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        false
+    });
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(l.ask(&["status"])["phase"], "ready");
+    assert!(drip.join().unwrap(), "cut after its two seconds");
+}
+
 #[test]
 fn a_drain_can_be_undone_and_an_end_can_not() {
     let mut l = life("undrain", "3s");
--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -273,6 +273,51 @@
     }
 }
 
+// ---- Days of running.
+
+#[test]
+fn days_of_requests_leave_no_timer_connection_or_identity_behind() {
+    let mut y = Yard::new(config(), &usual());
+    // Two days, one request a minute: read, pulled and served; refused; broken; left by its client.
+    for n in 0..2_880_u32 {
+        let client = y.client();
+        y.ask_with(client, "report", Some(&format!("k{n}")), n % 2 == 0, if n % 3 == 0 { 2_000 } else { 20 });
+        let mut first = true;
+        while y.has_call() {
+            let call = y.call();
+            if y.closed.contains(&call.conn) {
+                continue;
+            }
+            match n % 5 {
+                0 if first => y.reply(call.conn, 429, "{}"),
+                1 if call.port != 1 => y.input(Input::Eof(call.conn)),
+                2 if call.port != 1 && !y.closed.contains(&client) => {
+                    y.closed.insert(client);
+                    y.input(Input::Lost(client));
+                }
+                _ if call.port == 1 => y.parsed(&call),
+                _ => {
+                    y.begin_stream(call.conn);
+                    y.token(call.conn, "a");
+                    y.end_stream(call.conn);
+                }
+            }
+            first = false;
+        }
+        for release in y.releases() {
+            y.reply(release.conn, 200, "{}");
+        }
+        y.advance(ms(60_000));
+        let counts = y.core.counts();
+        assert!(counts.identities <= 11, "ten minutes of them are remembered: {counts:?}");
+        assert!(counts.connections <= 6 && counts.clients <= 2 && counts.open_requests == 0, "{counts:?}");
+    }
+    assert_eq!(y.finished.len(), 2_880);
+    y.advance(ms(120_000));
+    assert_eq!(y.core.counts().connections, 0, "all pools are idle for longer than they may");
+    assert_eq!(y.core.next_due(), None, "no timer is left");
+}
+
 // ---- The register's connection.
 
 fn watched() -> (Yard, ConnId) {
--- a/crates/router/tests/orders.rs
+++ b/crates/router/tests/orders.rs
@@ -178,16 +178,9 @@
 #[test]
 #[should_panic(expected = "rule 4")]
 fn a_cold_engine_that_is_pushed_over_is_seen() {
-    let scope = Scope {
-        depth: 6,
-        requests: 3,
-        asks: &[(false, false)],
-        answers: &[],
-        list: &[2],
-        passes: &[],
-        ..ONE
-    };
-    lied(|s| s.cold_for = p::Micros(0), false, &Scope { requests: 4, ..scope });
+    let scope =
+        Scope { depth: 6, requests: 4, asks: &[(false, false)], answers: &[], list: &[2], passes: &[] };
+    lied(|s| s.cold_for = p::Micros(0), false, &scope);
 }
 
 #[test]
