Tests of five bounds of the core: connections, idle ones, answers, parameters, identities

Change: five tests on the sans-IO core, of the bound, what is said at it and that it opens again. Result: all hold; nothing to mend.

--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -273,6 +273,90 @@
     }
 }
 
+// ---- Bounds of connections and what they carry.
+
+#[test]
+fn past_the_bound_of_connections_an_attempt_is_not_sent_and_the_engine_not_blamed() {
+    let mut config = config();
+    config.bounds.engine_connections = 2;
+    let mut y = Yard::new(config, &two());
+    for _ in 0..2 {
+        y.ask("report");
+    }
+    let held: Vec<Call> = (0..2).map(|_| y.call()).collect();
+    let waits = y.ask("report");
+    assert!(!y.has_call(), "no third connection to the reader");
+    assert!(y.outcomes().iter().all(|o| *o == Outcome::NotSent) && !y.outcomes().is_empty());
+    for read in &held {
+        y.reply(read.conn, 429, "{}");
+    }
+    y.advance(ms(3_995));
+    let (_, kind, ran) = y.error(waits);
+    assert_eq!((kind.as_str(), ran), ("refused", false), "nothing ran: trying again is harmless");
+    assert_eq!(y.core.engine_view().items.iter().map(|e| e.connections).max(), Some(2));
+}
+
+#[test]
+fn no_more_idle_connections_are_kept_than_may_be() {
+    let mut config = config();
+    config.bounds.engine_idle = 1;
+    let mut y = Yard::new(config, &two());
+    (0..5).for_each(|_| drop(y.ask("help")));
+    let reads: Vec<Call> = (0..5).map(|_| y.call()).collect();
+    reads.iter().for_each(|r| y.parsed(r));
+    let reader = y.core.engine_view().items[0].clone();
+    assert_eq!((reader.id.as_str(), reader.connections, reader.idle), ("read", 1, 1));
+}
+
+#[test]
+fn an_answer_past_its_bound_is_cut_and_told_truly() {
+    let mut config = config();
+    config.bounds.answer_bytes = 1_024;
+    let mut y = Yard::new(config, &two());
+    let client = y.client();
+    y.ask_with(client, "report", None, false, 20);
+    let call = y.call();
+    y.begin_stream(call.conn);
+    y.token(call.conn, &"a".repeat(2_000));
+    assert_eq!(y.error(client), (502, "failed".into(), true));
+    assert!(y.closed.contains(&call.conn), "its engine is not read on");
+    assert_eq!((y.outcomes(), y.core.open_requests()), (vec![Outcome::Cancelled], 0));
+}
+
+#[test]
+fn a_readers_parameters_past_their_bound_are_an_error_and_let_go() {
+    let mut y = Yard::new(config(), &two());
+    y.ask("help");
+    let read = y.call();
+    let long = "p".repeat(20_000);
+    y.reply(read.conn, 200, &format!(r#"{{"usage":{{}},"kv_transfer_params":{{"x":"{long}"}}}}"#));
+    assert_eq!(y.outcomes(), [Outcome::ServerError]);
+    assert_eq!(y.releases().len(), 1, "what it holds is let go");
+}
+
+#[test]
+fn past_the_bound_of_identities_a_request_is_refused_as_not_run() {
+    let mut config = config();
+    config.bounds.identities = 2;
+    let mut y = Yard::new(config, &two());
+    for n in 0..3 {
+        let client = y.client();
+        y.ask_with(client, "report", Some(&format!("k{n}")), true, 20);
+        if n == 2 {
+            assert_eq!(y.error(client), (503, "refused".into(), false));
+            continue;
+        }
+        let call = y.call();
+        y.closed.insert(call.conn);
+        y.input(Input::Lost(call.conn));
+        assert_eq!(y.error(client), (504, "failed".into(), true), "may have run, and is remembered");
+    }
+    y.advance(ms(600_001));
+    let client = y.client();
+    y.ask_with(client, "report", Some("k9"), true, 20);
+    assert!(y.has_call(), "room again once they are forgotten");
+}
+
 // ---- Days of running.
 
 #[test]
