Cold workers: one that leaves the list for a moment keeps the count of what it was sent

Rule 4 rested on the list never doing so; the walks of all orders give each return a fresh start and could not see it. Ruled out: the budget itself (one a window without the flap). At fault: Router::list dropped the record, and with it the sends. Change: a record off the list stays, as out, while it is cold; such ones get nothing and are no peers. Result: the test failed before, for changes and for whole lists.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -393,13 +393,14 @@
     /// The list of workers. A worker that is not `In` gets nothing more from this moment on.
     fn list(&mut self, kind: ListKind, workers: Vec<Worker>, out: &mut Vec<Action>) {
         if matches!(kind, ListKind::Full | ListKind::Stale) {
-            self.servers.retain(|id, _| workers.iter().any(|w| w.id == *id));
+            for s in self.servers.values_mut().filter(|s| !workers.iter().any(|w| w.id == s.info.id)) {
+                s.info.lifecycle = Lifecycle::Out;
+            }
         }
         for w in workers {
             match self.servers.get_mut(&w.id) {
-                _ if w.lifecycle == Lifecycle::Out => {
-                    self.servers.remove(&w.id);
-                }
+                Some(s) if w.lifecycle == Lifecycle::Out => s.info.lifecycle = Lifecycle::Out,
+                None if w.lifecycle == Lifecycle::Out => {}
                 Some(s) if s.info.started == w.started => s.info = w,
                 _ => {
                     let begun = w.started.unwrap_or(self.now).min(self.now);
@@ -415,6 +416,10 @@
                 }
             }
         }
+        // One off the list is forgotten once it is not cold: should it come back with the same start, what it was
+        // sent still presses on it.
+        let (now, cold_for) = (self.now, self.set.cold_for);
+        self.servers.retain(|_, s| s.info.lifecycle != Lifecycle::Out || s.cold(now, cold_for).is_some());
         // Where the list has to be asked for: at the start, and again some time after a call has failed.
         match kind {
             ListKind::Stale if self.set.discovery == Discovery::Ask => out.push(Action::Subscribe),
@@ -711,7 +716,8 @@
     fn cell_for(&self, job: &Job, at: &Worker, pool: &[&Server]) -> Option<CellId> {
         let mut cells: BTreeMap<CellId, (f64, f64, bool)> = BTreeMap::new();
         let readers = self.peers(Role::Reader);
-        for s in self.servers.values().filter(|s| s.info.role == Role::Reader) {
+        let reads = |s: &&Server| s.info.role == Role::Reader && s.info.lifecycle != Lifecycle::Out;
+        for s in self.servers.values().filter(reads) {
             cells.entry(s.info.cell).or_default().1 += 1.0 / readers;
         }
         for s in pool {
@@ -1024,7 +1030,8 @@
     }
 
     fn peers(&self, role: Role) -> f64 {
-        self.servers.values().filter(|p| p.info.role == role).count().max(1) as f64
+        let listed = |p: &&Server| p.info.role == role && p.info.lifecycle != Lifecycle::Out;
+        self.servers.values().filter(listed).count().max(1) as f64
     }
 
     /// Rule 4: our sends to a cold worker within the window stay under our part of its budget, by what the
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -184,6 +184,28 @@
     assert!(sends_to(&mut rig, "r1", 60) <= 1);
 }
 
+#[test]
+fn a_cold_worker_that_leaves_the_list_for_a_moment_keeps_its_count() {
+    for full in [false, true] {
+        let mut rig = beside_a_cold_reader();
+        let cold = Worker { started: Some(rig.now), ..worker("r9", Role::Reader, 0) };
+        let all: Vec<Worker> = ["r0", "r1"].map(|r| worker(r, Role::Reader, 0)).to_vec();
+        let mut got = 0;
+        for _ in 0..10 {
+            // Off and on again, with the same start: the same process, and all within one window.
+            let gone = Worker { lifecycle: Lifecycle::Out, ..cold.clone() };
+            if full {
+                rig.feed(Event::Workers { kind: ListKind::Full, workers: all.clone() });
+            } else {
+                rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![gone] });
+            }
+            rig.feed(Event::Workers { kind: ListKind::Changes, workers: vec![cold.clone()] });
+            got += sends_to(&mut rig, "r9", 20);
+        }
+        assert!(got <= 1, "sent {got} times within its window");
+    }
+}
+
 #[test]
 fn a_cold_workers_budget_follows_what_warm_peers_finish() {
     let mut rig = beside_a_cold_reader();
