--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -173,7 +173,8 @@
     /// Last report, and tokens of our streams sent since.
     report: Option<Report>,
     since: f64,
-    /// Our sends within the cold window, while it is cold, and the prompt tokens so far: the clock by which notes age.
+    /// Our sends within the cold window, while it is cold; the prompt tokens so far, the clock by which
+    /// notes age.
     sends: Vec<Micros>,
     poured: u64,
     /// Notes made up to this time are void: what a worker kept is lost with a restart.
@@ -417,8 +418,8 @@
                 }
             }
         }
-        // One off the list is forgotten once it is not cold: should it come back with the same start, what it was
-        // sent still presses on it.
+        // One off the list is forgotten once it is not cold: should it come back with the same start, what
+        // it was sent still presses on it.
         let (now, cold_for) = (self.now, self.set.cold_for);
         self.servers.retain(|_, s| s.info.lifecycle != Lifecycle::Out || s.cold(now, cold_for).is_some());
         // Where the list has to be asked for: at the start, and again some time after a call has failed.
