--- /dev/null
+++ b/crates/adapter/src/lib.rs
@@ -0,0 +1,8 @@
+//! The simulator's wire: its messages as types, and their translation to and from the decision module's.
+//!
+//! The adapter's binary drives whole batches by it; the router on the platform reads the same settings object and the
+//! same load reports.
+
+pub mod session;
+pub mod translate;
+pub mod wire;
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,20 +1,18 @@
 //! Speaks the simulator's wire on standard input and output and hands each event to the decision
 //! module's instance that it names. Decides nothing.
 
-mod session;
-mod translate;
-mod wire;
-
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
+use chalkyard_adapter::session::Session;
+
 fn run() -> Result<(), String> {
     if std::env::args().len() > 1 {
         return Err("takes no arguments; batches come on standard input".into());
     }
     let mut input = io::stdin().lock();
     let mut output = io::BufWriter::new(io::stdout().lock());
-    let mut session = session::Session::default();
+    let mut session = Session::default();
     let mut line = String::new();
     for number in 1_u64.. {
         line.clear();
--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -7,7 +7,7 @@
 use crate::wire;
 
 /// The names that the settings give to positions, needed to read later messages.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Names {
     classes: BTreeMap<String, p::ClassId>,
     tenants: BTreeMap<String, p::TenantId>,
@@ -15,6 +15,33 @@
     kinds: BTreeMap<String, (p::Role, Option<u64>)>,
 }
 
+impl Names {
+    /// The class of this name.
+    pub fn class(&self, name: &str) -> Option<p::ClassId> {
+        self.classes.get(name).copied()
+    }
+
+    /// The tenant of this name.
+    pub fn tenant(&self, name: &str) -> Option<p::TenantId> {
+        self.tenants.get(name).copied()
+    }
+
+    /// Whether there are tenants at all.
+    pub fn has_tenants(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+
+    /// The zone of this name.
+    pub fn zone(&self, name: &str) -> Option<p::ZoneId> {
+        self.zones.get(name).copied()
+    }
+
+    /// What a machine of this kind does, and its memory; one of an unknown kind does both.
+    pub fn kind(&self, name: Option<&str>) -> (p::Role, Option<u64>) {
+        name.and_then(|n| self.kinds.get(n)).copied().unwrap_or((p::Role::Mixed, None))
+    }
+}
+
 fn secs(s: f64) -> p::Micros {
     p::Micros::from_secs_f64(s)
 }
@@ -104,8 +131,7 @@
     };
     let mut workers = Vec::with_capacity(w.nodes_list.len());
     for n in &w.nodes_list {
-        let kind = n.model.as_ref().and_then(|m| names.kinds.get(m));
-        let (role, kv_tokens) = kind.copied().unwrap_or((p::Role::Mixed, None));
+        let (role, kv_tokens) = names.kind(n.model.as_deref());
         workers.push(p::Worker {
             id: n.worker.as_str().into(),
             zone: n.az.as_ref().and_then(|z| names.zones.get(z)).copied(),
@@ -142,7 +168,8 @@
     }))
 }
 
-fn report(s: &wire::Stats) -> p::Report {
+/// Reads a load report.
+pub fn report(s: &wire::Stats) -> p::Report {
     p::Report {
         queued: s.depth,
         slots_used: s.load_share,
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,4 +1,5 @@
 //! The messages of the wire, as types. Nothing is decided here.
+#![expect(missing_docs, reason = "fields and variants are named and explained on the wire's page")]
 
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -110,7 +111,7 @@
     pub stats: Option<Stats>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 pub struct Stats {
     #[serde(default)]
     pub depth: Option<f64>,
@@ -189,7 +190,16 @@
 pub struct Limits {
     #[serde(default)]
     pub cancel: bool,
+    /// Engines close connections that are idle for so long, at the latest.
+    #[serde(default)]
+    pub conn_idle_s: Option<f64>,
+    /// A connection that does not stand by then does not come up.
+    #[serde(default)]
+    pub connect_timeout_s: Option<f64>,
     pub max_attempts: u32,
+    /// Open requests of one instance.
+    #[serde(default)]
+    pub max_open: Option<f64>,
     #[serde(default)]
     pub max_retry_after_s: f64,
     #[serde(default)]
@@ -198,6 +208,9 @@
 
 #[derive(Debug, Default, Deserialize)]
 pub struct Reporting {
+    /// Names of the values that reports hold.
+    #[serde(default)]
+    pub fields: Vec<String>,
     #[serde(default)]
     pub how: String,
 }
--- a/crates/daemon/src/keeping.rs
+++ b/crates/daemon/src/keeping.rs
@@ -275,7 +275,7 @@
             Act::StopTaking { .. } => info!(target: "router", "takes nothing new"),
             Act::TakeAgain => info!(target: "router", "takes requests again"),
             Act::AnswerAll => info!(target: "router", "what is open is told that the router stops"),
-            Act::Listen | Act::Reload | Act::Exit(_) => {}
+            Act::Listen | Act::Leave | Act::Reload | Act::Exit(_) => {}
         }
     }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -14,6 +14,7 @@
 mod keeping;
 mod logs;
 mod notify;
+mod platform;
 mod reload;
 mod replay;
 mod run;
@@ -61,6 +62,11 @@
         #[arg(long)]
         take_over: bool,
     },
+    /// Run a router on the platform, by the configuration that `GW_CONFIG` names.
+    Platform {
+        /// The configuration, as JSON; if not given, the file that `GW_CONFIG` names.
+        file: Option<PathBuf>,
+    },
     /// Check a settings file; errors name line and column.
     Check {
         /// Settings, as XML.
@@ -245,6 +251,7 @@
 fn command(command: Command) -> Result<ExitCode, Trouble> {
     match command {
         Command::Run { file, seed, decisions, take_over } => run::run(&file, seed, decisions, take_over),
+        Command::Platform { file } => platform::platform(file),
         Command::Status(at) => at.ask(&control::Call::Status {}),
         Command::Engines(at) => at.ask(&control::Call::Engines {}),
         Command::Requests(at) => at.ask(&control::Call::Requests {}),
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,120 @@
+//! `chalkyard platform`: one router on the platform, told by its environment, in the foreground.
+//!
+//! What the platform's limits or rules leave no room for is off: control socket, ledger, budgets, the file of the list,
+//! and a log line for each request.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+
+use chalkyard_platform::Started;
+use chalkyard_router::shell::{granularity, Clock, News, Place, Shell, Sink};
+use chalkyard_router::{Core, Finished, Input};
+use chalkyard_state::{Act, Event, Terms};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use tracing::{info, warn};
+
+use crate::{logs, Trouble};
+
+/// Where the platform says the configuration is.
+const FILE: &str = "GW_CONFIG";
+/// Without any list of workers the router listens after this, µs.
+const START: u64 = 3_000_000;
+/// Told to end, it takes what still comes for so long: new connections come for 0.4 s, and what arrives later than 0.7 s
+/// must have ended when the process is killed.
+const LEAVE: u64 = 500_000;
+/// Open requests go on for so long; by then the platform has killed the process.
+const DRAIN: u64 = 60_000_000;
+/// Last answers have so long to leave, µs.
+const FAREWELL: u64 = 200_000;
+/// New configurations that wait for the loop.
+const WAITING: usize = 8;
+
+struct Told {
+    log: logs::Log,
+    file: PathBuf,
+    sender: SyncSender<News>,
+    news: Receiver<News>,
+}
+
+impl Sink for Told {
+    fn finished(&mut self, record: Finished) {
+        self.log.finished(&record);
+    }
+
+    fn note(&mut self, what: &str, text: &str) {
+        self.log.note(what, text);
+    }
+
+    fn keep_list(&mut self, _text: &str) {}
+
+    fn say(&mut self, act: Act, _at: Option<std::net::SocketAddr>) {
+        match act {
+            Act::SayReady => info!(target: "router", "ready"),
+            Act::Leave => info!(target: "router", "told to end; takes what still comes"),
+            Act::StopTaking { .. } => info!(target: "router", "takes nothing new"),
+            _ => {}
+        }
+    }
+
+    /// A file that can't be read leaves the old settings. Small, so read in the loop.
+    fn reload(&mut self) {
+        match read(&self.file) {
+            Ok(started) => {
+                if let Some(address) = started.config.register {
+                    info!(target: "router", discovery = %address, "another configuration");
+                    let _ = self.sender.try_send(Input::Register(address));
+                }
+            }
+            Err(why) => warn!(target: "router", "the old configuration stays: {why}"),
+        }
+    }
+
+    fn period(&self) -> Option<std::time::Duration> {
+        Some(std::time::Duration::from_millis(100))
+    }
+
+    fn housekeep(&mut self) -> Vec<News> {
+        self.news.try_iter().take(WAITING).collect()
+    }
+}
+
+fn read(file: &std::path::Path) -> Result<Started, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    Started::read(&text).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+/// Runs a router. SIGTERM or SIGINT ends it once all that is open has ended; SIGHUP has the configuration read again.
+pub fn platform(file: Option<PathBuf>) -> Result<ExitCode, Trouble> {
+    logs::start("info,request=off");
+    let none = || Trouble::BadInput(format!("{FILE} names no configuration; give its file"));
+    let file = file.or_else(|| std::env::var_os(FILE).map(PathBuf::from)).ok_or_else(none)?;
+    let started = read(&file).map_err(Trouble::BadInput)?;
+    let could_not = |what: &str, e: std::io::Error| Trouble::CouldNotRun(format!("{what}: {e}"));
+    // Before anything else, so that no signal ends the process by default.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| could_not("signals", e))?;
+    let clock = Clock::new();
+    let mut config = started.config;
+    config.policy.tick = config.policy.tick.max(granularity());
+    let place = Place::take(started.listen, false);
+    let place = place.map_err(|e| could_not(&format!("listening at {}", started.listen), e))?;
+    let core = Core::new(config, started.seed.unwrap_or(clock.now().0), clock.now());
+    let (sender, news) = sync_channel(WAITING);
+    let told = Told { log: logs::Log { list_file: None }, file, sender, news };
+    let terms = Terms { start: START, leave: LEAVE, drain: DRAIN, farewell: FAREWELL };
+    let mut shell = Shell::new(core, told, clock, place, terms).map_err(|e| could_not("starting", e))?;
+    shell.bound_lingering(started.lingering);
+    let handle = shell.handle();
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            let event = if signal == SIGHUP { Event::Reload } else { Event::Terminate };
+            if !handle.tell(event) {
+                warn!(target: "router", signal, "the loop does not listen");
+            }
+        }
+    });
+    let (stop, left) = shell.run(started.known.as_deref()).map_err(|e| could_not("running", e))?;
+    info!(target: "router", left, code = stop.code(), "stopped");
+    Ok(ExitCode::from(stop.code()))
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -53,7 +53,7 @@
     decisions: Option<PathBuf>,
     take_over: bool,
 ) -> Result<ExitCode, Trouble> {
-    logs::start();
+    logs::start("info");
     let began = std::time::Instant::now();
     let text = crate::read(file)?;
     let settings = crate::load_text(file, &text)?;
@@ -111,7 +111,8 @@
         reloader: reloader.clone(),
         news,
     };
-    let terms = Terms { start: START, drain: settings.drain_for.as_micros() as u64, farewell: FAREWELL };
+    let drain = settings.drain_for.as_micros() as u64;
+    let terms = Terms { start: START, leave: 0, drain, farewell: FAREWELL };
     let mut shell = Shell::new(core, keeping, clock, place, terms).map_err(|e| could_not("starting", e))?;
     let handle = shell.handle();
     let control = settings
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -289,6 +289,8 @@
     span("register", &mut w.register);
     span("reply-margin", &mut w.reply_margin);
     span("identity", &mut w.identity);
+    // One span for a client that has not asked and one that has; small calls are answered as fast as connections stand.
+    (w.first, w.release) = (w.idle, w.connect);
     e.done(errors);
     w
 }
@@ -472,6 +474,7 @@
             register,
             bounds: parts.remove("bounds").map_or_else(Bounds::default, |mut b| bounds(&mut b, e)),
             waits: parts.remove("waits").map_or_else(Waits::default, |mut w| waits(&mut w, e)),
+            dialect: None,
         },
     };
     router.done(e);
--- a/crates/daemon/src/settle.rs
+++ b/crates/daemon/src/settle.rs
@@ -271,7 +271,7 @@
 
 /// Runs rounds until it is told to stop; SIGHUP reads the settings again.
 pub fn settle(file: &PathBuf, rounds: Option<u64>) -> Result<ExitCode, Trouble> {
-    logs::start();
+    logs::start("info");
     let none = || Trouble::BadInput(format!("{}: no <budgets>", file.display()));
     let mut budgets = crate::load(file)?.budgets.ok_or_else(none)?;
     let (settlement, key) = parts(&budgets)?;
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,12 @@
+//! The platform's protocol, sans-IO: what a client's head says, what an engine's answer means, discovery's lists, and
+//! the configuration that a router is started with. No sockets, no decisions: [`Platform`] is a
+//! [`chalkyard_router::dialect::Dialect`] that the router's core speaks.
+
+mod beside;
+mod config;
+mod discovery;
+mod head;
+mod speak;
+
+pub use config::{Limits, Started};
+pub use speak::Platform;
--- a/crates/proto/src/body.rs
+++ b/crates/proto/src/body.rs
@@ -12,6 +12,9 @@
 
 /// Longest line of a chunk's size: sixteen digits and the line end.
 const SIZE_LINE: usize = 18;
+/// ... and with an extension; a trailer's line is no longer, and there are no more of them than this.
+const EXTRA_LINE: usize = 512;
+const TRAILERS: u32 = 16;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
@@ -25,6 +28,8 @@
     ChunkEnd,
     /// The empty line behind the last chunk.
     Last,
+    /// The lines behind the last chunk, so many so far, up to an empty one.
+    Trailers(u32),
     UntilClose,
     Done,
 }
@@ -85,9 +90,12 @@
                 Ok(Some(Step { used: data.len(), data: Some(data), done: false }))
             }
             State::Size => {
-                let Some(line) = line(bytes, SIZE_LINE, Reason::BadChunk)? else { return Ok(None) };
-                let hex = !line.is_empty() && line.len() <= 16 && line.iter().all(u8::is_ascii_hexdigit);
-                let text = std::str::from_utf8(line).ok().filter(|_| hex).ok_or(Reason::BadChunk)?;
+                let most = if limits.chunk_extras { EXTRA_LINE } else { SIZE_LINE };
+                let Some(line) = line(bytes, most, Reason::BadChunk)? else { return Ok(None) };
+                let digits = if limits.chunk_extras { size(line)? } else { line };
+                let hex =
+                    !digits.is_empty() && digits.len() <= 16 && digits.iter().all(u8::is_ascii_hexdigit);
+                let text = std::str::from_utf8(digits).ok().filter(|_| hex).ok_or(Reason::BadChunk)?;
                 let size = u64::from_str_radix(text, 16).map_err(|_| Reason::BadChunk)?;
                 if size > limits.chunk_bytes {
                     return Err(Reason::ChunkTooLong.into());
@@ -95,7 +103,11 @@
                 if self.taken.saturating_add(size) > limits.body_bytes {
                     return Err(Reason::BodyTooLong.into());
                 }
-                self.state = if size == 0 { State::Last } else { State::Chunk(size) };
+                self.state = match size {
+                    0 if limits.chunk_extras => State::Trailers(0),
+                    0 => State::Last,
+                    size => State::Chunk(size),
+                };
                 Ok(Some(Step { used: line.len() + 2, data: None, done: false }))
             }
             State::ChunkEnd | State::Last => {
@@ -109,6 +121,16 @@
                 self.state = if self.state == State::Last { State::Done } else { State::Size };
                 Ok(Some(Step { used: 2, data: None, done: false }))
             }
+            State::Trailers(before) => {
+                let Some(line) = line(bytes, EXTRA_LINE, Reason::Trailers)? else { return Ok(None) };
+                let named = line.iter().position(|b| *b == b':').is_some_and(|at| at > 0);
+                self.state = match line {
+                    [] => State::Done,
+                    _ if named && visible(line) && before < TRAILERS => State::Trailers(before + 1),
+                    _ => return Err(Reason::Trailers.into()),
+                };
+                Ok(Some(Step { used: line.len() + 2, data: None, done: false }))
+            }
             State::Done => Ok(None),
         }
     }
@@ -123,6 +145,20 @@
     }
 }
 
+fn visible(line: &[u8]) -> bool {
+    line.iter().all(|b| *b == b'\t' || !b.is_ascii_control())
+}
+
+/// The digits of a size line, before a well-formed extension.
+fn size(line: &[u8]) -> Result<&[u8], Error> {
+    let end = line.iter().position(|b| *b == b';').unwrap_or(line.len());
+    let (digits, extension) = line.split_at(end);
+    if !visible(extension) || extension == b";" {
+        return Err(Reason::BadChunk.into());
+    }
+    Ok(digits.trim_ascii_end())
+}
+
 /// A line up to CR LF, without it; `most` bounds it with its end.
 fn line(bytes: &[u8], most: usize, wrong: Reason) -> Result<Option<&[u8]>, Error> {
     match bytes.iter().take(most).position(|b| *b == b'\n') {
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -28,6 +28,9 @@
     pub chunk_bytes: u64,
     /// Bytes that may wait behind the message being taken (pipelined requests).
     pub pipelined_bytes: usize,
+    /// Chunk extensions and trailers that are well formed are passed over, not refused. For answers only: a
+    /// request's end must not be open to a second reading.
+    pub chunk_extras: bool,
 }
 
 /// Headers of one message at most; a constant, since they are parsed into a table of this size.
@@ -41,6 +44,7 @@
             body_bytes: 1024 * 1024,
             chunk_bytes: 1024 * 1024,
             pipelined_bytes: 64 * 1024,
+            chunk_extras: false,
         }
     }
 }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -2,11 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use chalkyard_api::client;
 use chalkyard_api::keys::KeyRing;
 use chalkyard_policy as p;
 
+use crate::dialect::Dialect;
+
 /// A class by its name; its place in the list is its [`p::ClassId`].
 #[derive(Debug, Clone)]
 pub struct ClassEntry {
@@ -47,10 +50,16 @@
     pub answer_bytes: usize,
     /// Client connections; one more is answered 503 and closed.
     pub clients: usize,
+    /// At that bound, the client that has said nothing for longest makes room.
+    pub evict: bool,
+    /// Bytes of request bodies, together, that came and may still have to be sent.
+    pub bodies: u64,
     /// Open requests; one more is refused before the module sees it.
     pub open: usize,
     /// Connections to one engine; at the bound an attempt ends as `NotSent`.
     pub engine_connections: usize,
+    /// Connections to all engines; at the bound the oldest idle one makes room.
+    pub links: usize,
     /// Idle ones of these that are kept.
     pub engine_idle: usize,
     /// Bytes waiting for a slow client at which its engine is no longer read; half of it starts again.
@@ -71,8 +80,11 @@
             event_bytes: 1024 * 1024,
             answer_bytes: 4 * 1024 * 1024,
             clients: 20_000,
+            evict: false,
+            bodies: u64::MAX,
             open: 20_000,
             engine_connections: 1_024,
+            links: usize::MAX,
             engine_idle: 64,
             client_buffer: 64 * 1024,
             workers: 10_000,
@@ -88,6 +100,12 @@
     pub head: p::Micros,
     /// A client connection without a request.
     pub idle: p::Micros,
+    /// ... and one that has had none yet, to the end of its first.
+    pub first: p::Micros,
+    /// For the answer to a call to let go.
+    pub release: p::Micros,
+    /// When no new requests are taken any more, a client that has just come still has so long to begin its first.
+    pub just_come: p::Micros,
     /// An engine connection without one; under the engines' own.
     pub engine_idle: p::Micros,
     /// Until a connection to an engine or the register stands.
@@ -110,6 +128,9 @@
         Self {
             head: ms(10_000),
             idle: ms(60_000),
+            first: ms(60_000),
+            release: ms(250),
+            just_come: ms(500),
             engine_idle: ms(10_000),
             connect: ms(250),
             stream: ms(20_000),
@@ -159,4 +180,6 @@
     pub bounds: Bounds,
     /// Waits.
     pub waits: Waits,
+    /// How it speaks; none: the messages call in, the engines' published call out, the register's stream.
+    pub dialect: Option<Arc<dyn Dialect>>,
 }
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -15,6 +15,7 @@
 use super::sources::report;
 use super::view::OpenRequest;
 use super::{ConnId, Core, Due, FinishedLine, Output};
+use crate::dialect::{self, Beside, Passed, Told};
 use crate::identity::Identity;
 use crate::timers::Key;
 
@@ -51,6 +52,32 @@
     Whole { status: u16, body: Vec<u8> },
     /// A stream of events.
     Stream(Box<sse::Reader>),
+    /// A stream that is passed on as it is, and what came of it ahead of its first whole event.
+    Passing(Box<dyn Beside>, Vec<u8>),
+}
+
+/// What a client asked.
+#[derive(Debug)]
+pub(super) enum Call {
+    Messages(Box<MessagesRequest>),
+    Passed(Passed),
+}
+
+impl Call {
+    /// Whether its answer is passed on as it comes.
+    fn stream(&self) -> bool {
+        match self {
+            Self::Messages(call) => call.stream,
+            Self::Passed(_) => true,
+        }
+    }
+
+    fn model(&self) -> String {
+        match self {
+            Self::Messages(call) => call.model.clone(),
+            Self::Passed(_) => String::new(),
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -81,12 +108,12 @@
 pub(super) struct Job {
     client: ConnId,
     pub request: p::Request,
-    call: MessagesRequest,
+    call: Call,
     identity: Option<Identity>,
     arrived: Micros,
     attempts: Vec<Attempt>,
-    /// The reader that holds its state, and the parameters for the writer.
-    held: Option<(WorkerId, Box<RawValue>)>,
+    /// The reader that holds its state, and the parameters for the writer where the call needs them.
+    held: Option<(WorkerId, Option<Box<RawValue>>)>,
     /// When an answer is overdue.
     pub backstop: Option<Key>,
     answer: Answer,
@@ -107,7 +134,7 @@
     pub fn new(
         client: ConnId,
         request: p::Request,
-        call: MessagesRequest,
+        call: Call,
         identity: Option<Identity>,
         arrived: Micros,
     ) -> Self {
@@ -158,10 +185,20 @@
 
     /// No answer is longer than so many tokens.
     pub fn cut_answer(&mut self, tokens: u64) {
-        self.call.max_tokens = self.call.max_tokens.min(tokens);
+        if let Call::Messages(call) = &mut self.call {
+            call.max_tokens = call.max_tokens.min(tokens);
+        }
         self.request.max_output = self.request.max_output.min(tokens);
     }
 
+    /// Bytes of its body that are kept.
+    pub fn body_bytes(&self) -> u64 {
+        match &self.call {
+            Call::Messages(_) => 0,
+            Call::Passed(passed) => passed.body.len() as u64,
+        }
+    }
+
     /// Whether the client has got some of its answer.
     pub fn has_begun(&self) -> bool {
         matches!(self.answer, Answer::Begun)
@@ -247,12 +284,21 @@
         {
             return self.end_attempt(id, no, Outcome::NotSent, 0);
         }
+        let due = give_up.map_or(job.request.deadline, |g| (now + g).min(job.request.deadline));
+        let call = match (&job.call, &self.config.dialect) {
+            (Call::Messages(call), _) => call,
+            (Call::Passed(passed), Some(dialect)) => {
+                let bytes = dialect.attempt(&job.request, passed, &host, due - now);
+                return self.send_bytes(id, no, &worker, bytes, due);
+            }
+            (Call::Passed(_), None) => return self.end_attempt(id, no, Outcome::NotSent, 0),
+        };
         let stage = match (at, &job.held) {
             (At::Read, _) => Stage::Read,
-            (At::Pull, Some((_, params))) => Stage::Pull(params),
+            (At::Pull, Some((_, Some(params)))) => Stage::Pull(params),
             _ => Stage::Whole,
         };
-        let body = engine::completion(&job.call, stage);
+        let body = engine::completion(call, stage);
         let class = self.config.classes.get(job.request.class.0).map_or("", |c| c.name.as_str());
         let number = no.0.to_string();
         let mut fields = vec![
@@ -269,8 +315,11 @@
             fields.push(("idempotency-key", key));
         }
         let bytes = encode::request("POST", engine::COMPLETIONS, &host, &fields, &body);
-        let due = give_up.map_or(job.request.deadline, |g| (now + g).min(job.request.deadline));
-        let conn = self.call(&worker, Task::Attempt(id.clone(), no, Reply::None), bytes, 0);
+        self.send_bytes(id, no, &worker, bytes, due);
+    }
+
+    fn send_bytes(&mut self, id: &RequestId, no: AttemptNo, worker: &WorkerId, bytes: Vec<u8>, due: Micros) {
+        let conn = self.call(worker, Task::Attempt(id.clone(), no, Reply::None), bytes, 0);
         // Our own bound: it says nothing of the engine.
         let Some(conn) = conn else { return self.end_attempt(id, no, Outcome::NotSent, 0) };
         let timer = self.timers.set(due, Due::Attempt(id.clone(), no));
@@ -343,10 +392,14 @@
     // ---- Letting go.
 
     fn release(&mut self, id: RequestId, worker: WorkerId, since: Micros) {
-        let fields =
-            [("content-type", "application/json"), ("via", &*self.via), (engine::REQUEST_ID, &*id.0)];
-        let body = engine::naming(&id.0);
-        let bytes = encode::request("POST", engine::RELEASE, &self.host(&worker), &fields, &body);
+        let bytes = if let Some(dialect) = &self.config.dialect {
+            dialect.release(&id, &self.host(&worker))
+        } else {
+            let fields =
+                [("content-type", "application/json"), ("via", &*self.via), (engine::REQUEST_ID, &*id.0)];
+            let body = engine::naming(&id.0);
+            encode::request("POST", engine::RELEASE, &self.host(&worker), &fields, &body)
+        };
         // Beyond the bound by a few, so that letting go is not held up by what fills the engine.
         match self.call(&worker, Task::Release(id.clone(), since), bytes, 8) {
             Some(conn) if self.links.get(&conn).is_some_and(|l| l.waiting.is_none()) => self.limit(conn),
@@ -357,6 +410,7 @@
 
     fn release_again(&mut self, id: RequestId, worker: WorkerId, since: Micros) {
         let next = self.now + (self.now - since).mul_f64(0.5).max(RELEASE_PAUSE);
+        let worker = self.other_release(worker);
         if next < since + self.config.policy.release && self.engines.contains_key(&worker) {
             self.timers.set(next, Due::Release(id, worker, since));
         } else {
@@ -364,6 +418,17 @@
         }
     }
 
+    /// Where a call to let go that failed is made next. In a dialect any worker takes it: one that we have talked
+    /// with lately is likely to be reached.
+    fn other_release(&self, worker: WorkerId) -> WorkerId {
+        if self.config.dialect.is_none() {
+            return worker;
+        }
+        let others = self.engines.iter().filter(|(id, e)| e.listed && **id != worker);
+        let other = others.max_by_key(|(_, e)| e.idle.len()).map(|(id, _)| id.clone());
+        other.unwrap_or(worker)
+    }
+
     pub(super) fn release_at(&mut self, id: RequestId, worker: WorkerId, since: Micros) {
         self.release(id, worker, since);
     }
@@ -378,9 +443,13 @@
                 Ok(None) => return,
                 Err(e) => return self.reply_wrong(conn, e.reason == chalkyard_proto::Reason::Truncated),
             };
+            if let Part::Head(head) = &part {
+                link.last = !head.keep_alive;
+            }
             let more = match &link.task {
                 Task::Attempt(..) => self.attempt_part(conn, part),
                 Task::Watch(_) => self.watch_part(conn, part),
+                Task::Poll(_) => self.poll_part(conn, part),
                 Task::Release(..) => self.release_part(conn, part),
                 Task::Rest => {
                     if part == Part::End {
@@ -412,14 +481,16 @@
         }
     }
 
-    /// A connection is gone. What it carried may have run if a byte of it was taken to be sent. Its idle siblings
-    /// are as old: a dead engine's pool would eat an attempt each.
+    /// A connection is gone. What it carried may have run if a byte of it was taken to be sent; in a dialect, whose
+    /// engines begin with the last byte, if that was. Its idle siblings are as old: a dead engine's pool would eat
+    /// an attempt each.
     pub(super) fn link_lost(&mut self, conn: ConnId) {
         let Some(link) = self.forget_link(conn) else { return };
         if let Some(worker) = &link.worker {
             self.close_idle(worker);
         }
-        let sent = link.waiting.is_none() && link.wrote > 0;
+        let needed = if self.config.dialect.is_some() { link.size } else { 1 };
+        let sent = link.waiting.is_none() && link.wrote >= needed;
         match link.task {
             Task::Attempt(id, no, _) => {
                 let outcome = if sent { Outcome::ConnectionLost } else { Outcome::NoConnection };
@@ -441,7 +512,7 @@
     fn task_lost(&mut self, task: Task, worker: Option<WorkerId>) {
         match (task, worker) {
             (Task::Release(id, since), Some(worker)) => self.release_again(id, worker, since),
-            (Task::Watch(_), _) => self.register_lost(),
+            (Task::Watch(_) | Task::Poll(_), _) => self.register_lost(),
             _ => {}
         }
     }
@@ -472,6 +543,30 @@
             return false;
         };
         match (part, reply) {
+            (Part::Head(head), reply) if self.config.dialect.is_some() => {
+                let Some(dialect) = self.config.dialect.clone() else { return false };
+                attempt.report = dialect.report(&head);
+                let stage = if attempt.at == At::Read { dialect::Stage::Read } else { dialect::Stage::Write };
+                match dialect.told(stage, &head) {
+                    Told::Stream => *reply = Reply::Passing(dialect.beside(), Vec::new()),
+                    Told::Read => *reply = Reply::Whole { status: 202, body: Vec::new() },
+                    Told::Over(outcome) => {
+                        self.finish_reply(conn, &id, no, outcome, 0, false);
+                        return self.links.contains_key(&conn);
+                    }
+                }
+                true
+            }
+            (Part::Data(data), Reply::Passing(..)) => self.pass(conn, &id, no, data),
+            (Part::End, Reply::Passing(beside, _)) => {
+                let outcome = if beside.seen().begun { Outcome::Served } else { Outcome::ServerError };
+                self.park(conn);
+                if let Some(attempt) = self.attempt_mut(&id, no) {
+                    attempt.conn = None;
+                }
+                self.end_attempt(&id, no, outcome, 0);
+                false
+            }
             (Part::Head(head), reply) => {
                 attempt.report = report(head.header(engine::LOAD));
                 let Start::Response { status } = head.start else { return false };
@@ -527,11 +622,20 @@
             (Part::End, Reply::Whole { status, body }) => {
                 let (status, body) = (*status, std::mem::take(body));
                 let (outcome, kept) = match (status, attempt.at) {
+                    (202, At::Read) if self.config.dialect.is_some() => {
+                        let kept = self.config.dialect.as_ref().map_or(0, |d| d.kept(&body));
+                        let worker = attempt.worker.clone();
+                        if let Some(job) = self.jobs.get_mut(&id) {
+                            job.held = Some((worker, None));
+                            job.kept_at_reader = Some(kept);
+                        }
+                        (Outcome::Parsed, kept)
+                    }
                     (200, At::Read) => match engine::read_answer(&body) {
                         Ok((usage, params)) => {
                             let worker = attempt.worker.clone();
                             if let Some(job) = self.jobs.get_mut(&id) {
-                                job.held = Some((worker, params));
+                                job.held = Some((worker, Some(params)));
                                 job.usage = usage;
                                 job.kept_at_reader = Some(usage.kept_tokens);
                             }
@@ -578,16 +682,72 @@
         self.end_attempt(id, no, outcome, kept);
     }
 
-    /// A chunk of an answer, relayed as an event or kept for a whole answer.
-    fn chunk(&mut self, id: &RequestId, no: AttemptNo, chunk: Chunk) {
-        let (now, wait, most) = (self.now, self.config.waits.stream, self.config.bounds.answer_bytes);
-        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over()) else { return };
+    /// Bytes of a stream, passed on as they are from its first whole event on; true: go on reading.
+    fn pass(&mut self, conn: ConnId, id: &RequestId, no: AttemptNo, data: Vec<u8>) -> bool {
+        let most = self.config.bounds.event_bytes;
+        let Some(Task::Attempt(_, _, Reply::Passing(beside, held))) =
+            self.links.get_mut(&conn).map(|l| &mut l.task)
+        else {
+            return false;
+        };
+        beside.push(&data);
+        let seen = beside.seen();
+        let data = if held.is_empty() {
+            data
+        } else {
+            held.extend_from_slice(&data);
+            std::mem::take(held)
+        };
+        if !seen.begun {
+            *held = data;
+            if held.len() > most {
+                self.finish_reply(conn, id, no, Outcome::ServerError, 0, true);
+                return false;
+            }
+            return true;
+        }
+        let Some(first) = self.advance(id, no) else { return self.links.contains_key(&conn) };
+        let Some(job) = self.jobs.get_mut(id) else { return false };
+        job.pieces = seen.events;
+        if let Some([prompt_tokens, kept_tokens, output_tokens]) = seen.usage {
+            job.usage = Usage { prompt_tokens, kept_tokens, output_tokens };
+        }
+        if let Some(attempt) = job.attempts.get_mut(no.0 as usize) {
+            attempt.report = seen.report.or(attempt.report);
+        }
+        let client = job.client;
+        if first {
+            job.answer = Answer::Begun;
+            // Nothing is sent for it any more.
+            self.drop_body(id);
+        }
+        self.pass_on(client, first, &data);
+        if first {
+            self.cancel_others(id, no);
+        }
+        self.pause_if_full(id, no, client);
+        self.links.contains_key(&conn)
+    }
+
+    fn drop_body(&mut self, id: &RequestId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        self.bodies = self.bodies.saturating_sub(job.body_bytes());
+        if let Call::Passed(passed) = &mut job.call {
+            passed.body = Vec::new();
+        }
+    }
+
+    /// An answer goes on, or begins (true); none if this attempt is not, or no longer, the one that answers.
+    fn advance(&mut self, id: &RequestId, no: AttemptNo) -> Option<bool> {
+        let (now, wait) = (self.now, self.config.waits.stream);
+        let job = self.jobs.get_mut(id).filter(|j| !j.over())?;
         let index = no.0 as usize;
         let first = job.winner.is_none();
         if *job.winner.get_or_insert(index) != index {
-            return self.end_attempt(id, no, Outcome::Cancelled, 0);
+            self.end_attempt(id, no, Outcome::Cancelled, 0);
+            return None;
         }
-        let stream = job.call.stream;
+        let stream = job.call.stream();
         if let Some(attempt) = job.attempts.get_mut(index) {
             let timer = self.timers.set(now + wait, Due::Stream(id.clone(), no));
             if let Some(old) = attempt.stream_timer.replace(timer) {
@@ -602,18 +762,27 @@
                 self.events.push_back(Event::Streaming { id: id.clone(), attempt: no, elapsed });
             }
         }
-        if let Some(usage) = chunk.usage {
-            job.usage = usage;
-        }
-        job.stop_reason = chunk.stop_reason.or(job.stop_reason.take());
         if first {
             job.first_token = Some(now);
             // With the first token the state has moved, and whatever else was held goes by itself.
             job.held = None;
         }
+        Some(first)
+    }
+
+    /// A chunk of an answer, relayed as an event or kept for a whole answer.
+    fn chunk(&mut self, id: &RequestId, no: AttemptNo, chunk: Chunk) {
+        let most = self.config.bounds.answer_bytes;
+        let Some(first) = self.advance(id, no) else { return };
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let stream = job.call.stream();
+        if let Some(usage) = chunk.usage {
+            job.usage = usage;
+        }
+        job.stop_reason = chunk.stop_reason.or(job.stop_reason.take());
         job.pieces += u64::from(!chunk.text.is_empty());
         let client = job.client;
-        let model = if first { job.call.model.clone() } else { String::new() };
+        let model = if first { job.call.model() } else { String::new() };
         if !stream {
             job.text.push_str(&chunk.text);
             if job.text.len() > most {
@@ -632,9 +801,14 @@
         if first {
             self.cancel_others(id, no);
         }
+        self.pause_if_full(id, no, client);
+    }
+
+    /// A client takes its answer more slowly than it comes: its engine is not read for a while.
+    fn pause_if_full(&mut self, id: &RequestId, no: AttemptNo, client: ConnId) {
         if self.is_full(client) {
             let Some(job) = self.jobs.get_mut(id).filter(|j| !j.paused) else { return };
-            if let Some(conn) = job.attempts.get(index).and_then(|a| a.conn) {
+            if let Some(conn) = job.attempts.get(no.0 as usize).and_then(|a| a.conn) {
                 job.paused = true;
                 self.out.push(Output::Pause(conn));
                 self.watch_slow(client);
@@ -682,7 +856,7 @@
         if let (Outcome::Served, At::Pull, Some(kept)) = (outcome, at, job.kept_at_reader) {
             job.usage.kept_tokens = kept;
         }
-        let stream = job.call.stream;
+        let stream = job.call.stream();
         if let Some(conn) = conn {
             self.abort_link(conn);
         }
@@ -749,11 +923,14 @@
     /// The answer is whole.
     fn serve(&mut self, id: &RequestId) {
         let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over()) else { return };
-        let (client, usage, model) = (job.client, job.usage, job.call.model.clone());
+        let (client, usage, model) = (job.client, job.usage, job.call.model());
         let stop = job.stop_reason.clone().unwrap_or_else(|| "stop".into());
         let (stream, begun, text) =
-            (job.call.stream, matches!(job.answer, Answer::Begun), std::mem::take(&mut job.text));
+            (job.call.stream(), matches!(job.answer, Answer::Begun), std::mem::take(&mut job.text));
         self.give(id, Ended::Served, String::new());
+        if self.config.dialect.is_some() {
+            return self.end_passing(client);
+        }
         if stream {
             if !begun {
                 self.open_stream(client, id, &model);
@@ -769,7 +946,10 @@
         let Some(job) = self.jobs.get(id).filter(|j| !j.over()) else { return };
         let (client, begun) = (job.client, matches!(job.answer, Answer::Begun));
         self.give(id, ended, error.reason.clone());
-        if begun {
+        if begun && self.config.dialect.is_some() {
+            // What has begun and can't be ended well ends without its last chunk.
+            self.close_client(client);
+        } else if begun {
             self.end_stream(client, &ClientEvent::Broken { error });
         } else {
             self.answer_error(client, status, &error);
@@ -815,7 +995,9 @@
         let error =
             ErrorBody { kind: ErrorKind::Failed, reason, field: None, may_have_run, retry_after: None };
         self.client_left(id, Ended::ClientGone);
-        if begun {
+        if begun && self.config.dialect.is_some() {
+            self.close_client(client);
+        } else if begun {
             self.end_stream(client, &ClientEvent::Broken { error });
         } else {
             self.answer_error(client, 400, &error);
@@ -827,7 +1009,7 @@
         let owed = self
             .jobs
             .get(id)
-            .is_some_and(|j| matches!(j.answer, Answer::Owed) && (j.winner.is_none() || !j.call.stream));
+            .is_some_and(|j| matches!(j.answer, Answer::Owed) && (j.winner.is_none() || !j.call.stream()));
         if !owed {
             return;
         }
@@ -889,6 +1071,7 @@
         if !done {
             return;
         }
+        self.drop_body(id);
         let Some(job) = self.jobs.remove(id) else { return };
         if let Some(key) = job.backstop {
             self.timers.cancel(key);
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -5,9 +5,10 @@
 use chalkyard_policy::{Event, Micros};
 use chalkyard_proto::{encode, Decoder, Head, Part, Side, Start};
 
-use super::attempts::Job;
+use super::attempts::{Call, Job};
 use super::record::Ended;
 use super::{ConnId, Core, Due, Output};
+use crate::dialect::Heard;
 use crate::identity::{Identity, Repeat};
 use crate::timers::Key;
 
@@ -19,9 +20,6 @@
     Serving(p::RequestId),
 }
 
-/// A client that connected just before a drain has so long to begin its request.
-const JUST_COME: Micros = Micros(500_000);
-
 /// A client's connection.
 #[derive(Debug)]
 pub(super) struct Client {
@@ -39,6 +37,8 @@
     held_up: bool,
     /// It has had an answer: it may be closed between two requests, as it knows.
     used: bool,
+    /// When it came, its last request ended, or its present one began.
+    since: Micros,
 }
 
 impl Client {
@@ -58,7 +58,8 @@
 
 impl Core {
     pub(super) fn accepted(&mut self, conn: ConnId) {
-        if self.clients.len() >= self.config.bounds.clients || self.draining {
+        let full = self.clients.len() >= self.config.bounds.clients && !self.evict_client();
+        if full || (self.draining && self.config.dialect.is_none()) {
             let why = if self.draining { "draining" } else { "too many connections" };
             let body = error(ErrorKind::Refused, why).json();
             self.out.push(Output::Write(conn, encode::response(503, &[JSON], &body, false)));
@@ -75,9 +76,24 @@
             wrong: None,
             held_up: false,
             used: false,
+            since: self.now,
         };
         self.clients.insert(conn, client);
-        self.arm_client(conn, self.config.waits.idle);
+        self.arm_client(conn, self.config.waits.first);
+    }
+
+    /// Makes room for a client: of those that have no request open the one that has said nothing for longest goes,
+    /// first of those that never asked. A usual client asks soon after it has come.
+    fn evict_client(&mut self) -> bool {
+        if !self.config.bounds.evict {
+            return false;
+        }
+        let unserved = self.clients.iter().filter(|(_, c)| !matches!(c.phase, Phase::Serving(_)));
+        let first = unserved.min_by_key(|(_, c)| (!c.is_idle(), c.used, c.since)).map(|(id, _)| *id);
+        let Some(conn) = first else { return false };
+        self.drop_client(conn);
+        self.out.push(Output::Abort(conn));
+        true
     }
 
     /// Idle clients are closed; one that has just come is about to ask, and is heard first.
@@ -89,7 +105,7 @@
                 self.drop_client(conn);
                 self.out.push(Output::Close(conn));
             } else {
-                self.arm_client(conn, JUST_COME);
+                self.arm_client(conn, self.config.waits.just_come);
             }
         }
     }
@@ -104,6 +120,9 @@
 
     pub(super) fn drop_client(&mut self, conn: ConnId) -> Option<Client> {
         let client = self.clients.remove(&conn)?;
+        if let Phase::Body(_, body) = &client.phase {
+            self.bodies = self.bodies.saturating_sub(body.len() as u64);
+        }
         if let Some(key) = client.timer {
             self.timers.cancel(key);
         }
@@ -120,7 +139,7 @@
         }
     }
 
-    fn close_client(&mut self, conn: ConnId) {
+    pub(super) fn close_client(&mut self, conn: ConnId) {
         if self.drop_client(conn).is_some() {
             self.out.push(Output::Close(conn));
         }
@@ -141,7 +160,11 @@
             return;
         }
         if fresh {
-            self.arm_client(conn, self.config.waits.head);
+            client.since = self.now;
+            // A client's first request has no longer than was left of its time.
+            let left = client.timer.filter(|_| !client.used).map(|(due, _)| due - self.now);
+            let wait = self.config.waits.head;
+            self.arm_client(conn, left.map_or(wait, |left| left.min(wait)));
         }
         self.drive_client(conn);
     }
@@ -175,13 +198,25 @@
                 }
                 Ok(Some(Part::Data(data))) => {
                     if let Phase::Body(_, body) = &mut client.phase {
+                        self.bodies += data.len() as u64;
                         body.extend(data);
                     }
+                    if self.bodies > self.config.bounds.bodies {
+                        if let Phase::Body(_, body) = std::mem::replace(&mut client.phase, Phase::Head) {
+                            self.bodies = self.bodies.saturating_sub(body.len() as u64);
+                        }
+                        self.note(
+                            "bodies",
+                            "more bytes of requests than may wait; one is turned away".into(),
+                        );
+                        self.answer_error(conn, 503, &error(ErrorKind::Refused, "too much to read at once"));
+                        return self.close_client(conn);
+                    }
                 }
                 Ok(Some(Part::End)) => {
                     if let Phase::Body(head, body) = std::mem::replace(&mut client.phase, Phase::Head) {
                         client.last |= !head.keep_alive;
-                        self.begin(conn, &head, &body);
+                        self.begin(conn, &head, body);
                     }
                 }
                 Ok(None) => return,
@@ -195,8 +230,17 @@
     }
 
     /// Takes a whole request, or refuses it before anything has run.
-    fn begin(&mut self, conn: ConnId, head: &Head, body: &[u8]) {
-        let (status, body) = match self.check(conn, head, body) {
+    fn begin(&mut self, conn: ConnId, head: &Head, body: Vec<u8>) {
+        self.bodies = self.bodies.saturating_sub(body.len() as u64);
+        let checked = match self.config.dialect.clone() {
+            Some(dialect) => {
+                let arrived = self.clients.get(&conn).map_or(self.now, |c| c.since);
+                let heard = dialect.hear(arrived, head, body);
+                self.check_heard(conn, heard)
+            }
+            None => self.check(conn, head, &body),
+        };
+        let (status, body) = match checked {
             Ok(job) => return self.take(conn, job),
             Err((status, body)) => (status, body),
         };
@@ -217,12 +261,32 @@
                 self.timers.cancel(key);
             }
         }
+        self.bodies += job.body_bytes();
         let last_call = job.request.deadline + self.config.policy.answer_slack;
         job.backstop = Some(self.timers.set(last_call, Due::Overdue(id.clone())));
         self.jobs.insert(id, job);
         self.events.push_back(Event::Request(request));
     }
 
+    /// What a dialect heard, and what only the core knows: ids that are open, and bounds.
+    fn check_heard(&mut self, conn: ConnId, heard: Heard) -> Result<Job, (u16, ErrorBody)> {
+        let (request, passed) = match heard {
+            Heard::Ready if self.draining => {
+                return Err((503, error(ErrorKind::Refused, "this router is stopping")))
+            }
+            Heard::Ready => return Err((200, error(ErrorKind::Invalid, ""))),
+            Heard::Wrong(status, why) => return Err((status, error(ErrorKind::Invalid, why))),
+            Heard::Call(request, passed) => (*request, passed),
+        };
+        if self.jobs.contains_key(&request.id) {
+            return Err((409, error(ErrorKind::Duplicate, "a request under this id is open here")));
+        }
+        if self.jobs.len() >= self.config.bounds.open {
+            return Err((503, error(ErrorKind::Refused, "too many open requests")));
+        }
+        Ok(Job::new(conn, request, Call::Passed(passed), None, self.now))
+    }
+
     /// Checks a request; an error names the field and the reason. Status 200 answers a health call.
     fn check(&mut self, conn: ConnId, head: &Head, body: &[u8]) -> Result<Job, (u16, ErrorBody)> {
         let no = |status: u16, kind: ErrorKind, why: &str| Err((status, error(kind, why)));
@@ -336,7 +400,7 @@
             deadline: self.now + (asked - self.config.waits.reply_margin.min(asked.mul_f64(0.5))),
             came_back: call.came_back,
         };
-        Job::new(conn, request, call, identity, self.now)
+        Job::new(conn, request, Call::Messages(Box::new(call)), identity, self.now)
     }
 
     fn keeps(&self, conn: ConnId) -> bool {
@@ -345,7 +409,13 @@
 
     pub(super) fn answer_error(&mut self, conn: ConnId, status: u16, body: &ErrorBody) {
         let keep = self.keeps(conn);
-        let after = body.retry_after.map(|s| format!("{}", s.ceil()));
+        // Decimal seconds where a dialect knows them, else whole ones.
+        let decimal = self.config.dialect.is_some();
+        let after =
+            body.retry_after.map(|s| if decimal { format!("{s:.3}") } else { format!("{}", s.ceil()) });
+        // Only what may be tried again without harm is worded so.
+        let refused = body.kind == ErrorKind::Refused || !decimal;
+        let status = if refused || !matches!(status, 429 | 503) { status } else { 500 };
         let mut fields = vec![JSON];
         if let Some(after) = &after {
             fields.push(("retry-after", after));
@@ -360,6 +430,7 @@
         let Some(client) = self.clients.get_mut(&conn) else { return };
         client.phase = Phase::Head;
         client.used = true;
+        client.since = self.now;
         if !keep && client.wrong.is_none() {
             return self.close_client(conn);
         }
@@ -393,6 +464,23 @@
         self.answered(conn);
     }
 
+    /// Bytes of a stream as they came, after a head if it begins.
+    pub(super) fn pass_on(&mut self, conn: ConnId, first: bool, data: &[u8]) {
+        let mut bytes = Vec::with_capacity(data.len() + 192);
+        if first {
+            let fields = [("content-type", "text/event-stream"), ("cache-control", "no-store")];
+            bytes = encode::chunked_head(200, &fields, self.keeps(conn));
+        }
+        encode::chunk(&mut bytes, data);
+        self.write_client(conn, bytes);
+    }
+
+    /// The stream that was passed on has ended well.
+    pub(super) fn end_passing(&mut self, conn: ConnId) {
+        self.write_client(conn, encode::LAST_CHUNK.to_vec());
+        self.answered(conn);
+    }
+
     pub(super) fn whole_answer(&mut self, conn: ConnId, id: &p::RequestId, answer: &client::WholeAnswer<'_>) {
         let body = serde_json::to_vec(answer).unwrap_or_default();
         let keep = self.keeps(conn);
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -60,6 +60,8 @@
     Retune(Box<Tuned>),
     /// The life before has ended a request that it had taken.
     Inherited(Box<Settled>),
+    /// The list of workers comes from there from now on.
+    Register(SocketAddr),
     /// The life before is over.
     InheritedAll,
 }
@@ -110,6 +112,7 @@
     Overdue(p::RequestId),
     Release(p::RequestId, p::WorkerId, Micros),
     Register(ConnId),
+    Watch,
 }
 
 /// Called with each event given to the module and the actions that came back.
@@ -136,6 +139,10 @@
     keeper: Option<Keeper>,
     held: register::Held,
     register: Option<ConnId>,
+    /// The newest version of the list, where a dialect reads it.
+    version: Option<u64>,
+    /// Bytes of request bodies that came and may still have to be sent.
+    bodies: u64,
     /// When a change was last found to be lost.
     gap: Option<Micros>,
     next_link: u64,
@@ -170,6 +177,8 @@
             keeper: None,
             held: register::Held::default(),
             register: None,
+            version: None,
+            bodies: 0,
             gap: None,
             next_link: 1,
             next_request: 0,
@@ -187,7 +196,17 @@
     /// Starts: the list of the last life, if any, is told as stale, and the register is asked.
     pub fn start(&mut self, now: Micros, last_list: Option<&str>, out: &mut Vec<Output>) {
         self.now = now;
-        let stale = last_list.map(|text| self.held.snapshot(text, &self.config));
+        let dialect = self.config.dialect.clone();
+        let stale = last_list.map(|text| match &dialect {
+            Some(dialect) => {
+                let list = dialect.list(text.as_bytes()).map_err(register::Wrong::Malformed);
+                list.map(|list| {
+                    self.version = Some(list.version);
+                    list.workers
+                })
+            }
+            None => self.held.snapshot(text, &self.config),
+        });
         let workers = match stale {
             Some(Ok(named)) => {
                 self.has_list = true;
@@ -230,6 +249,7 @@
             Input::Replan(plan) => self.replan(*plan),
             Input::Retune(tuned) => self.retune(*tuned),
             Input::Inherited(settled) => self.inherited(&settled),
+            Input::Register(address) => self.move_register(address),
             Input::InheritedAll => self.inherited_all(),
         }
         while let Some(due) = self.timers.pop(self.now) {
@@ -245,6 +265,11 @@
         self.timers.next_due()
     }
 
+    /// Goes on taking requests for now, but says with each answer that the connection closes, and is not ready any more.
+    pub fn leave(&mut self) {
+        self.draining = true;
+    }
+
     /// Takes no new requests; what is open goes on. Idle clients are closed, those that have just come are heard first.
     pub fn drain(&mut self, now: Micros, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
@@ -328,6 +353,7 @@
             Due::Overdue(id) => self.overdue(&id),
             Due::Release(id, worker, since) => self.release_at(id, worker, since),
             Due::Register(conn) => self.register_due(conn),
+            Due::Watch => self.watch_register(),
         }
     }
 
--- a/crates/router/src/core/pool.rs
+++ b/crates/router/src/core/pool.rs
@@ -37,6 +37,8 @@
     Rest,
     /// Watches the register.
     Watch(Box<chalkyard_proto::sse::Reader>),
+    /// Asks for news of the list again and again; the answer so far.
+    Poll(Vec<u8>),
 }
 
 /// A connection of ours.
@@ -49,6 +51,10 @@
     pub waiting: Option<Vec<u8>>,
     /// Bytes of the present call that the system has taken; none means that it was not sent.
     pub wrote: u64,
+    /// Bytes of the present call in all.
+    pub size: u64,
+    /// The engine closes after the present reply.
+    pub last: bool,
     pub timer: Option<Key>,
 }
 
@@ -70,17 +76,28 @@
             }
             link.task = task;
             link.wrote = 0;
+            link.size = bytes.len() as u64;
             self.out.push(Output::Write(conn, bytes));
             return Some(conn);
         }
         if engine.open >= most {
             return None;
         }
-        engine.open += 1;
         let address = engine.address;
+        if self.links.len() >= self.config.bounds.links + spare && !self.close_oldest_idle() {
+            return None;
+        }
+        self.engines.get_mut(worker)?.open += 1;
         Some(self.connect(Some(worker.clone()), address, task, bytes))
     }
 
+    /// Makes room for a connection to an engine; false: all are in use.
+    fn close_oldest_idle(&mut self) -> bool {
+        let oldest = self.engines.values().filter_map(|e| e.idle.first());
+        let oldest = oldest.min_by_key(|conn| self.links.get(conn).and_then(|l| l.timer)).copied();
+        oldest.map(|conn| self.abort_link(conn)).is_some()
+    }
+
     pub(super) fn connect(
         &mut self,
         worker: Option<p::WorkerId>,
@@ -92,7 +109,17 @@
         self.next_link += 2;
         let timer = self.timers.set(self.now + self.config.waits.connect, Due::Connect(conn));
         let decoder = Decoder::new(Side::Response, self.config.bounds.engine);
-        let link = Link { worker, decoder, task, waiting: Some(bytes), wrote: 0, timer: Some(timer) };
+        let size = bytes.len() as u64;
+        let link = Link {
+            worker,
+            decoder,
+            task,
+            waiting: Some(bytes),
+            wrote: 0,
+            size,
+            last: false,
+            timer: Some(timer),
+        };
         self.links.insert(conn, link);
         self.out.push(Output::Connect(conn, address));
         conn
@@ -106,7 +133,7 @@
         let bytes = link.waiting.take();
         match link.task {
             Task::Idle => self.park(conn),
-            Task::Watch(_) => {
+            Task::Watch(_) | Task::Poll(_) => {
                 let timer = self.timers.set(self.now + self.config.waits.register, Due::Register(conn));
                 if let Some(link) = self.links.get_mut(&conn) {
                     link.timer = Some(timer);
@@ -121,9 +148,9 @@
         }
     }
 
-    /// Bounds what follows on a connection by the connect time, in which small calls are answered.
+    /// Bounds what follows on a connection by the time in which small calls are answered.
     pub(super) fn limit(&mut self, conn: ConnId) {
-        let timer = self.timers.set(self.now + self.config.waits.connect, Due::Connect(conn));
+        let timer = self.timers.set(self.now + self.config.waits.release, Due::Connect(conn));
         if let Some(link) = self.links.get_mut(&conn) {
             if let Some(key) = link.timer.replace(timer) {
                 self.timers.cancel(key);
@@ -152,7 +179,8 @@
             self.timers.cancel(key);
         }
         let engine = link.worker.as_ref().and_then(|w| self.engines.get_mut(w));
-        let engine = engine.filter(|e| e.listed && e.idle.len() < most && link.decoder.is_idle());
+        let engine =
+            engine.filter(|e| e.listed && e.idle.len() < most && link.decoder.is_idle() && !link.last);
         let Some(engine) = engine else { return self.abort_link(conn) };
         engine.idle.push(conn);
         link.task = Task::Idle;
--- a/crates/router/src/core/sources.rs
+++ b/crates/router/src/core/sources.rs
@@ -7,10 +7,13 @@
 
 use super::pool::{Engine, Task};
 use super::{ConnId, Core, Due, Output};
+use crate::dialect::List;
 use crate::register::{Named, Wrong};
 
 /// Bytes of a list.
 const LIST_BYTES: usize = 16 * 1024 * 1024;
+/// The list's source is asked again so long after a call to it failed.
+const ASK_PAUSE: p::Micros = p::Micros(100_000);
 
 pub(super) fn report(header: Option<&str>) -> Option<p::Report> {
     let load = engine::load(header?)?;
@@ -61,6 +64,12 @@
     }
 
     pub(super) fn watch_register(&mut self) {
+        if let Some(dialect) = self.config.dialect.clone() {
+            let Some(address) = self.config.register.filter(|_| self.register.is_none()) else { return };
+            let bytes = dialect.watch(self.version, &address.to_string());
+            self.register = Some(self.connect(None, address, Task::Poll(Vec::new()), bytes));
+            return;
+        }
         if let Some(old) = self.register.take() {
             self.abort_link(old);
         }
@@ -68,9 +77,82 @@
         self.register = self.register_call("/v1/workers?watch=1", Task::Watch(reader));
     }
 
-    /// The register is lost: the module says when it is asked again.
+    /// The list's source has moved.
+    pub(super) fn move_register(&mut self, address: std::net::SocketAddr) {
+        self.config.register = Some(address);
+        if let Some(old) = self.register.take() {
+            self.abort_link(old);
+        }
+        self.watch_register();
+    }
+
+    /// Notes what a dialect has read; gives what the module is told.
+    pub(super) fn read_list(&mut self, list: List) -> (Vec<p::Worker>, p::ListKind) {
+        for wrong in &list.wrong {
+            self.note("list", format!("an entry is left out: {wrong}"));
+        }
+        self.has_list = true;
+        self.version = Some(list.version);
+        let kind = if list.whole { p::ListKind::Full } else { p::ListKind::Changes };
+        let most = self.config.bounds.workers;
+        let workers = list.workers.into_iter().take(most).collect();
+        (self.learn(workers, list.whole), kind)
+    }
+
+    /// A part of the answer to a call for news; true: it goes on.
+    pub(super) fn poll_part(&mut self, conn: ConnId, part: Part) -> bool {
+        let Some(dialect) = self.config.dialect.clone() else { return false };
+        let Some(link) = self.links.get_mut(&conn) else { return false };
+        let Task::Poll(body) = &mut link.task else { return false };
+        match part {
+            Part::Head(head) if head.start == (Start::Response { status: 200 }) => return true,
+            Part::Data(data) if body.len() + data.len() <= LIST_BYTES => {
+                body.extend(data);
+                return true;
+            }
+            Part::Head(_) | Part::Data(_) => {
+                self.abort_link(conn);
+                self.register_lost();
+                return false;
+            }
+            Part::End => {}
+        }
+        let (body, last) = (std::mem::take(body), link.last);
+        match dialect.list(&body) {
+            Ok(list) => {
+                let (workers, kind) = self.read_list(list);
+                if kind == p::ListKind::Full || !workers.is_empty() {
+                    self.events.push_back(Event::Workers { kind, workers });
+                }
+            }
+            Err(why) => {
+                self.note("list", format!("not taken: {why}"));
+                self.abort_link(conn);
+                self.register_lost();
+                return false;
+            }
+        }
+        // The next call follows at once: a gap would begin another watch.
+        if last {
+            self.abort_link(conn);
+            self.register = None;
+            self.watch_register();
+            return false;
+        }
+        let host = self.config.register.map(|a| a.to_string()).unwrap_or_default();
+        let bytes = dialect.watch(self.version, &host);
+        self.out.push(Output::Write(conn, bytes));
+        self.alive(conn);
+        true
+    }
+
+    /// The register is lost: the module says when it is asked again, or, of a dialect's source, the core.
     pub(super) fn register_lost(&mut self) {
         self.register = None;
+        if self.config.dialect.is_some() {
+            self.timers.set(self.now + ASK_PAUSE, Due::Watch);
+            return;
+        }
         self.events.push_back(Event::Workers { kind: p::ListKind::Failed, workers: Vec::new() });
         self.note("register", "lost or not reached; the list held stays".into());
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod config;
 mod core;
+pub mod dialect;
 mod identity;
 mod register;
 pub mod shell;
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -33,7 +33,7 @@
 const ACCEPTS_A_TURN: usize = 64;
 /// A connection that is closed has this long to take what is left, and to close its side.
 const LINGER: Duration = Duration::from_secs(2);
-/// So many at most may linger; more are cut.
+/// So many at most may linger, if not told otherwise; more are cut.
 const LINGERING: usize = 1_024;
 /// Budget figures are told so often.
 const FIGURES: Duration = Duration::from_secs(60);
@@ -240,6 +240,7 @@
     dirty: BTreeSet<usize>,
     again: VecDeque<usize>,
     lingering: usize,
+    may_linger: usize,
     /// When lingering ones are cut, in order: all linger for the same span.
     cuts: VecDeque<(Instant, usize, ConnId)>,
     accept_at: Option<Instant>,
@@ -324,6 +325,7 @@
             dirty: BTreeSet::new(),
             again: VecDeque::new(),
             lingering: 0,
+            may_linger: LINGERING,
             cuts: VecDeque::new(),
             accept_at: None,
             next_client: 2,
@@ -337,6 +339,11 @@
         })
     }
 
+    /// Bounds the connections that linger.
+    pub fn bound_lingering(&mut self, most: usize) {
+        self.may_linger = most;
+    }
+
     /// A handle to speak to the loop.
     pub fn handle(&self) -> Handle {
         self.handle.clone()
@@ -442,6 +449,7 @@
                 let event = if self.listen() { LifeEvent::Listening } else { LifeEvent::ListenFailed };
                 self.live(event);
             }
+            Act::Leave => self.core.leave(),
             Act::StopTaking { .. } => {
                 self.listener = None;
                 self.accept_at = None;
@@ -655,7 +663,7 @@
 
     fn close(&mut self, id: ConnId) {
         let Some(key) = self.by_id.get(&id).copied() else { return };
-        if self.lingering >= LINGERING {
+        if self.lingering >= self.may_linger {
             self.remove(key);
             return;
         }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -69,6 +69,7 @@
         register: None,
         bounds: Bounds::default(),
         waits: Waits::default(),
+        dialect: None,
     }
 }
 
--- a/crates/state/src/lifecycle.rs
+++ b/crates/state/src/lifecycle.rs
@@ -10,6 +10,8 @@
 pub struct Terms {
     /// The router listens without a list of engines after this.
     pub start: u64,
+    /// Told to end, it takes requests for so long yet: others hear of it only by then. 0: not at all.
+    pub leave: u64,
     /// A drain waits for open requests so long.
     pub drain: u64,
     /// Last answers have so long to leave.
@@ -54,6 +56,8 @@
     SayReloading,
     /// Tell it that the router stops.
     SayStopping,
+    /// Go on taking requests, but with each answer say that its connection closes.
+    Leave,
     /// Take no new connections and requests; what is open goes on. `for_good`: the listening socket may go.
     StopTaking {
         /// It will not be undone.
@@ -109,6 +113,8 @@
     Ready,
     /// Not taking any by an operator's wish; may be undone.
     Drained,
+    /// Told to end, and taking what still comes.
+    Leaving,
     /// Ending: open requests go on.
     Ending,
     /// Last answers leave.
@@ -154,7 +160,7 @@
 
     /// Takes an event.
     pub fn handle(&mut self, now: u64, event: Event, acts: &mut Vec<Act>) {
-        let Terms { drain, farewell, .. } = self.terms;
+        let Terms { leave, drain, farewell, .. } = self.terms;
         let late = self.until.is_some_and(|at| at <= now);
         match (self.phase, event) {
             (Phase::Over, _) => {}
@@ -187,6 +193,15 @@
                 self.enter(Phase::Ready, None);
                 acts.push(Act::TakeAgain);
             }
+            (Phase::Ready, Event::Terminate) if leave > 0 => {
+                self.enter(Phase::Leaving, Some(now.saturating_add(leave)));
+                acts.extend([Act::SayStopping, Act::Leave]);
+            }
+            (Phase::Leaving, Event::Tick) if late => {
+                self.enter(Phase::Ending, Some(now.saturating_add(drain)));
+                acts.push(Act::StopTaking { for_good: true });
+            }
+            (Phase::Leaving, Event::Terminate) => self.part(Stop::Told, now, farewell, acts),
             (Phase::Ready | Phase::Drained, Event::Terminate | Event::Succeeded) => {
                 self.enter(Phase::Ending, Some(now.saturating_add(drain)));
                 acts.extend([Act::SayStopping, Act::StopTaking { for_good: true }]);
--- a/crates/state/src/lifecycle_test.rs
+++ b/crates/state/src/lifecycle_test.rs
@@ -64,6 +64,7 @@
                 assert!(none_taken || by_itself || self.answered, "left without an answer: {path:?}");
                 assert_eq!(stop.code() == 0, stop == Stop::Drained);
             }
+            Act::Leave => assert!(self.taking && !self.for_good, "{path:?}"),
             Act::SayReloading | Act::SayStopping => {}
         }
     }
@@ -101,11 +102,13 @@
 
 #[test]
 fn all_orders_of_events() {
-    let life = Life::new(Terms { start: 5, drain: 10, farewell: 2 }, 0);
-    let mut phases = BTreeSet::new();
-    walk(&life, &Seen::default(), 0, &mut Vec::new(), 9, &mut phases);
     use Phase::*;
-    let moves: Vec<(Phase, Phase)> = phases.into_iter().filter(|(a, b)| a != b).collect();
+    let moves = |leave| {
+        let life = Life::new(Terms { start: 5, leave, drain: 10, farewell: 2 }, 0);
+        let mut phases = BTreeSet::new();
+        walk(&life, &Seen::default(), 0, &mut Vec::new(), 9, &mut phases);
+        phases.into_iter().filter(|(a, b)| a != b).collect::<Vec<(Phase, Phase)>>()
+    };
     let expected = [
         (Starting, Opening),
         (Starting, Over),
@@ -121,13 +124,17 @@
         (Ending, Over),
         (Farewell, Over),
     ];
-    assert_eq!(moves, expected);
+    assert_eq!(moves(0), expected);
+    // One that leaves slowly takes what still comes before it ends.
+    let slowly = moves(3);
+    let more: Vec<_> = slowly.iter().filter(|m| !expected.contains(m)).copied().collect();
+    assert_eq!(more, [(Ready, Leaving), (Leaving, Ending), (Leaving, Farewell), (Leaving, Over)]);
 }
 
 #[test]
 fn a_second_signal_and_the_drains_time_end_it_with_their_own_codes() {
     let end = |events: &[(u64, Event)]| {
-        let mut life = Life::new(Terms { start: 5, drain: 10, farewell: 2 }, 0);
+        let mut life = Life::new(Terms { start: 5, leave: 0, drain: 10, farewell: 2 }, 0);
         let mut acts = Vec::new();
         for (now, event) in events {
             life.handle(*now, *event, &mut acts);
