A leaving router moves its streams on evenly; one that came back is not refused for load

Each request was logged: at the end of a planned restart all streams broke at once and came back to the other router, which refused them for load, or, while both were down, found none.

Checked: the arrivals of requests that came back, by router and time. Ruled out: the new discovery address (no failure near SIGHUP), connections crossing a close (0 sent again).

--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -45,6 +45,7 @@
             target: "request",
             id = r.id,
             class = r.class,
+            came_back = r.came_back,
             tenant = r.tenant,
             identity = r.identity,
             ended = ended.trim_matches('"'),
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -21,9 +21,10 @@
 const FILE: &str = "GW_CONFIG";
 /// Without any list of workers the router listens after this, µs.
 const START: u64 = 3_000_000;
-/// Told to end, it takes what still comes for so long: new connections come for 0.4 s, and what arrives later than 0.7 s
-/// must have ended when the process is killed.
+/// Told to end, it takes what still comes for so long, µs: new connections come for 0.4 s, and what arrives later than
+/// 0.7 s must have its answer when the process is killed, which streams can't where they may not move.
 const LEAVE: u64 = 500_000;
+const LEAVE_MOVING: u64 = 1_500_000;
 /// Open requests go on for so long; by then the platform has killed the process.
 const DRAIN: u64 = 60_000_000;
 /// Last answers have so long to leave, µs.
@@ -87,7 +88,7 @@
 
 /// Runs a router. SIGTERM or SIGINT ends it once all that is open has ended; SIGHUP has the configuration read again.
 pub fn platform(file: Option<PathBuf>) -> Result<ExitCode, Trouble> {
-    logs::start("info,request=off");
+    logs::start("info");
     let none = || Trouble::BadInput(format!("{FILE} names no configuration; give its file"));
     let file = file.or_else(|| std::env::var_os(FILE).map(PathBuf::from)).ok_or_else(none)?;
     let started = read(&file).map_err(Trouble::BadInput)?;
@@ -97,12 +98,13 @@
     let clock = Clock::new();
     let mut config = started.config;
     config.policy.tick = config.policy.tick.max(granularity());
+    let leave = if config.waits.leaving.is_some() { LEAVE_MOVING } else { LEAVE };
     let place = Place::take(started.listen, false);
     let place = place.map_err(|e| could_not(&format!("listening at {}", started.listen), e))?;
     let core = Core::new(config, started.seed.unwrap_or(clock.now().0), clock.now());
     let (sender, news) = sync_channel(WAITING);
     let told = Told { log: logs::Log { list_file: None }, file, sender, news };
-    let terms = Terms { start: START, leave: LEAVE, drain: DRAIN, farewell: FAREWELL };
+    let terms = Terms { start: START, leave, drain: DRAIN, farewell: FAREWELL };
     let mut shell = Shell::new(core, told, clock, place, terms).map_err(|e| could_not("starting", e))?;
     shell.bound_lingering(started.lingering);
     let handle = shell.handle();
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -137,6 +137,8 @@
             idle: ms(15_000),
             first: ms(2_500),
             release: ms(150),
+            // The process is killed 3.7 s after it is told to end, at the soonest.
+            leaving: policy.resume.then_some((ms(1_800), ms(3_300))),
             just_come: ms(100),
             // Well under the told time: a call that crosses the engine's close is lost.
             engine_idle: idle.mul_f64(0.5).min(ms(10_000)),
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -463,7 +463,8 @@
         let seldom = self.seldom();
         let turned = seldom && self.coin(&*job.req.id.0, "") < self.pressure() / most - SELDOM_FELT;
         let jam = turned || (!seldom && felt && self.forecast() > self.tightest().mul_f64(most));
-        if jam || (doomed && self.local(&job).is_none()) {
+        // What has begun for its client and broke off is not given up for load: its worth is nearly earned.
+        if !job.req.came_back && (jam || (doomed && self.local(&job).is_none())) {
             self.finish(job, out);
         } else {
             self.settle(job, out);
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -104,6 +104,9 @@
     pub first: p::Micros,
     /// For the answer to a call to let go.
     pub release: p::Micros,
+    /// From when to when after it is told to leave a router moves its streams on, evenly, where clients ask for the rest:
+    /// all of them at once, at its end, would jam the others. What it takes while it leaves is answered by then.
+    pub leaving: Option<(p::Micros, p::Micros)>,
     /// When no new requests are taken any more, a client that has just come still has so long to begin its first.
     pub just_come: p::Micros,
     /// An engine connection without one; under the engines' own.
@@ -130,6 +133,7 @@
             idle: ms(60_000),
             first: ms(60_000),
             release: ms(250),
+            leaving: None,
             just_come: ms(500),
             engine_idle: ms(10_000),
             connect: ms(250),
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -25,6 +25,9 @@
 /// time lasts; then the engine's own time-out is left to it.
 const RELEASE_PAUSE: Micros = Micros(30_000);
 
+/// Streams of a leaving router are moved on so often.
+const LEAVING_STEP: Micros = Micros(50_000);
+
 /// What an attempt is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum At {
@@ -381,6 +384,19 @@
         self.end_attempt(id, AttemptNo(no as u32), Outcome::Cancelled, 0);
     }
 
+    /// A part of the streams moves on, those that began last first: the others are more likely to end by themselves.
+    pub(super) fn leaving_due(&mut self) {
+        let Some((left, (_, until))) = self.left.zip(self.config.waits.leaving) else { return };
+        let begun = self.jobs.iter().filter(|(_, j)| matches!(j.answer, Answer::Begun));
+        let mut begun: Vec<(Micros, RequestId)> = begun.map(|(id, j)| (j.arrived, id.clone())).collect();
+        begun.sort_unstable_by(|a, b| b.cmp(a));
+        let steps = ((left + until - self.now).0 / LEAVING_STEP.0).max(1) as usize;
+        for (_, id) in begun.iter().take(begun.len().div_ceil(steps)) {
+            self.move_on(id);
+        }
+        self.timers.set(self.now + LEAVING_STEP, Due::Leaving);
+    }
+
     pub(super) fn let_go(&mut self, id: &RequestId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         if let Some((worker, _)) = job.held.take() {
@@ -1088,6 +1104,7 @@
         let finished = Finished {
             id: id.0.to_string(),
             class: self.config.classes.get(job.request.class.0).map(|c| c.name.clone()).unwrap_or_default(),
+            came_back: job.request.came_back,
             tenant: job.request.tenant.and_then(|t| name(t.0)),
             identity: job.identity.map(|(_, key)| key),
             ended,
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -270,14 +270,18 @@
 
     /// What a dialect heard, and what only the core knows: ids that are open, and bounds.
     fn check_heard(&mut self, conn: ConnId, heard: Heard) -> Result<Job, (u16, ErrorBody)> {
-        let (request, passed) = match heard {
-            Heard::Ready if self.draining => {
+        let (mut request, passed) = match heard {
+            Heard::Ready if self.draining || self.left.is_some() => {
                 return Err((503, error(ErrorKind::Refused, "this router is stopping")))
             }
             Heard::Ready => return Err((200, error(ErrorKind::Invalid, ""))),
             Heard::Wrong(status, why) => return Err((status, error(ErrorKind::Invalid, why))),
             Heard::Call(request, passed) => (*request, passed),
         };
+        // What a leaving router takes has its answer before the process ends.
+        if let Some((left, (_, until))) = self.left.zip(self.config.waits.leaving) {
+            request.deadline = request.deadline.min(left + until);
+        }
         if self.jobs.contains_key(&request.id) {
             return Err((409, error(ErrorKind::Duplicate, "a request under this id is open here")));
         }
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -113,6 +113,7 @@
     Release(p::RequestId, p::WorkerId, Micros),
     Register(ConnId),
     Watch,
+    Leaving,
 }
 
 /// Called with each event given to the module and the actions that came back.
@@ -148,6 +149,8 @@
     next_link: u64,
     next_request: u64,
     draining: bool,
+    /// Told to leave, and when.
+    left: Option<Micros>,
     /// A list of engines is known.
     has_list: bool,
     observer: Option<Observer>,
@@ -183,6 +186,7 @@
             next_link: 1,
             next_request: 0,
             draining: false,
+            left: None,
             has_list: false,
             observer: None,
         }
@@ -265,9 +269,13 @@
         self.timers.next_due()
     }
 
-    /// Goes on taking requests for now, but says with each answer that the connection closes, and is not ready any more.
-    pub fn leave(&mut self) {
-        self.draining = true;
+    /// Is not ready any more, but goes on taking what still comes: others hear of it only by and by.
+    pub fn leave(&mut self, now: Micros) {
+        self.now = self.now.max(now);
+        self.left = Some(self.now);
+        if let Some((from, _)) = self.config.waits.leaving {
+            self.timers.set(self.now + from, Due::Leaving);
+        }
     }
 
     /// Takes no new requests; what is open goes on. Idle clients are closed, those that have just come are heard first.
@@ -354,6 +362,7 @@
             Due::Release(id, worker, since) => self.release_at(id, worker, since),
             Due::Register(conn) => self.register_due(conn),
             Due::Watch => self.watch_register(),
+            Due::Leaving => self.leaving_due(),
         }
     }
 
--- a/crates/router/src/core/record.rs
+++ b/crates/router/src/core/record.rs
@@ -49,6 +49,8 @@
     pub id: String,
     /// Class.
     pub class: String,
+    /// The client came back for the rest of a stream.
+    pub came_back: bool,
     /// Tenant.
     pub tenant: Option<String>,
     /// The client's identity for it.
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -449,7 +449,7 @@
                 let event = if self.listen() { LifeEvent::Listening } else { LifeEvent::ListenFailed };
                 self.live(event);
             }
-            Act::Leave => self.core.leave(),
+            Act::Leave => self.core.leave(self.clock.now()),
             Act::StopTaking { .. } => {
                 self.listener = None;
                 self.accept_at = None;
--- a/crates/state/src/lifecycle.rs
+++ b/crates/state/src/lifecycle.rs
@@ -56,7 +56,7 @@
     SayReloading,
     /// Tell it that the router stops.
     SayStopping,
-    /// Go on taking requests, but with each answer say that its connection closes.
+    /// Be ready no more, but go on taking what still comes.
     Leave,
     /// Take no new connections and requests; what is open goes on. `for_good`: the listening socket may go.
     StopTaking {
