--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -7,13 +7,16 @@
 use tracing::{info, warn};
 use tracing_subscriber::EnvFilter;
 
+/// The environment's word for the level.
+pub const LEVEL_NAME: &str = "CHALKYARD_LOG";
+
 /// Takes another filter while the process runs.
 type SetLevel = Box<dyn Fn(EnvFilter) -> Result<(), String> + Send + Sync>;
 static LEVEL: OnceLock<SetLevel> = OnceLock::new();
 
 /// Starts logging for this process, at this level if the environment names none.
 pub fn start(level: &str) {
-    let filter = EnvFilter::try_from_env("CHALKYARD_LOG").unwrap_or_else(|_| EnvFilter::new(level));
+    let filter = EnvFilter::try_from_env(LEVEL_NAME).unwrap_or_else(|_| EnvFilter::new(level));
     let lines = tracing_subscriber::fmt().json().flatten_event(true).with_current_span(false);
     let lines = lines.with_writer(std::io::stderr).with_env_filter(filter).with_filter_reloading();
     let handle = lines.reload_handle();
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -9,7 +9,7 @@
 
 use chalkyard_platform::Started;
 use chalkyard_router::shell::{granularity, Clock, News, Place, Shell, Sink};
-use chalkyard_router::{Core, Finished, Input};
+use chalkyard_router::{Core, Ended, Finished, Input};
 use chalkyard_state::{Act, Event, Terms};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -34,14 +34,19 @@
 
 struct Told {
     log: logs::Log,
+    /// Each request is told.
+    all: bool,
     file: PathBuf,
     sender: SyncSender<News>,
     news: Receiver<News>,
 }
 
 impl Sink for Told {
+    /// What was served or refused is no news, and what a client leaves is its own.
     fn finished(&mut self, record: Finished) {
-        self.log.finished(&record);
+        if self.all || !matches!(record.ended, Ended::Served | Ended::Refused | Ended::ClientGone) {
+            self.log.finished(&record);
+        }
     }
 
     fn note(&mut self, what: &str, text: &str) {
@@ -103,7 +108,8 @@
     let place = place.map_err(|e| could_not(&format!("listening at {}", started.listen), e))?;
     let core = Core::new(config, started.seed.unwrap_or(clock.now().0), clock.now());
     let (sender, news) = sync_channel(WAITING);
-    let told = Told { log: logs::Log { list_file: None }, file, sender, news };
+    let all = std::env::var_os(logs::LEVEL_NAME).is_some();
+    let told = Told { log: logs::Log { list_file: None }, all, file, sender, news };
     let terms = Terms { start: START, leave, drain: DRAIN, farewell: FAREWELL };
     let mut shell = Shell::new(core, told, clock, place, terms).map_err(|e| could_not("starting", e))?;
     shell.bound_lingering(started.lingering);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -39,7 +39,7 @@
 /// Descriptors that are no connections: standard streams, the loop's own, listening, discovery.
 const OWN_SOCKETS: usize = 20;
 /// The fewest descriptors and the least memory with which a router can serve.
-const SOCKETS_LEAST: usize = 64;
+const SOCKETS_LEAST: usize = 128;
 const MEMORY_LEAST_MB: f64 = 16.0;
 /// Bytes of a body.
 const BODY_BYTES: u64 = 256 * 1024;
--- /dev/null
+++ b/crates/platform/tests/flow.rs
@@ -0,0 +1,482 @@
+//! The platform's protocol through the core, on bytes and connections' fates alone.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing, missing_docs)]
+
+#[path = "../../router/tests/common/mod.rs"]
+mod common;
+
+use chalkyard_platform::Started;
+use chalkyard_policy::{Action, Event, ListKind, Outcome};
+use chalkyard_proto::encode;
+use chalkyard_router::*;
+use common::*;
+use serde_json::json;
+
+/// Where the list comes from, and where it comes from later.
+const AGENT: u16 = 9;
+const OTHER_AGENT: u16 = 10;
+
+fn member(id: &str, flavor: &str, port: u16, phase: &str) -> serde_json::Value {
+    json!({"id": id, "host_port": format!("127.0.0.1:{port}"), "locality": "hall", "flavor": flavor, "cell": 1,
+           "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+fn members(revision: u64, complete: bool, members: &[serde_json::Value]) -> String {
+    json!({"revision": revision, "complete": complete, "members": members}).to_string()
+}
+
+fn usual_members() -> Vec<serde_json::Value> {
+    vec![member("r", "reads", 1, "up"), member("w1", "writes", 2, "up"), member("w2", "writes", 3, "up")]
+}
+
+fn file(resume: bool, known: &str) -> String {
+    let class = |name: &str, repeat: &str| json!({"name": name, "goal_time_s": 1.0, "deadline_s": 5.0, "repeat": repeat, "group": "all", "stream": true});
+    json!({
+        "name": "n3", "listen": "127.0.0.1:5000", "discovery": format!("127.0.0.1:{AGENT}"), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "known": serde_json::from_str::<serde_json::Value>(known).unwrap(),
+        "settings": {
+            "balancers": 1, "categories": [class("chat", "free"), class("once", "single_shot")], "dcs": ["hall"],
+            "discovery": "push", "kinds": ["reads", "writes"], "reporting": {"how": "inline", "fields": ["load_share"]},
+            "family_info": {"kv_tokens": [1e5, 1e5], "release_s": 1.0, "resume": resume, "self_prefill": true,
+                            "role_by_kind": ["read", "write"]},
+            "limits": {"cancel": true, "max_attempts": 4, "retry_after": true, "max_retry_after_s": 1.0,
+                       "conn_idle_s": 30.0, "connect_timeout_s": 0.25},
+            "rules": {"answer_slack_s": 0.01, "cold_from": 0.3, "cold_s": 8.0, "fall_multiple": 3.0, "fall_s": 2.0,
+                      "must_ask_in_s": 10.0},
+            "tenants": [{"name": "acme", "allowance_per_s": 1000.0}], "tick_s": 0.002, "weights": "off",
+        },
+    })
+    .to_string()
+}
+
+fn yard_with(resume: bool) -> Yard {
+    let started = Started::read(&file(resume, &members(4, true, &usual_members()))).unwrap();
+    Yard::started(started.config, started.known.as_deref())
+}
+
+fn yard() -> Yard {
+    yard_with(false)
+}
+
+const BODY: &str = r#"{"model":"chat", "stream":true,"max_tokens":800,"messages":[ ]}"#;
+
+fn fields<'a>(id: &'a str, class: &'a str) -> Vec<(&'a str, &'a str)> {
+    vec![
+        ("X-Request-ID", id),
+        ("X-Priority-Class", class),
+        ("X-Tenant-Id", "acme"),
+        ("X-Route-Key", id),
+        ("X-Timeout", "4800m"),
+        ("X-Attrs", "prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800"),
+    ]
+}
+
+fn request(fields: &[(&str, &str)]) -> Vec<u8> {
+    encode::request("POST", "/v1/chat/completions?a=b", "api.internal", fields, BODY.as_bytes())
+}
+
+fn ask(y: &mut Yard, id: &str, class: &str) -> ConnId {
+    let client = y.client();
+    y.bytes(client, &request(&fields(id, class)));
+    client
+}
+
+/// The next call to a worker; there must be one.
+fn call(y: &mut Yard) -> Call {
+    let at = y.calls.iter().position(|c| c.target.starts_with("/v1/"));
+    y.calls.remove(at.expect("a call to a worker"))
+}
+
+fn has_call(y: &Yard) -> bool {
+    y.calls.iter().any(|c| c.target.starts_with("/v1/"))
+}
+
+fn reply(y: &mut Yard, conn: ConnId, status: u16, fields: &[(&str, &str)], body: &str) {
+    y.bytes(conn, &encode::response(status, fields, body.as_bytes(), true));
+}
+
+const NOT_RUN: (&str, &str) = ("X-Not-Processed", "1");
+
+/// A request that was read, and the writer's call.
+fn written(y: &mut Yard, id: &str, class: &str) -> (ConnId, Call) {
+    let client = ask(y, id, class);
+    let read = call(y);
+    assert_eq!(read.port, 1);
+    reply(y, read.conn, 202, &[], r#"{"cached_tokens":4096}"#);
+    let write = call(y);
+    assert_ne!(write.port, 1);
+    (client, write)
+}
+
+const FIRST: &str =
+    "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"},\"finish_reason\":null}]}\n\n";
+const LAST: &str = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":5120,\"completion_tokens\":200,\
+                    \"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\ndata: [DONE]\n\n";
+
+fn chunk(y: &mut Yard, conn: ConnId, text: &str) {
+    let mut bytes = Vec::new();
+    encode::chunk(&mut bytes, text.as_bytes());
+    y.bytes(conn, &bytes);
+}
+
+/// The status of a client's first answer; none if it got no byte.
+fn first_status(y: &Yard, client: ConnId) -> Option<u16> {
+    let text = std::str::from_utf8(y.raw(client)).unwrap();
+    text.split(' ').nth(1).map(|s| s.parse().unwrap())
+}
+
+#[test]
+fn a_request_and_its_stream_pass_unchanged() {
+    let mut y = yard();
+    let (client, write) = written(&mut y, "id-1", "chat");
+    assert_eq!(write.target, "/v1/chat/completions?a=b");
+    assert_eq!(write.body, serde_json::from_str::<serde_json::Value>(BODY).unwrap());
+    assert_eq!(write.header("x-request-id"), "id-1");
+    assert_eq!(write.header("x-timeout"), "4800000u");
+    y.begin_stream(write.conn);
+    // An event in two pieces: nothing is passed on before it is whole.
+    let (a, b) = FIRST.split_at(20);
+    chunk(&mut y, write.conn, a);
+    assert!(y.raw(client).is_empty());
+    chunk(&mut y, write.conn, b);
+    assert!(!y.raw(client).is_empty());
+    let report = ": X-Server-Load: queue=2,util=0.61\n\n";
+    chunk(&mut y, write.conn, &format!("{LAST}{report}"));
+    y.bytes(write.conn, encode::LAST_CHUNK);
+    let mut d = chalkyard_proto::Decoder::new(chalkyard_proto::Side::Response, Default::default());
+    d.push(y.raw(client));
+    let mut body = Vec::new();
+    while let Some(part) = d.next_part().unwrap() {
+        if let chalkyard_proto::Part::Data(data) = part {
+            body.extend(data);
+        }
+    }
+    assert_eq!(String::from_utf8(body).unwrap(), format!("{FIRST}{LAST}{report}"));
+    assert_eq!(y.outcomes(), [Outcome::Parsed, Outcome::Served]);
+    let heard = y.heard.lock().unwrap();
+    let last = heard.iter().rev().find_map(|(_, e, _)| match e {
+        Event::Verdict { kept, report, .. } => Some((*kept, report.unwrap())),
+        _ => None,
+    });
+    let (kept, report) = last.unwrap();
+    assert_eq!((kept, report.queued, report.slots_used), (4096, Some(2.0), Some(0.61)));
+}
+
+#[test]
+fn what_comes_back_is_told_by_what_it_proves() {
+    for (status, fields, outcome) in [
+        (500, vec![], Outcome::ServerError),
+        (503, vec![NOT_RUN], Outcome::Refused { no_state: false }),
+        (504, vec![NOT_RUN], Outcome::Refused { no_state: false }),
+        (410, vec![NOT_RUN], Outcome::Refused { no_state: true }),
+        // Without the mark it may have run.
+        (503, vec![], Outcome::ServerError),
+        (504, vec![("X-Not-Processed", "0")], Outcome::ServerError),
+        (200, vec![], Outcome::ServerError),
+    ] {
+        let mut y = yard();
+        let (client, write) = written(&mut y, "id-1", "once");
+        reply(&mut y, write.conn, status, &fields, "");
+        assert_eq!(y.outcomes()[1], outcome, "{status} {fields:?}");
+        if outcome == Outcome::ServerError {
+            // A single shot that may have run is neither sent again nor refused.
+            y.advance(ms(6_000));
+            assert!(!has_call(&y));
+            assert_eq!(first_status(&y, client), Some(504), "{status}");
+        }
+    }
+}
+
+#[test]
+fn a_call_whose_last_byte_was_not_taken_has_not_run() {
+    for (short, outcome) in [(1, Outcome::NoConnection), (0, Outcome::ConnectionLost)] {
+        let mut y = yard();
+        ask(&mut y, "id-1", "once");
+        let read = call(&mut y);
+        let stuck = ConnId(read.conn.0 + 2);
+        y.stuck.insert(stuck);
+        reply(&mut y, read.conn, 202, &[], r#"{"cached_tokens":0}"#);
+        y.input(Input::Connected(stuck));
+        let size = encode::request(
+            "POST",
+            "/v1/chat/completions?a=b",
+            "127.0.0.1:2",
+            &[("content-type", "application/json"), ("X-Request-ID", "id-1"), ("X-Timeout", "4800000u")],
+            BODY.as_bytes(),
+        )
+        .len();
+        y.input(Input::Wrote(stuck, size - short));
+        y.input(Input::Lost(stuck));
+        assert_eq!(y.outcomes()[1], outcome);
+        assert_eq!(has_call(&y), outcome == Outcome::NoConnection, "only what never ran is sent again");
+    }
+}
+
+#[test]
+fn a_broken_or_stalled_stream_ends_without_its_last_chunk() {
+    let breaks: [fn(&mut Yard, ConnId); 4] = [
+        |y, conn| y.input(Input::Lost(conn)),
+        |y, conn| y.bytes(conn, b"zz\r\n"),
+        // Said to hold 3 GB.
+        |y, conn| y.bytes(conn, b"c0000000\r\nabc"),
+        |y, _| y.advance(ms(4_900)),
+    ];
+    for broken in breaks {
+        let mut y = yard();
+        let (client, write) = written(&mut y, "id-1", "chat");
+        y.begin_stream(write.conn);
+        chunk(&mut y, write.conn, FIRST);
+        broken(&mut y, write.conn);
+        assert!(y.closed.contains(&client));
+        assert!(!y.raw(client).ends_with(encode::LAST_CHUNK));
+        assert!(!has_call(&y), "nothing more is sent for it");
+    }
+}
+
+#[test]
+fn good_but_odd_answers_are_served() {
+    let mut y = yard();
+    let (client, write) = written(&mut y, "id-1", "chat");
+    y.bytes(
+        write.conn,
+        b"HTTP/1.1 103 Early\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n",
+    );
+    y.bytes(write.conn, b"X-Server-Load: util=many\r\ntransfer-encoding: chunked\r\n\r\n");
+    let text = format!("{FIRST}{LAST}");
+    y.bytes(
+        write.conn,
+        format!("{:x};name=value\r\n{text}\r\n0\r\nX-Trailer: a\r\n\r\n", text.len()).as_bytes(),
+    );
+    assert!(y.raw(client).ends_with(encode::LAST_CHUNK));
+    assert_eq!(y.outcomes(), [Outcome::Parsed, Outcome::Served]);
+    // A second answer behind the first: that connection is not used again.
+    y.bytes(write.conn, b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    assert!(y.closed.contains(&write.conn));
+}
+
+#[test]
+fn what_cannot_be_read_gets_an_error_and_is_never_sent_on() {
+    let but = |name: &'static str, value: Option<&'static str>| {
+        let mut all = fields("id-1", "chat");
+        all.retain(|(n, _)| *n != name);
+        all.extend(value.map(|v| (name, v)));
+        request(&all)
+    };
+    let raw =
+        |head: &str| format!("POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n{head}\r\n").into_bytes();
+    let cases = [
+        (400, but("X-Request-ID", None)),
+        (400, but("X-Request-ID", Some("a/../b"))),
+        (400, but("X-Priority-Class", Some("royal"))),
+        (400, but("X-Tenant-Id", Some("nobody"))),
+        (400, but("X-Timeout", Some("soon"))),
+        (400, but("X-Timeout", Some("-5m"))),
+        (400, but("X-Timeout", None)),
+        (400, but("X-Attrs", Some("prompt_len=-4"))),
+        (413, raw("content-length: 60000000\r\n")),
+        (400, raw("content-length: -1\r\n")),
+        (400, raw("content-length: 99999999999999999999\r\n")),
+        (400, raw("content-length: 5\r\ntransfer-encoding: chunked\r\n")),
+        (400, b"\x00\x01\x02\x03".to_vec()),
+        (404, encode::request("GET", "/other", "a", &[], b"")),
+        (405, encode::request("PUT", "/v1/chat/completions", "a", &[], b"")),
+    ];
+    for (expected, bytes) in cases {
+        let mut y = yard();
+        let client = y.client();
+        y.bytes(client, &bytes);
+        assert_eq!(first_status(&y, client), Some(expected), "{}", String::from_utf8_lossy(&bytes));
+        assert!(!has_call(&y));
+        assert_eq!(y.core.open_requests(), 0);
+    }
+}
+
+#[test]
+fn an_id_that_is_open_is_not_taken_twice() {
+    let mut y = yard();
+    let first = ask(&mut y, "id-1", "chat");
+    let second = ask(&mut y, "id-1", "chat");
+    assert_eq!((first_status(&y, first), first_status(&y, second)), (None, Some(409)));
+    assert_eq!(y.calls.iter().filter(|c| c.target.starts_with("/v1/")).count(), 1);
+}
+
+#[test]
+fn clients_that_say_nothing_or_half_are_heard_for_less_than_three_seconds() {
+    let mut y = yard();
+    let (silent, half, dripping) = (y.client(), y.client(), y.client());
+    y.bytes(half, b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n");
+    for _ in 0..13 {
+        y.advance(ms(200));
+        if !y.closed.contains(&dripping) {
+            y.bytes(dripping, b"X");
+        }
+    }
+    for client in [silent, half, dripping] {
+        assert!(y.closed.contains(&client));
+    }
+}
+
+#[test]
+fn silent_clients_make_room_for_usual_ones() {
+    let mut y = yard();
+    let serving = ask(&mut y, "id-1", "chat");
+    let crowd: Vec<ConnId> = (0..300).map(|_| y.client()).collect();
+    assert!(y.core.open_clients() <= 256 * 9 / 20);
+    let usual = ask(&mut y, "id-2", "chat");
+    assert_eq!(y.core.open_requests(), 2);
+    assert!(!y.closed.contains(&serving) && !y.closed.contains(&usual));
+    assert!(y.closed.contains(&crowd[0]), "the one that was silent for longest went");
+}
+
+#[test]
+fn the_list_is_asked_for_again_at_once_and_one_bad_entry_loses_no_other() {
+    let mut y = yard();
+    let watch = |y: &mut Yard| {
+        let at = y.calls.iter().position(|c| c.target.starts_with("/discovery")).expect("a call for news");
+        y.calls.remove(at)
+    };
+    let first = watch(&mut y);
+    assert_eq!((first.port, first.target.as_str()), (AGENT, "/discovery/hosts?after=4&wait_ms=2000"));
+    let news = [member("w2", "writes", 3, "draining"), json!({"id": "x", "phase": "lost"}), json!(7)];
+    reply(&mut y, first.conn, 200, &[], &members(5, false, &news));
+    let second = watch(&mut y);
+    assert_eq!((second.conn, second.target.as_str()), (first.conn, "/discovery/hosts?after=5&wait_ms=2000"));
+    // A whole list drops what it does not name.
+    reply(&mut y, second.conn, 200, &[], &members(6, true, &usual_members()[..2]));
+    let third = watch(&mut y);
+    {
+        let heard = y.heard.lock().unwrap();
+        let kinds: Vec<(ListKind, usize)> = heard
+            .iter()
+            .filter_map(|(_, e, _)| match e {
+                Event::Workers { kind, workers } => Some((*kind, workers.len())),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(kinds, [(ListKind::Stale, 3), (ListKind::Changes, 1), (ListKind::Full, 2)]);
+    }
+    // The agent stays silent: another connection asks anew, in time. What can't be read is asked for again.
+    y.advance(ms(3_200));
+    let fourth = watch(&mut y);
+    assert_ne!(fourth.conn, third.conn);
+    reply(&mut y, fourth.conn, 200, &[], "<html>");
+    assert!(!y.calls.iter().any(|c| c.target.starts_with("/discovery")), "not in a hot loop");
+    y.advance(ms(150));
+    let fifth = watch(&mut y);
+    assert_eq!(fifth.target, "/discovery/hosts?after=6&wait_ms=2000");
+    // Another configuration: the new address at once.
+    y.input(Input::Register(format!("127.0.0.1:{OTHER_AGENT}").parse().unwrap()));
+    assert!(y.closed.contains(&fifth.conn));
+    assert_eq!(watch(&mut y).port, OTHER_AGENT);
+}
+
+#[test]
+fn a_release_that_does_not_reach_the_reader_goes_to_another_worker() {
+    let mut y = yard();
+    let (client, write) = written(&mut y, "id-1", "chat");
+    // The writers turn away, the client leaves, the reader is not reached.
+    y.refused_ports.insert(1);
+    let idle: Vec<ConnId> = y.ports.iter().filter(|(_, p)| **p == 1).map(|(c, _)| *c).collect();
+    for conn in idle {
+        y.input(Input::Lost(conn));
+    }
+    y.input(Input::Lost(client));
+    assert!(y.closed.contains(&write.conn), "a cancel is a close");
+    y.advance(ms(100));
+    let releases: Vec<&Call> = y.calls.iter().filter(|c| c.target == "/internal/reservations/id-1").collect();
+    assert_eq!(releases.len(), 1);
+    assert_ne!(releases[0].port, 1);
+}
+
+#[test]
+fn a_leaving_router_takes_what_still_comes_and_moves_its_streams_evenly() {
+    let mut y = yard_with(true);
+    let streams: Vec<(ConnId, ConnId)> = (0..30)
+        .map(|n| {
+            let (client, write) = written(&mut y, &format!("id-{n}"), "chat");
+            y.begin_stream(write.conn);
+            chunk(&mut y, write.conn, FIRST);
+            (client, write.conn)
+        })
+        .collect();
+    let mut out = Vec::new();
+    let now = y.now;
+    y.core.leave(now);
+    let up = y.client();
+    y.bytes(up, &encode::request("GET", "/up", "a", &[], b""));
+    assert_eq!(first_status(&y, up), Some(503));
+    let late = ask(&mut y, "late", "chat");
+    assert!(has_call(&y), "still served");
+    let mut before = 0;
+    for step in 0..33 {
+        for (client, write) in &streams {
+            if !y.closed.contains(client) {
+                chunk(&mut y, *write, FIRST);
+            }
+        }
+        y.advance(ms(100));
+        let closed = streams.iter().filter(|(client, _)| y.closed.contains(client)).count();
+        assert!(closed - before <= 5, "not all at once");
+        assert!(step >= 17 || closed == 0);
+        before = closed;
+    }
+    assert_eq!(before, streams.len());
+    // What was taken while leaving has its answer by then.
+    y.advance(ms(50));
+    assert!(first_status(&y, late).is_some());
+    y.core.drain(y.now, &mut out);
+    assert_eq!(y.core.open_requests(), 0);
+}
+
+#[test]
+fn more_bytes_of_requests_than_memory_allows_are_turned_away() {
+    let mut y = yard();
+    let most = 8 * 1024 * 1024 / (200 * 1024);
+    let body = vec![b'x'; 200 * 1024];
+    let mut turned = 0;
+    for n in 0..most + 10 {
+        let client = y.client();
+        let id = format!("id-{n}");
+        let bytes = encode::request("POST", "/v1/chat/completions", "a", &fields(&id, "chat"), &body);
+        y.bytes(client, &bytes);
+        turned += usize::from(first_status(&y, client) == Some(503));
+    }
+    assert!((10..20).contains(&turned), "{turned}");
+    // What has ended makes room again.
+    y.advance(ms(6_000));
+    let client = ask(&mut y, "again", "chat");
+    assert_ne!(first_status(&y, client), Some(503));
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back_in_decimal_seconds() {
+    let mut y = yard();
+    let heard = y.heard.clone();
+    // First tokens have come late, though nothing hung.
+    for n in 0..6 {
+        ask(&mut y, &format!("early-{n}"), "chat");
+        let read = call(&mut y);
+        y.advance(ms(350));
+        reply(&mut y, read.conn, 202, &[], r#"{"cached_tokens":0}"#);
+        let write = call(&mut y);
+        y.advance(ms(350));
+        y.begin_stream(write.conn);
+        chunk(&mut y, write.conn, FIRST);
+    }
+    let clients: Vec<ConnId> = (0..200)
+        .map(|n| {
+            y.advance(ms(20));
+            ask(&mut y, &format!("id-{n}"), "chat")
+        })
+        .collect();
+    let told =
+        heard.lock().unwrap().iter().flat_map(|(_, _, actions)| actions.clone()).find_map(|a| match a {
+            Action::Refuse { id, retry_after: Some(after) } => Some((id, after)),
+            _ => None,
+        });
+    let (id, after) = told.expect("nothing is answered: the module refuses for load");
+    let n: usize = id.0.trim_start_matches("id-").parse().unwrap();
+    let text = std::str::from_utf8(y.raw(clients[n])).unwrap();
+    assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+    assert!(text.contains(&format!("retry-after: {:.3}\r\n", after.as_secs_f64())), "{text}");
+}
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -29,6 +29,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(pub u64);
 
+impl ConnId {
+    /// Whether the core chose it, for a connection of its own.
+    pub(crate) fn is_link(self) -> bool {
+        self.0 % 2 == 1
+    }
+}
+
 /// What a core hears.
 #[derive(Debug)]
 pub enum Input<'a> {
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -216,6 +216,8 @@
     /// Bytes to write, of which the first `done` are written: what is said in one turn goes out at once.
     out: Vec<u8>,
     done: usize,
+    /// Nothing of what is to be written was yet.
+    fresh: bool,
     state: State,
     paused: bool,
     /// Readable since the last time that reading had to wait.
@@ -223,6 +225,15 @@
     shut: bool,
 }
 
+impl Sock {
+    /// Whether an engine's connection that is about to carry a call has closed, or brought what nobody asked for, since
+    /// it was last read: the call would be eaten, or answered by what is not its answer. Nothing of it is written yet.
+    fn told_more(&self) -> bool {
+        let begins = self.fresh && self.state == State::Open;
+        begins && self.id.is_link() && self.stream.peek(&mut [0]).is_ok()
+    }
+}
+
 /// Sockets and time for one core.
 pub struct Shell<S> {
     poll: Poll,
@@ -583,6 +594,7 @@
                 if let Some(key) = self.by_id.get(&id).copied() {
                     if let Some(sock) = self.socks.get_mut(key) {
                         if sock.out.is_empty() {
+                            sock.fresh = true;
                             sock.out = bytes;
                         } else {
                             sock.out.extend_from_slice(&bytes);
@@ -622,6 +634,7 @@
             stream,
             out: Vec::new(),
             done: 0,
+            fresh: false,
             state,
             paused: false,
             readable: false,
@@ -773,8 +786,8 @@
     fn write(&mut self, key: usize) {
         let Some(sock) = self.socks.get_mut(key) else { return };
         let (id, before) = (sock.id, sock.done);
-        let mut failed = false;
-        while sock.done < sock.out.len() {
+        let mut failed = sock.told_more();
+        while !failed && sock.done < sock.out.len() {
             match sock.stream.write(sock.out.get(sock.done..).unwrap_or_default()) {
                 Ok(n) => sock.done += n,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
@@ -786,6 +799,7 @@
             }
         }
         let wrote = sock.done - before;
+        sock.fresh &= wrote == 0;
         if sock.done >= sock.out.len() {
             // An idle connection keeps no buffer.
             sock.out = Vec::new();
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -135,6 +135,12 @@
 
 impl Yard {
     pub fn new(config: Config, workers: &[serde_json::Value]) -> Self {
+        let text = (!workers.is_empty()).then(|| list(0, workers));
+        Self::started(config, text.as_deref())
+    }
+
+    /// One that starts with this text as the list of its last life.
+    pub fn started(config: Config, text: Option<&str>) -> Self {
         let mut core = Core::new(config, 7, START);
         let heard: Heard = Arc::default();
         let log = heard.clone();
@@ -162,8 +168,7 @@
             next_client: 2,
         };
         let mut out = Vec::new();
-        let text = (!workers.is_empty()).then(|| list(0, workers));
-        yard.core.start(START, text.as_deref(), &mut out);
+        yard.core.start(START, text, &mut out);
         yard.carry_out(out);
         yard
     }
