Resting connections: their time is learnt from lost calls; classes turned away kept apart

Checked: rest of each connection at its next call (new 61 lost of 793; under 100 ms 20 of 417, 100 to 800 ms 160 of 561, over 800 ms 2 of 148, these outside the trouble), and the class, report and time of each refusal. Ruled out: full queues (depth 0), connection caps (16 connections a worker).

At fault: Core::call took any idle connection up to the told time; policy.rs kept one count of refusals a worker. Change: a call lost within 20 ms on a connection that rested for 50 ms or more halves how long connections may rest; it doubles again every 3 s. Refusals are counted by class, with three doublings at once where the report tells room.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -93,7 +93,7 @@
 
 /// Runs a router. SIGTERM or SIGINT ends it once all that is open has ended; SIGHUP has the configuration read again.
 pub fn platform(file: Option<PathBuf>) -> Result<ExitCode, Trouble> {
-    logs::start("info");
+    logs::start("info,request=off");
     let none = || Trouble::BadInput(format!("{FILE} names no configuration; give its file"));
     let file = file.or_else(|| std::env::var_os(FILE).map(PathBuf::from)).ok_or_else(none)?;
     let started = read(&file).map_err(Trouble::BadInput)?;
--- a/crates/platform/tests/flow.rs
+++ b/crates/platform/tests/flow.rs
@@ -480,3 +480,41 @@
     assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
     assert!(text.contains(&format!("retry-after: {:.3}\r\n", after.as_secs_f64())), "{text}");
 }
+
+#[test]
+fn how_long_connections_may_rest_is_learnt_from_calls_that_were_lost() {
+    let mut y = yard();
+    // A reader's connection, used again after this rest; whether it was.
+    let mut n = 0;
+    let mut reads = |y: &mut Yard, rest: u64, lost: bool| {
+        y.advance(ms(rest));
+        let before: Vec<ConnId> = y.ports.keys().copied().collect();
+        n += 1;
+        let client = ask(y, &format!("id-{n}"), "chat");
+        let read = call(y);
+        assert_eq!(read.port, 1);
+        if lost {
+            y.input(Input::Lost(read.conn));
+        } else {
+            reply(y, read.conn, 202, &[], r#"{"cached_tokens":0}"#);
+        }
+        y.input(Input::Lost(client));
+        for release in std::mem::take(&mut y.calls).iter().filter(|c| c.target.starts_with("/internal")) {
+            reply(y, release.conn, 204, &[], "");
+        }
+        before.contains(&read.conn)
+    };
+    assert!(!reads(&mut y, 0, false));
+    assert!(reads(&mut y, 900, false), "the told time is 30 s");
+    assert!(reads(&mut y, 800, true));
+    assert!(!reads(&mut y, 2_000, false));
+    assert!(!reads(&mut y, 500, false), "longer than half of what was lost");
+    assert!(reads(&mut y, 300, false));
+    // Lost though it had hardly rested: that teaches nothing.
+    assert!(reads(&mut y, 10, true));
+    assert!(!reads(&mut y, 1_100, false));
+    assert!(reads(&mut y, 350, false));
+    // What was learnt fades.
+    assert!(!reads(&mut y, 3_000, false));
+    assert!(reads(&mut y, 1_500, false));
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -42,6 +42,9 @@
 /// One that turned away is left alone for this span, doubled for each time in a row.
 const FULL_WAIT: Micros = Micros(50_000);
 const FULL_DOUBLINGS: u32 = 6;
+/// ... by so many doublings at once if it reports so much room: it turns away for another reason than its load.
+const IDLE_DOUBLINGS: u32 = 3;
+const IDLE_ROOM: f64 = 0.5;
 /// Held state is let go after this share of the told release time.
 const RELEASE_SHARE: f64 = 0.8;
 /// Share of the cold budget that is used; less by this over the root of the number of routers, since
@@ -186,9 +189,8 @@
     benches: u32,
     benched_until: Micros,
     overdue: u32,
-    /// Refusals in a row, and until when it is left alone for them.
-    refusals: u32,
-    full_until: Micros,
+    /// Refusals of a class in a row, and until when it is left alone for them: some turn one class away alone.
+    full: BTreeMap<ClassId, (u32, Micros)>,
     /// When it last began an answer or ended a read or an answer.
     heard: Micros,
 }
@@ -814,7 +816,7 @@
         t.due = None;
         if let Some(s) = life(&mut self.servers, t) {
             s.pending = s.pending.saturating_sub(1);
-            s.refusals = 0;
+            s.full.remove(&job.req.class);
             s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
             s.heard = self.now;
         }
@@ -849,11 +851,14 @@
             }
             match outcome {
                 Outcome::Refused { no_state: false } => {
-                    s.full_until = now + Micros(FULL_WAIT.0 << s.refusals);
-                    s.refusals = (s.refusals + 1).min(FULL_DOUBLINGS);
+                    let queued = s.report.and_then(|r| r.queued).unwrap_or(0.0);
+                    let idle = queued < 1.0 && s.told().is_some_and(|room| room > IDLE_ROOM);
+                    let (refusals, until) = s.full.entry(job.req.class).or_default();
+                    *until = now + Micros(FULL_WAIT.0 << *refusals);
+                    *refusals = (*refusals + if idle { IDLE_DOUBLINGS } else { 1 }).min(FULL_DOUBLINGS);
                 }
                 Outcome::Served | Outcome::Parsed => {
-                    s.refusals = 0;
+                    s.full.remove(&job.req.class);
                     s.failing *= 1.0 - WELL_GAIN;
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
@@ -972,7 +977,8 @@
         let fit: Vec<&Server> = all.iter().copied().filter(|s| self.fit(s)).collect();
         let judged = if fit.len() * 2 >= all.len() { fit } else { all };
         // One that turns away looks empty and is not sick: it is left alone for a moment, longer each time.
-        let ready = |s: &&Server| self.now >= s.full_until && self.may_send(job, s);
+        let full = |s: &Server| s.full.get(&job.req.class).is_some_and(|(_, until)| self.now < *until);
+        let ready = |s: &&Server| !full(s) && self.may_send(job, s);
         let allowed: Vec<&Server> = judged.into_iter().filter(ready).collect();
         let fresh: Vec<&Server> = allowed.iter().copied().filter(|s| !job.tried(&s.info.id)).collect();
         Some(fresh).filter(|f| !f.is_empty()).unwrap_or(allowed)
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -374,6 +374,34 @@
     assert!((1..=10).contains(&sends), "{sends}");
 }
 
+#[test]
+fn a_worker_that_turns_one_class_away_is_left_alone_for_that_class() {
+    let idle =
+        Some(Report { queued: Some(0.0), slots_used: Some(0.1), kv_used: Some(0.1), waiting_tokens: None });
+    let busy = idle.map(|r| Report { queued: Some(9.0), slots_used: Some(1.0), ..r });
+    for (report, most) in [(idle, 5), (busy, 9)] {
+        let mut rig = Rig::new(settings(), readers(1));
+        let (mut free, mut single) = (0, 0);
+        for i in 0..100 {
+            rig.wait(0.05);
+            let (id, other) = (format!("f{i}"), format!("s{i}"));
+            if sent(&rig.ask(&id, &id, FREE, LONG)).is_some() {
+                free += 1;
+                rig.end_with(&id, 0, Outcome::Refused { no_state: false }, 0, report);
+            }
+            rig.feed(Event::ClientGone(id.as_str().into()));
+            // The other class is served all the while, and says nothing of the first.
+            if i % 7 == 0 && sent(&rig.ask(&other, &other, SINGLE, LONG)).is_some() {
+                single += 1;
+                rig.end_with(&other, 0, Outcome::Parsed, 0, report);
+                rig.feed(Event::ClientGone(other.as_str().into()));
+            }
+        }
+        assert_eq!(single, 15, "never left alone");
+        assert!((2..=most).contains(&free), "{free} of {most}");
+    }
+}
+
 #[test]
 fn clients_that_give_up_early_do_not_bench_the_worker() {
     let mut rig = Rig::new(settings(), vec![worker("r0", Role::Reader, 0), worker("r1", Role::Reader, 0)]);
@@ -405,7 +433,7 @@
 
 #[test]
 fn a_jam_refuses_early_and_the_over_share_first() {
-    let run = |tenant: usize| {
+    let run = |tenant: usize, came_back: bool| {
         let mut rig = Rig::new(settings(), fleet());
         let mut refusals = Vec::new();
         // Slow first tokens, far more requests than are answered.
@@ -415,6 +443,7 @@
             let mut request = rig.request(&id, &id, FREE, LONG);
             request.tenant = Some(TenantId(tenant));
             request.deadline = rig.now + secs(60.0);
+            request.came_back = came_back;
             let actions = rig.feed(Event::Request(request));
             if refused(&actions) {
                 assert!(!let_go(&actions) && sent(&actions).is_none());
@@ -427,9 +456,10 @@
         }
         refusals
     };
-    let (within, over) = (run(1), run(0));
+    let (within, over) = (run(1, false), run(0, false));
     assert!(!over.is_empty(), "a jam must be seen");
     assert!(over.len() >= within.len(), "{} {}", over.len(), within.len());
+    assert!(run(0, true).is_empty(), "what came back for the rest of its stream goes on");
 }
 
 #[test]
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -22,7 +22,7 @@
 use crate::timers::Timers;
 use attempts::Job;
 use clients::Client;
-use pool::{Engine, Link, Task};
+use pool::{Engine, Link, Rest, Task};
 use record::Finished;
 
 /// A connection. Never given twice in a core's life.
@@ -141,6 +141,7 @@
     /// Clients whose next request can be looked for.
     ready: VecDeque<ConnId>,
     links: BTreeMap<ConnId, Link>,
+    rest: Rest,
     engines: BTreeMap<p::WorkerId, Engine>,
     jobs: BTreeMap<p::RequestId, Job>,
     identities: Identities,
@@ -181,6 +182,7 @@
             clients: BTreeMap::new(),
             ready: VecDeque::new(),
             links: BTreeMap::new(),
+            rest: Rest::default(),
             engines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             identities,
--- a/crates/router/src/core/pool.rs
+++ b/crates/router/src/core/pool.rs
@@ -11,6 +11,34 @@
 use super::{ConnId, Core, Due, Output};
 use crate::timers::Key;
 
+/// A call that is lost this soon on a connection that had rested, with nothing heard of it, met a connection that the
+/// engine had given up in silence.
+const STALE_WITHIN: Micros = Micros(20_000);
+/// One that had rested for less was lost for another reason.
+const STALE_LEAST: Micros = Micros(50_000);
+/// What was learnt of that is doubled so often, until it is as told again.
+const STALE_DOUBLES: Micros = Micros(3_000_000);
+
+/// How long a connection may rest and still be used again: as told, or as calls that were lost have taught. The told time
+/// is the latest at which engines give a connection up, and each loss may be one that must not be sent again.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Rest(Option<(Micros, Micros)>);
+
+impl Rest {
+    pub fn most(&self, now: Micros, told: Micros) -> Micros {
+        let Some((most, learnt)) = self.0 else { return told };
+        let doublings = ((now - learnt).0 / STALE_DOUBLES.0).min(30);
+        Micros(most.0.saturating_mul(1 << doublings)).min(told)
+    }
+
+    /// A call was lost so soon, on a connection that had rested for so long.
+    fn lost(&mut self, now: Micros, told: Micros, rested: Micros, after: Micros) {
+        if after <= STALE_WITHIN && rested >= STALE_LEAST {
+            self.0 = Some((self.most(now, told).min(rested.mul_f64(0.5)), now));
+        }
+    }
+}
+
 /// An engine and our connections to it.
 #[derive(Debug)]
 pub(super) struct Engine {
@@ -53,6 +81,9 @@
     pub wrote: u64,
     /// Bytes of the present call in all.
     pub size: u64,
+    /// When it last became idle; how long it had been when it was used again, and when that was.
+    pub parked: Micros,
+    pub rested: Option<(Micros, Micros)>,
     /// The engine closes after the present reply.
     pub last: bool,
     pub timer: Option<Key>,
@@ -68,9 +99,18 @@
         spare: usize,
     ) -> Option<ConnId> {
         let most = self.config.bounds.engine_connections + spare;
+        let rest = self.rest.most(self.now, self.config.waits.engine_idle);
         let engine = self.engines.get_mut(worker)?;
         while let Some(conn) = engine.idle.pop() {
             let Some(link) = self.links.get_mut(&conn) else { continue };
+            let rested = self.now - link.parked;
+            if rested > rest {
+                // Those below it have rested for longer.
+                self.abort_link(conn);
+                self.close_idle(worker);
+                break;
+            }
+            link.rested = Some((rested, self.now));
             if let Some(key) = link.timer.take() {
                 self.timers.cancel(key);
             }
@@ -80,17 +120,27 @@
             self.out.push(Output::Write(conn, bytes));
             return Some(conn);
         }
+        let engine = self.engines.get(worker)?;
         if engine.open >= most {
             return None;
         }
         let address = engine.address;
-        if self.links.len() >= self.config.bounds.links + spare && !self.close_oldest_idle() {
+        if self.links.len() >= self.config.bounds.links.saturating_add(spare) && !self.close_oldest_idle() {
             return None;
         }
         self.engines.get_mut(worker)?.open += 1;
         Some(self.connect(Some(worker.clone()), address, task, bytes))
     }
 
+    /// Learns from a call that was lost with nothing heard of it.
+    pub(super) fn learn_rest(&mut self, link: &Link) {
+        let unheard = matches!(link.task, Task::Attempt(_, _, Reply::None) | Task::Release(..));
+        if let Some((rested, used)) = link.rested.filter(|_| unheard && link.decoder.is_idle()) {
+            let told = self.config.waits.engine_idle;
+            self.rest.lost(self.now, told, rested, self.now - used);
+        }
+    }
+
     /// Makes room for a connection to an engine; false: all are in use.
     fn close_oldest_idle(&mut self) -> bool {
         let oldest = self.engines.values().filter_map(|e| e.idle.first());
@@ -118,6 +168,8 @@
             wrote: 0,
             size,
             last: false,
+            parked: Micros(0),
+            rested: None,
             timer: Some(timer),
         };
         self.links.insert(conn, link);
@@ -184,6 +236,7 @@
         let Some(engine) = engine else { return self.abort_link(conn) };
         engine.idle.push(conn);
         link.task = Task::Idle;
+        link.parked = self.now;
         link.timer = Some(self.timers.set(self.now + wait, Due::EngineIdle(conn)));
     }
 
