An attempt that later ones have overtaken is called back; its worker is not benched

The workers answered others all the while: policy.rs called back only what was silent at a worker that had said nothing to anybody since (mark_overdue, heard), and a hung connection counted as a full strike against its worker.

Checked: attempts of every failed request and whether the worker was heard in between. Ruled out: slow readers (others took 0.05 to 0.5 s there).

Change: each server keeps when the last sent of the attempts it answered was sent.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -191,8 +191,9 @@
     overdue: u32,
     /// Refusals of a class in a row, and until when it is left alone for them: some turn one class away alone.
     full: BTreeMap<ClassId, (u32, Micros)>,
-    /// When it last began an answer or ended a read or an answer.
+    /// When it last began an answer or ended a read or an answer, and the last sent of these.
     heard: Micros,
+    answered: Micros,
 }
 
 impl Server {
@@ -816,6 +817,7 @@
         t.due = None;
         if let Some(s) = life(&mut self.servers, t) {
             s.pending = s.pending.saturating_sub(1);
+            s.answered = s.answered.max(t.sent);
             s.full.remove(&job.req.class);
             s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
             s.heard = self.now;
@@ -862,6 +864,7 @@
                     s.failing *= 1.0 - WELL_GAIN;
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
+                    s.answered = s.answered.max(t.sent);
                     warm = s.cold(now, self.set.cold_for).is_none().then_some(s.info.role);
                 }
                 // Where nothing good was heard lately one failure says enough: a router that seldom sends
@@ -874,7 +877,8 @@
                 Outcome::TimedOut | Outcome::Cancelled
                     if (slow || elapsed >= job.aim) && !job.streaming && !job.done =>
                 {
-                    strike(s, now, 1.0, bench);
+                    // One that has answered later ones did not hang: the connection did.
+                    strike(s, now, if s.answered > t.sent { FAIL_GAIN } else { 1.0 }, bench);
                 }
                 _ => {}
             }
@@ -911,7 +915,8 @@
     }
 
     /// Counts attempts whose silence has lasted too long against their worker. One that has said
-    /// nothing to anybody since is taken to hang: what can be repeated is called back from it.
+    /// nothing to anybody since is taken to hang: what can be repeated is called back from it; so is, after
+    /// twice the time, what later ones have overtaken: its connection hangs.
     fn mark_overdue(&mut self, job: &mut Job, out: &mut Vec<Action>) {
         let free = self.effect(job).0 == Effect::Free;
         let (now, id, done, seldom) = (self.now, &job.req.id, job.done, self.seldom());
@@ -920,10 +925,10 @@
                 continue;
             }
             t.due = Some(now + (now - t.sent).max(self.set.tick));
-            let mut heard = false;
+            let (mut heard, late) = (false, t.overdue);
             if let Some(s) = life(&mut self.servers, t) {
                 s.overdue += u32::from(!std::mem::replace(&mut t.overdue, true));
-                heard = s.heard > t.sent;
+                heard = s.heard > t.sent && !(late && s.answered > t.sent);
             }
             let again = t.stage == Stage::Read || free;
             if !heard && !seldom && again && !done && self.set.may_cancel {
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -402,6 +402,40 @@
     }
 }
 
+#[test]
+fn what_later_ones_have_overtaken_is_called_back_and_its_worker_is_not_benched() {
+    let mut rig = Rig::new(settings(), readers(1));
+    let hung = rig.ask("hung", "s", FREE, LONG);
+    let at = sent(&hung).unwrap().0;
+    let cancelled = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Cancel { .. }));
+    let mut actions = hung;
+    let mut answered = 0;
+    // Others are answered in 0.1 s all the while, by the same reader too.
+    for i in 0..80 {
+        let id = format!("{i}");
+        let to = sent(&rig.ask(&id, &id, FREE, LONG)).unwrap().0;
+        answered += u32::from(to == at);
+        rig.wait(0.1);
+        rig.end(&id, 0, Outcome::Parsed, 0);
+        rig.feed(Event::ClientGone(id.as_str().into()));
+        let due = actions.iter().any(|a| matches!(a, Action::SetTimer { .. }));
+        if due && i % 10 == 9 {
+            actions = rig.fire(&actions);
+            if cancelled(&actions) {
+                break;
+            }
+        }
+    }
+    assert!(cancelled(&actions), "its client would wait to the end");
+    assert!(answered > 0);
+    rig.end("hung", 0, Outcome::Cancelled, 0);
+    let still = (0..20).filter(|i| {
+        let id = format!("after {i}");
+        sent(&rig.ask(&id, &id, FREE, LONG)).is_some_and(|t| t.0 == at)
+    });
+    assert!(still.count() > 0, "a hung connection is no sick worker");
+}
+
 #[test]
 fn clients_that_give_up_early_do_not_bench_the_worker() {
     let mut rig = Rig::new(settings(), vec![worker("r0", Role::Reader, 0), worker("r1", Role::Reader, 0)]);
