--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -42,7 +42,7 @@
 /// One that turned away is left alone for this span, doubled for each time in a row.
 const FULL_WAIT: Micros = Micros(50_000);
 const FULL_DOUBLINGS: u32 = 6;
-/// ... by so many doublings at once if it reports so much room: it turns away for another reason than its load.
+/// ... by so many doublings at once if it reports so much room: its load is not why it turns away.
 const IDLE_DOUBLINGS: u32 = 3;
 const IDLE_ROOM: f64 = 0.5;
 /// Held state is let go after this share of the told release time.
@@ -189,7 +189,7 @@
     benches: u32,
     benched_until: Micros,
     overdue: u32,
-    /// Refusals of a class in a row, and until when it is left alone for them: some turn one class away alone.
+    /// Refusals of a class in a row, and until when it is left alone for them: some turn away one class.
     full: BTreeMap<ClassId, (u32, Micros)>,
     /// When it last began an answer or ended a read or an answer, and the last sent of these.
     heard: Micros,
