Discovery: no hot loop at a source without news; workers are bounded among changes too

Cause: read again, two paths had no bound. A source that answers at once with nothing new was asked again at once (poll_part), and of changes each message was cut at the bound of workers, not the sum, so that the table grew and drains behind the cut were not heard (read_list).

Change: an answer without a new version within 100 ms pauses for as long. New workers past the bound are left out, changes of held ones and removals are taken.

--- a/crates/platform/tests/flow.rs
+++ b/crates/platform/tests/flow.rs
@@ -518,3 +518,32 @@
     assert!(!reads(&mut y, 3_000, false));
     assert!(reads(&mut y, 1_500, false));
 }
+
+#[test]
+fn a_source_without_news_is_not_asked_in_a_hot_loop_and_workers_are_bounded() {
+    let mut y = yard();
+    let asked = |y: &Yard| y.calls.iter().filter(|c| c.target.starts_with("/discovery")).count();
+    for _ in 0..20 {
+        if let Some(at) = y.calls.iter().position(|c| c.target.starts_with("/discovery")) {
+            let call = y.calls.remove(at);
+            reply(&mut y, call.conn, 200, &[], &members(4, false, &[]));
+            assert_eq!(asked(&y), 0, "not at once");
+        }
+        y.advance(ms(60));
+    }
+    y.advance(ms(150));
+    let at = y.calls.iter().position(|c| c.target.starts_with("/discovery")).expect("but soon");
+    let call = y.calls.remove(at);
+    let mut many: Vec<_> = (0..3_000).map(|n| member(&format!("x{n}"), "writes", 30, "up")).collect();
+    many.push(member("w2", "writes", 3, "draining"));
+    reply(&mut y, call.conn, 200, &[], &members(5, false, &many));
+    assert_eq!(y.core.counts().engines, 2_000);
+    let heard = y.heard.lock().unwrap();
+    let drained = heard.iter().any(|(_, e, _)| match e {
+        Event::Workers { workers, .. } => {
+            workers.iter().any(|w| w.lifecycle == chalkyard_policy::Lifecycle::Draining)
+        }
+        _ => false,
+    });
+    assert!(drained, "a drain is heard past the bound");
+}
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -150,6 +150,8 @@
     register: Option<ConnId>,
     /// The newest version of the list, where a dialect reads it.
     version: Option<u64>,
+    /// When a dialect's source was last asked.
+    asked: Micros,
     /// Bytes of request bodies that came and may still have to be sent.
     bodies: u64,
     /// When a change was last found to be lost.
@@ -190,6 +192,7 @@
             held: register::Held::default(),
             register: None,
             version: None,
+            asked: Micros(0),
             bodies: 0,
             gap: None,
             next_link: 1,
--- a/crates/router/src/core/sources.rs
+++ b/crates/router/src/core/sources.rs
@@ -67,6 +67,7 @@
         if let Some(dialect) = self.config.dialect.clone() {
             let Some(address) = self.config.register.filter(|_| self.register.is_none()) else { return };
             let bytes = dialect.watch(self.version, &address.to_string());
+            self.asked = self.now;
             self.register = Some(self.connect(None, address, Task::Poll(Vec::new()), bytes));
             return;
         }
@@ -94,8 +95,20 @@
         self.has_list = true;
         self.version = Some(list.version);
         let kind = if list.whole { p::ListKind::Full } else { p::ListKind::Changes };
-        let most = self.config.bounds.workers;
-        let workers = list.workers.into_iter().take(most).collect();
+        // Past the bound new workers are left out; what is told of those that are held, above all drains, is taken.
+        let held = if list.whole { 0 } else { self.engines.len() };
+        let mut room = self.config.bounds.workers.saturating_sub(held);
+        let (mut workers, named) = (Vec::new(), list.workers.len());
+        for (worker, address) in list.workers {
+            let known = worker.lifecycle == p::Lifecycle::Out || self.engines.contains_key(&worker.id);
+            if known || room > 0 {
+                room -= usize::from(!known);
+                workers.push((worker, address));
+            }
+        }
+        if workers.len() < named {
+            self.note("list", format!("{} workers past the bound are left out", named - workers.len()));
+        }
         (self.learn(workers, list.whole), kind)
     }
 
@@ -117,7 +130,7 @@
             }
             Part::End => {}
         }
-        let (body, last) = (std::mem::take(body), link.last);
+        let (body, last, before) = (std::mem::take(body), link.last, self.version);
         match dialect.list(&body) {
             Ok(list) => {
                 let (workers, kind) = self.read_list(list);
@@ -132,6 +145,12 @@
                 return false;
             }
         }
+        // A source that has nothing new and does not wait is not asked in a hot loop.
+        if self.version == before && self.now < self.asked + ASK_PAUSE {
+            self.abort_link(conn);
+            self.register_lost();
+            return false;
+        }
         // The next call follows at once: a gap would begin another watch.
         if last {
             self.abort_link(conn);
@@ -141,6 +160,7 @@
         }
         let host = self.config.register.map(|a| a.to_string()).unwrap_or_default();
         let bytes = dialect.watch(self.version, &host);
+        self.asked = self.now;
         self.out.push(Output::Write(conn, bytes));
         self.alive(conn);
         true
