Every refusal and failure says why; chalkyard losses sums the logs of a fleet

Need: no router could say who gave a request up and on which condition, so what a fleet loses by acting alone could not be told from what it can't serve. Change: Refuse and Fail carry the module's condition, Send what is known of the worker (usual, cold, on trial). A request's log line has both, the age of the list and what was open; what a bound or check of the router turned away gets a line of its own. Each second the core can count what adds up over routers: first calls, pulls, repeats by what is proven, trials, sends to cold workers, connections, calls for the list, releases. All of it is off in run and on with CHALKYARD_LOG. chalkyard losses LOGS streams the logs and sums them by reason, class, attempt, age of the list and second, with the spread over routers; a line that it can't read is refused with file and line.

--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -217,16 +217,16 @@
     let call = |id: p::RequestId| id.0.to_string();
     let name = |w: p::WorkerId| w.0.to_string();
     match action {
-        p::Action::Send { id, worker, give_up } => wire::Deed::Send {
+        p::Action::Send { id, worker, give_up, .. } => wire::Deed::Send {
             call: call(id),
             worker: name(worker),
             give_up_after_s: give_up.map(p::Micros::as_secs_f64),
         },
         p::Action::Cancel { id, attempt } => wire::Deed::Cancel { call: call(id), send_no: attempt.0 },
-        p::Action::Refuse { id, retry_after } => {
+        p::Action::Refuse { id, retry_after, .. } => {
             wire::Deed::Decline { call: call(id), cool_down_s: retry_after.map(p::Micros::as_secs_f64) }
         }
-        p::Action::Fail(id) => wire::Deed::DropRequest { call: call(id) },
+        p::Action::Fail { id, .. } => wire::Deed::DropRequest { call: call(id) },
         p::Action::Move(id) => wire::Deed::Transfer { call: call(id) },
         p::Action::LetGo(id) => wire::Deed::Unhold { call: call(id) },
         p::Action::SetTimer { timer, after } => {
--- a/crates/daemon/src/keeping.rs
+++ b/crates/daemon/src/keeping.rs
@@ -11,7 +11,7 @@
 use chalkyard_budget::{Figures, Grant, Keeper, Key, Record, Settled, State, Time};
 use chalkyard_ledger::{Folder, Limits, Writer};
 use chalkyard_router::shell::{News, Sink};
-use chalkyard_router::Finished;
+use chalkyard_router::{Finished, Tally};
 use chalkyard_state::Act;
 use tracing::{info, warn};
 
@@ -255,6 +255,10 @@
         self.recent.push_back(record);
     }
 
+    fn tally(&mut self, tally: &Tally) {
+        self.log.tally(tally);
+    }
+
     fn recent(&self, id: &str) -> Option<String> {
         let record = self.recent.iter().rev().find(|r| r.id == id)?;
         serde_json::to_string(record).ok()
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::sync::OnceLock;
 
-use chalkyard_router::Finished;
+use chalkyard_router::{Finished, Tally};
 use tracing::{info, warn};
 use tracing_subscriber::EnvFilter;
 
@@ -44,6 +44,7 @@
         }
         let attempts = serde_json::to_string(&r.attempts).unwrap_or_default();
         let ended = serde_json::to_string(&r.ended).unwrap_or_default();
+        let why = r.why.and_then(|w| serde_json::to_string(&w).ok());
         info!(
             target: "request",
             id = r.id,
@@ -52,7 +53,10 @@
             tenant = r.tenant,
             identity = r.identity,
             ended = ended.trim_matches('"'),
+            why = why.as_deref().map(|w| w.trim_matches('"')),
             phase = r.phase,
+            list_age_us = r.list_age_us,
+            open = r.open as u64,
             reason = r.reason,
             attempts,
             arrived_us = r.arrived_us,
@@ -66,6 +70,13 @@
         );
     }
 
+    /// What was done in a second; `losses` sums these lines.
+    pub fn tally(&self, t: &Tally) {
+        if tracing::enabled!(target: "tally", tracing::Level::INFO) {
+            info!(target: "tally", tally = serde_json::to_string(t).unwrap_or_default(), "second");
+        }
+    }
+
     pub fn note(&self, what: &str, text: &str) {
         warn!(target: "router", what, "{text}");
     }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -13,6 +13,7 @@
 mod fuzz_test;
 mod keeping;
 mod logs;
+mod losses;
 mod notify;
 mod platform;
 mod reload;
@@ -167,6 +168,16 @@
         #[arg(long)]
         before: String,
     },
+    /// Sum up what routers' logs say of requests that were not served: who gave them up, why, when and where. The
+    /// routers have to run with `CHALKYARD_LOG=info`.
+    Losses {
+        /// Logs, one for each router.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+        /// How to print it.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Judge the five rules from recorded traffic alone.
     Audit {
         /// Recorded traffic, as JSON lines.
@@ -317,6 +328,7 @@
             }
             Ok(judge(chalkyard_rehearsal::rehearse(&day, &plan).map_err(trouble)?, format))
         }
+        Command::Losses { logs, format } => losses::losses(&logs, format),
         Command::Audit { file, format } => {
             let text = read(&file)?;
             let report = chalkyard_rehearsal::audit(&text)
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -9,7 +9,7 @@
 
 use chalkyard_platform::Started;
 use chalkyard_router::shell::{granularity, Clock, News, Place, Shell, Sink};
-use chalkyard_router::{Core, Ended, Finished, Input};
+use chalkyard_router::{Core, Ended, Finished, Input, Tally};
 use chalkyard_state::{Act, Event, Terms};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -49,6 +49,10 @@
         }
     }
 
+    fn tally(&mut self, tally: &Tally) {
+        self.log.tally(tally);
+    }
+
     fn note(&mut self, what: &str, text: &str) {
         self.log.note(what, text);
     }
@@ -106,9 +110,12 @@
     let leave = if config.waits.leaving.is_some() { LEAVE_MOVING } else { LEAVE };
     let place = Place::take(started.listen, false);
     let place = place.map_err(|e| could_not(&format!("listening at {}", started.listen), e))?;
-    let core = Core::new(config, started.seed.unwrap_or(clock.now().0), clock.now());
+    let mut core = Core::new(config, started.seed.unwrap_or(clock.now().0), clock.now());
     let (sender, news) = sync_channel(WAITING);
     let all = std::env::var_os(logs::LEVEL_NAME).is_some();
+    if all {
+        core.count_seconds();
+    }
     let told = Told { log: logs::Log { list_file: None }, all, file, sender, news };
     let terms = Terms { start: START, leave, drain: DRAIN, farewell: FAREWELL };
     let mut shell = Shell::new(core, told, clock, place, terms).map_err(|e| could_not("starting", e))?;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -76,6 +76,9 @@
     let started = Started { settings: config.policy.clone(), seed };
     let name = config.name.clone();
     let mut core = Core::new(config, seed, clock.now());
+    if std::env::var_os(logs::LEVEL_NAME).is_some() {
+        core.count_seconds();
+    }
     // All that was spent is known before the first request is taken.
     let (told, news) = sync_channel(keeping::WAITING);
     let mut ledger = None;
--- a/crates/platform/tests/flow.rs
+++ b/crates/platform/tests/flow.rs
@@ -471,7 +471,7 @@
         .collect();
     let told =
         heard.lock().unwrap().iter().flat_map(|(_, _, actions)| actions.clone()).find_map(|a| match a {
-            Action::Refuse { id, retry_after: Some(after) } => Some((id, after)),
+            Action::Refuse { id, retry_after: Some(after), .. } => Some((id, after)),
             _ => None,
         });
     let (id, after) = told.expect("nothing is answered: the module refuses for load");
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -397,6 +397,49 @@
     Timer(TimerId),
 }
 
+/// Why a request is given up. The first that holds, in the order in which they are looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize), serde(rename_all = "snake_case"))]
+pub enum Why {
+    /// Its class is not in the settings.
+    NoClass,
+    /// On arrival: first tokens take too long, judged by what they took (one of many routers).
+    Pressure,
+    /// On arrival: first tokens would take too long, judged by what waits.
+    Forecast,
+    /// On arrival: its client will not wait for as long as first tokens take.
+    Doomed,
+    /// An attempt may have run, and nothing is repeated in a jam (one of many routers).
+    Jam,
+    /// Its attempts are used up.
+    Attempts,
+    /// An attempt may have run, which bars its class from another.
+    MayHaveRun,
+    /// Its time ended with its last attempt.
+    Late,
+    /// Its time ended while none of the workers that its next step needs was listed as in service.
+    NoWorker,
+    /// ... while those were all left out as sick or silent.
+    Unfit,
+    /// ... while those that are left had turned its class away.
+    Full,
+    /// ... while those that are left were cold, with their budget spent.
+    Cold,
+}
+
+/// What is known of a worker that a request is sent to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize), serde(rename_all = "snake_case"))]
+pub enum Care {
+    /// Nothing bad.
+    #[default]
+    Usual,
+    /// It began within the told time and may still be cold.
+    Cold,
+    /// It has failed, or been silent, lately: this shows whether it is well.
+    Trial,
+}
+
 /// What a router does.
 #[derive(Debug, Clone, PartialEq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
@@ -409,6 +452,8 @@
         worker: WorkerId,
         /// Give up after this span (never zero); none: when the client does.
         give_up: Option<Micros>,
+        /// What is known of that worker, for those who read the log.
+        care: Care,
     },
     /// Stop waiting for an attempt.
     Cancel {
@@ -423,9 +468,16 @@
         id: RequestId,
         /// Time that the client should stay away.
         retry_after: Option<Micros>,
+        /// The condition, for those who read the log.
+        why: Why,
     },
     /// Final answer: failed, nothing is promised.
-    Fail(RequestId),
+    Fail {
+        /// The request.
+        id: RequestId,
+        /// The condition, for those who read the log.
+        why: Why,
+    },
     /// End a running stream so that it goes on elsewhere.
     Move(RequestId),
     /// Let go of all state held for a request.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -444,7 +444,9 @@
     // ---- The ordinary path.
 
     fn request(&mut self, req: Request, out: &mut Vec<Action>) {
-        let Some(class) = self.set.classes.get(req.class.0) else { return out.push(Action::Fail(req.id)) };
+        let Some(class) = self.set.classes.get(req.class.0) else {
+            return out.push(Action::Fail { id: req.id, why: Why::NoClass });
+        };
         let aim = class.aim + class.aim_per_1000_tokens.mul_f64(req.prompt_tokens as f64 / 1e3);
         let over_share = self.over_share(req.tenant);
         self.seen.prompt.add(req.prompt_tokens as f64);
@@ -467,10 +469,10 @@
         let turned = seldom && self.coin(&*job.req.id.0, "") < self.pressure() / most - SELDOM_FELT;
         let jam = turned || (!seldom && felt && self.forecast() > self.tightest().mul_f64(most));
         // What has begun for its client and broke off is not given up for load: its worth is nearly earned.
-        if !job.req.came_back && (jam || (doomed && self.local(&job).is_none())) {
-            self.finish(job, out);
-        } else {
-            self.settle(job, out);
+        let why = if turned { Why::Pressure } else { Why::Forecast };
+        match Some(why).filter(|_| jam).or((doomed && self.local(&job).is_none()).then_some(Why::Doomed)) {
+            Some(why) if !job.req.came_back => self.finish(job, why, out),
+            _ => self.settle(job, out),
         }
     }
 
@@ -538,12 +540,13 @@
             // In a jam that many routers share, repeating what may have run makes the jam.
             let spent = self.seldom() && job.tries.iter().any(|t| t.ran) && self.pressure() > FELT;
             if spent || self.now + self.set.tick + self.set.tick >= job.req.deadline {
-                return self.finish(job, out);
+                let why = if spent { Why::Jam } else { self.barred(&job) };
+                return self.finish(job, why, out);
             }
-            match self.choose(&job) {
-                Some(step) => self.send(&mut job, step, out),
-                None if self.hopeless(&job) => return self.finish(job, out),
-                None => {}
+            if let Some(step) = self.choose(&job) {
+                self.send(&mut job, step, out);
+            } else if let Some(why) = self.hopeless(&job) {
+                return self.finish(job, why, out);
             }
         }
         if job.done && !job.open() {
@@ -754,8 +757,10 @@
     fn send(&mut self, job: &mut Job, (worker, stage, predicted): Step, out: &mut Vec<Action>) {
         let now = self.now;
         let (effect, pace) = (self.effect(job).0, self.pace());
+        let trial = self.servers.get(&worker).is_some_and(|s| s.failing >= FAILING || !self.fit(s));
         let Some(s) = self.servers.get_mut(&worker) else { return };
-        if s.cold(now, self.set.cold_for).is_some() {
+        let cold = s.cold(now, self.set.cold_for).is_some();
+        if cold {
             s.sends.retain(|t| *t + self.set.fall_after > now);
             s.sends.push(now);
         }
@@ -789,7 +794,9 @@
             ran: true,
             predicted,
         });
-        out.push(Action::Send { id: job.req.id.clone(), worker, give_up });
+        let care = if cold { Care::Cold } else { Care::Usual };
+        let care = if trial { Care::Trial } else { care };
+        out.push(Action::Send { id: job.req.id.clone(), worker, give_up, care });
     }
 
     // ---- What comes back.
@@ -947,7 +954,7 @@
     }
 
     /// Gives the final answer: a refusal where that is allowed, else a failure.
-    fn finish(&mut self, mut job: Job, out: &mut Vec<Action>) {
+    fn finish(&mut self, mut job: Job, why: Why, out: &mut Vec<Action>) {
         let id = job.req.id.clone();
         self.missed(&job);
         if job.held.take().is_some() {
@@ -961,9 +968,9 @@
             let drained = self.forecast() - self.tightest().mul_f64(ADMIT / 2.0);
             let drained = drained.max(self.tightest().mul_f64(late));
             let retry_after = Some(drained.min(self.set.max_retry_after)).filter(|t| t.0 > 0);
-            out.push(Action::Refuse { id, retry_after });
+            out.push(Action::Refuse { id, retry_after, why });
         } else {
-            out.push(Action::Fail(id));
+            out.push(Action::Fail { id, why });
         }
         if job.open() {
             self.keep(job);
@@ -1033,14 +1040,31 @@
     }
 
     /// No worker can ever take it: its attempts are used up, or one that may have run bars more.
-    fn hopeless(&self, job: &Job) -> bool {
+    fn hopeless(&self, job: &Job) -> Option<Why> {
         let (effect, window) = self.effect(job);
-        job.tries.len() as u32 >= self.set.max_attempts
-            || job.tries.iter().filter(|t| t.ran).any(|t| match effect {
-                Effect::Free => false,
-                Effect::SingleShot => true,
-                Effect::Guarded(_) => self.now >= t.sent + window,
-            })
+        let bars = |t: &Try| match effect {
+            Effect::Free => false,
+            Effect::SingleShot => true,
+            Effect::Guarded(_) => self.now >= t.sent + window,
+        };
+        let ran = job.tries.iter().any(|t| t.ran && bars(t)).then_some(Why::MayHaveRun);
+        ran.or((job.tries.len() as u32 >= self.set.max_attempts).then_some(Why::Attempts))
+    }
+
+    /// What kept a request whose time is up from its next attempt.
+    fn barred(&self, job: &Job) -> Why {
+        let other = if job.held.is_some() { Role::Reader } else { Role::Writer };
+        let serves = |s: &&Server| s.info.lifecycle == Lifecycle::In && s.info.role != other;
+        let full = |s: &Server| s.full.get(&job.req.class).is_some_and(|(_, until)| self.now < *until);
+        let listed: Vec<&Server> = self.servers.values().filter(serves).collect();
+        let fit: Vec<&Server> = listed.iter().copied().filter(|s| self.fit(s)).collect();
+        match () {
+            () if !job.tries.is_empty() && job.held_since == self.now => Why::Late,
+            () if listed.is_empty() => Why::NoWorker,
+            () if fit.is_empty() => Why::Unfit,
+            () if fit.iter().all(|s| full(s)) => Why::Full,
+            () => Why::Cold,
+        }
     }
 
     fn peers(&self, role: Role) -> f64 {
--- a/crates/policy/tests/common/audit.rs
+++ b/crates/policy/tests/common/audit.rs
@@ -79,7 +79,7 @@
     pub fn check(&mut self, action: Action) {
         let now = self.rig.now;
         match action {
-            Action::Send { id, worker, give_up } => {
+            Action::Send { id, worker, give_up, .. } => {
                 let w = &self.workers[&worker];
                 assert!(!self.stopped.contains(&worker), "rule 3: {worker:?} drains or is gone");
                 assert!(give_up.is_none_or(|g| g.0 > 0));
@@ -111,7 +111,7 @@
                 let clean = job.tries.iter().all(|t| t.ran == Some(false));
                 assert!(clean || matches!(effect, Effect::Free), "rule 2: refused after it may have run");
             }
-            Action::Fail(id) => {
+            Action::Fail { id, .. } => {
                 self.end(&id);
             }
             Action::LetGo(id) => self.asked.get_mut(&id).expect("known").held = false,
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -198,7 +198,7 @@
 }
 
 pub fn failed(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Fail(_)))
+    actions.iter().any(|a| matches!(a, Action::Fail { .. }))
 }
 
 pub fn let_go(actions: &[Action]) -> bool {
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -13,6 +13,7 @@
 use super::pool::Task;
 use super::record::{since, AttemptRecord, Ended, Finished};
 use super::sources::report;
+use super::tally;
 use super::view::OpenRequest;
 use super::{ConnId, Core, Due, FinishedLine, Output};
 use crate::dialect::{self, Beside, Passed, Told};
@@ -88,6 +89,7 @@
     worker: WorkerId,
     at: At,
     sent: Micros,
+    care: p::Care,
     conn: Option<ConnId>,
     timer: Option<Key>,
     report: Option<p::Report>,
@@ -120,6 +122,8 @@
     /// When an answer is overdue.
     pub backstop: Option<Key>,
     answer: Answer,
+    /// The module's condition, where it gave the request up.
+    why: Option<p::Why>,
     first_token: Option<Micros>,
     /// The attempt whose answer goes to the client.
     winner: Option<usize>,
@@ -151,6 +155,7 @@
             held: None,
             backstop: None,
             answer: Answer::Owed,
+            why: None,
             first_token: None,
             winner: None,
             paused: false,
@@ -256,7 +261,7 @@
 impl Core {
     // ---- The module's actions.
 
-    pub(super) fn send(&mut self, id: &RequestId, worker: WorkerId, give_up: Option<Micros>) {
+    pub(super) fn send(&mut self, id: &RequestId, worker: WorkerId, give_up: Option<Micros>, care: p::Care) {
         let (now, most) = (self.now, self.config.policy.max_attempts as usize);
         let via = self.via.clone();
         let host = self.host(&worker);
@@ -268,10 +273,16 @@
             _ => At::Whole,
         };
         let no = AttemptNo(job.attempts.len() as u32);
+        let call = match job.attempts.last() {
+            None => tally::Call::First,
+            Some(a) if at == At::Pull && a.at == At::Read => tally::Call::Pull,
+            Some(_) => tally::Call::Again { ran: job.may_have_run() },
+        };
         let attempt = Attempt {
             worker: worker.clone(),
             at,
             sent: now,
+            care,
             conn: None,
             timer: None,
             report: None,
@@ -279,6 +290,9 @@
             ended: None,
         };
         job.attempts.push(attempt);
+        if let Some(tally) = &mut self.tally {
+            tally.sent(call, care);
+        }
         if job.over()
             || job.winner.is_some()
             || now >= job.request.deadline
@@ -352,7 +366,10 @@
         }
     }
 
-    pub(super) fn refuse(&mut self, id: &RequestId, retry_after: Option<Micros>) {
+    pub(super) fn refuse(&mut self, id: &RequestId, retry_after: Option<Micros>, why: p::Why) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.why = Some(why);
+        }
         let error = ErrorBody {
             kind: ErrorKind::Refused,
             reason: "not taken now; nothing has run, trying again does no harm".into(),
@@ -363,8 +380,9 @@
         self.give_error(id, Ended::Refused, 503, error);
     }
 
-    pub(super) fn fail(&mut self, id: &RequestId) {
-        let Some(job) = self.jobs.get(id) else { return };
+    pub(super) fn fail(&mut self, id: &RequestId, why: p::Why) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.why = Some(why);
         let last = job.attempts.iter().rev().find_map(|a| a.ended).map(|(o, _)| outcome_name(o));
         let reason = format!("failed; last attempt: {}", last.unwrap_or("none"));
         self.give_failure(id, Ended::Failed, 504, reason);
@@ -392,6 +410,7 @@
         begun.sort_unstable_by(|a, b| b.cmp(a));
         let steps = ((left + until - self.now).0 / LEAVING_STEP.0).max(1) as usize;
         for (_, id) in begun.iter().take(begun.len().div_ceil(steps)) {
+            self.count(|t| t.moved += 1);
             self.move_on(id);
         }
         self.timers.set(self.now + LEAVING_STEP, Due::Leaving);
@@ -408,6 +427,7 @@
     // ---- Letting go.
 
     fn release(&mut self, id: RequestId, worker: WorkerId, since: Micros) {
+        self.count(|t| t.releases += 1);
         let bytes = if let Some(dialect) = &self.config.dialect {
             dialect.release(&id, &self.host(&worker))
         } else {
@@ -1065,6 +1085,7 @@
             worker: a.worker.0.to_string(),
             stage: a.at.name(),
             outcome: a.ended.map_or("open", |(o, _)| outcome_name(o)),
+            care: a.care,
             sent_us: since(a.sent, job.arrived),
             took_us: since(a.ended.map_or(self.now, |(_, end)| end), a.sent),
         });
@@ -1099,6 +1120,7 @@
             worker: a.worker.0.to_string(),
             stage: a.at.name(),
             outcome: a.ended.map_or("open", |(o, _)| outcome_name(o)),
+            care: a.care,
             sent_us: since(a.sent, job.arrived),
             took_us: a.ended.map_or(0, |(_, end)| since(end, a.sent)),
         });
@@ -1109,6 +1131,9 @@
             tenant: job.request.tenant.and_then(|t| name(t.0)),
             identity: job.identity.map(|(_, key)| key),
             ended,
+            why: job.why,
+            list_age_us: self.list_changed.map(|t| since(at, t)),
+            open: self.jobs.len() + 1,
             phase,
             reason,
             attempts: attempts.collect(),
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -89,7 +89,7 @@
         let begun = job.has_begun();
         let ending = match ended {
             Ended::Served => Ending::Served,
-            Ended::Refused => Ending::Refused,
+            Ended::Refused | Ended::Turned => Ending::Refused,
             Ended::Failed | Ended::Overdue | Ended::Stopped if !begun => Ending::Failed,
             Ended::Failed | Ended::Overdue | Ended::Stopped | Ended::Broken | Ended::Moved => Ending::Broken,
             Ended::ClientGone | Ended::ClientSlow if begun => Ending::Left,
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -6,8 +6,8 @@
 use chalkyard_proto::{encode, Decoder, Head, Part, Side, Start};
 
 use super::attempts::{Call, Job};
-use super::record::Ended;
-use super::{ConnId, Core, Due, Output};
+use super::record::{Ended, Finished};
+use super::{ConnId, Core, Due, FinishedLine, Output};
 use crate::dialect::Heard;
 use crate::identity::{Identity, Repeat};
 use crate::timers::Key;
@@ -62,6 +62,7 @@
         if full || (self.draining && self.config.dialect.is_none()) {
             let why = if self.draining { "draining" } else { "too many connections" };
             let body = error(ErrorKind::Refused, why).json();
+            self.count(|t| t.unheard += 1);
             self.out.push(Output::Write(conn, encode::response(503, &[JSON], &body, false)));
             self.out.push(Output::Close(conn));
             return;
@@ -92,6 +93,7 @@
         let first = unserved.min_by_key(|(_, c)| (!c.is_idle(), c.used, c.since)).map(|(id, _)| *id);
         let Some(conn) = first else { return false };
         self.drop_client(conn);
+        self.count(|t| t.unheard += 1);
         self.out.push(Output::Abort(conn));
         true
     }
@@ -249,6 +251,9 @@
             self.write_client(conn, encode::response(200, &[], b"ok\n", keep));
             return self.answered(conn);
         }
+        let id = head.header(chalkyard_api::engine::REQUEST_ID).unwrap_or_default().to_owned();
+        let turned = Finished::turned(id, self.now, body.reason.clone());
+        self.out.push(Output::Finished(Box::new(FinishedLine(turned))));
         self.answer_error(conn, status, &body);
     }
 
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod pool;
 pub(crate) mod record;
 mod sources;
+pub(crate) mod tally;
 pub(crate) mod view;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -24,6 +25,7 @@
 use clients::Client;
 use pool::{Engine, Link, Rest, Task};
 use record::Finished;
+use tally::Tally;
 
 /// A connection. Never given twice in a core's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -94,6 +96,8 @@
     Record(u64, Box<Record>),
     /// A request is over.
     Finished(Box<FinishedLine>),
+    /// What was done in one second.
+    Tally(Box<Tally>),
     /// Something to tell an operator.
     Note(&'static str, String),
 }
@@ -152,6 +156,8 @@
     version: Option<u64>,
     /// When a dialect's source was last asked.
     asked: Micros,
+    /// When the list last changed.
+    list_changed: Option<Micros>,
     /// Bytes of request bodies that came and may still have to be sent.
     bodies: u64,
     /// When a change was last found to be lost.
@@ -164,6 +170,8 @@
     /// A list of engines is known.
     has_list: bool,
     observer: Option<Observer>,
+    /// What is done in the present second; none: nobody wants to know.
+    tally: Option<Tally>,
 }
 
 impl Core {
@@ -193,6 +201,7 @@
             register: None,
             version: None,
             asked: Micros(0),
+            list_changed: None,
             bodies: 0,
             gap: None,
             next_link: 1,
@@ -201,9 +210,15 @@
             left: None,
             has_list: false,
             observer: None,
+            tally: None,
         }
     }
 
+    /// Has told with [`Output::Tally`] what was done in each second in which anything was.
+    pub fn count_seconds(&mut self) {
+        self.tally = Some(Tally::default());
+    }
+
     /// Has each event and the module's actions on it told to `observer`.
     pub fn observe(&mut self, observer: Observer) {
         self.observer = Some(observer);
@@ -247,6 +262,7 @@
     /// Takes one input and appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input<'_>, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        self.tell_tally();
         match input {
             Input::Accepted(conn) => self.accepted(conn),
             Input::Connected(conn) => self.connected(conn),
@@ -349,10 +365,10 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { id, worker, give_up } => self.send(&id, worker, give_up),
+            Action::Send { id, worker, give_up, care } => self.send(&id, worker, give_up, care),
             Action::Cancel { id, attempt } => self.cancel(&id, attempt),
-            Action::Refuse { id, retry_after } => self.refuse(&id, retry_after),
-            Action::Fail(id) => self.fail(&id),
+            Action::Refuse { id, retry_after, why } => self.refuse(&id, retry_after, why),
+            Action::Fail { id, why } => self.fail(&id, why),
             Action::Move(id) => self.move_on(&id),
             Action::LetGo(id) => self.let_go(&id),
             Action::SetTimer { timer, after } => {
--- a/crates/router/src/core/pool.rs
+++ b/crates/router/src/core/pool.rs
@@ -157,6 +157,7 @@
     ) -> ConnId {
         let conn = ConnId(self.next_link);
         self.next_link += 2;
+        self.count(|t| t.connects += u64::from(worker.is_some()));
         let timer = self.timers.set(self.now + self.config.waits.connect, Due::Connect(conn));
         let decoder = Decoder::new(Side::Response, self.config.bounds.engine);
         let size = bytes.len() as u64;
--- a/crates/router/src/core/record.rs
+++ b/crates/router/src/core/record.rs
@@ -1,5 +1,6 @@
 //! What is told of a finished request: enough to find a cause.
 
+use chalkyard_policy as p;
 use chalkyard_policy::Micros;
 use serde::Serialize;
 
@@ -23,6 +24,8 @@
     Stopped,
     /// The module moved the stream on.
     Moved,
+    /// Turned away by a bound or check of the router, before the module heard of it.
+    Turned,
     /// No final answer came from the module in time: the router's own backstop. An error of ours.
     Overdue,
 }
@@ -36,6 +39,8 @@
     pub stage: &'static str,
     /// How it ended.
     pub outcome: &'static str,
+    /// What the module knew of the worker.
+    pub care: p::Care,
     /// From the request's arrival to its sending, µs.
     pub sent_us: u64,
     /// From its sending to its end, µs.
@@ -57,8 +62,14 @@
     pub identity: Option<String>,
     /// Who ended it.
     pub ended: Ended,
+    /// The module's condition, where it ended it.
+    pub why: Option<p::Why>,
     /// In which phase: `waiting`, `reading`, `held`, `pulling`, `writing`, `streaming`.
     pub phase: &'static str,
+    /// Since the list of workers last changed, µs; none: it has not in this life.
+    pub list_age_us: Option<u64>,
+    /// Requests that were open here when it was answered, this one included.
+    pub open: usize,
     /// In words, where there is more to say.
     pub reason: String,
     /// Its attempts in order.
@@ -79,6 +90,33 @@
     pub output_tokens: u64,
 }
 
+impl Finished {
+    /// One that never reached the module.
+    pub(crate) fn turned(id: String, now: Micros, reason: String) -> Self {
+        Self {
+            id,
+            class: String::new(),
+            came_back: false,
+            tenant: None,
+            identity: None,
+            ended: Ended::Turned,
+            why: None,
+            phase: "unheard",
+            list_age_us: None,
+            open: 0,
+            reason,
+            attempts: Vec::new(),
+            arrived_us: now.0,
+            first_token_us: None,
+            total_us: 0,
+            estimated_tokens: 0,
+            prompt_tokens: 0,
+            kept_tokens: 0,
+            output_tokens: 0,
+        }
+    }
+}
+
 pub(crate) fn since(later: Micros, earlier: Micros) -> u64 {
     (later - earlier).0
 }
--- a/crates/router/src/core/sources.rs
+++ b/crates/router/src/core/sources.rs
@@ -29,6 +29,10 @@
 impl Core {
     /// Notes where workers are; gives what the module is told.
     pub(super) fn learn(&mut self, named: Vec<Named>, whole: bool) -> Vec<p::Worker> {
+        if !named.is_empty() {
+            self.count(|t| t.list_news += 1);
+            self.list_changed = Some(self.now);
+        }
         if whole {
             for engine in self.engines.values_mut() {
                 engine.listed = false;
@@ -59,6 +63,7 @@
 
     fn register_call(&mut self, target: &str, task: Task) -> Option<ConnId> {
         let address = self.config.register?;
+        self.count(|t| t.list_calls += 1);
         let bytes = encode::request("GET", target, &address.to_string(), &[("via", &self.via)], &[]);
         Some(self.connect(None, address, task, bytes))
     }
@@ -68,6 +73,7 @@
             let Some(address) = self.config.register.filter(|_| self.register.is_none()) else { return };
             let bytes = dialect.watch(self.version, &address.to_string());
             self.asked = self.now;
+            self.count(|t| t.list_calls += 1);
             self.register = Some(self.connect(None, address, Task::Poll(Vec::new()), bytes));
             return;
         }
@@ -161,6 +167,7 @@
         let host = self.config.register.map(|a| a.to_string()).unwrap_or_default();
         let bytes = dialect.watch(self.version, &host);
         self.asked = self.now;
+        self.count(|t| t.list_calls += 1);
         self.out.push(Output::Write(conn, bytes));
         self.alive(conn);
         true
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -15,5 +15,6 @@
 
 pub use crate::config::{Bounds, ClassEntry, Config, KindEntry, TenantEntry, Tuned, Waits};
 pub use crate::core::record::{AttemptRecord, Ended, Finished};
+pub use crate::core::tally::Tally;
 pub use crate::core::view::{Counts, EngineView, Listed, OpenRequest};
 pub use crate::core::{ConnId, Core, Input, Output};
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -16,7 +16,7 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 use slab::Slab;
 
-use crate::{ConnId, Core, Finished, Input, Output};
+use crate::{ConnId, Core, Finished, Input, Output, Tally};
 
 const LISTENER: Token = Token(0);
 const WAKER: Token = Token(1);
@@ -44,6 +44,8 @@
 pub trait Sink {
     /// A request is over.
     fn finished(&mut self, record: Finished);
+    /// What was done in a second, where the core counts.
+    fn tally(&mut self, _tally: &Tally) {}
     /// Something happened that an operator may want to know.
     fn note(&mut self, what: &str, text: &str);
     /// The list of workers to keep for the next start.
@@ -619,6 +621,7 @@
                 self.unflushed = true;
             }
             Output::Finished(line) => self.sink.finished(line.0),
+            Output::Tally(tally) => self.sink.tally(&tally),
             Output::Note(what, text) => self.sink.note(what, &text),
         }
     }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -116,6 +116,7 @@
     pub closed: BTreeSet<ConnId>,
     pub paused: BTreeSet<ConnId>,
     pub finished: Vec<Finished>,
+    pub tallies: Vec<Tally>,
     pub notes: Vec<String>,
     /// What the ledger was given.
     pub records: Vec<(u64, chalkyard_budget::Record)>,
@@ -155,6 +156,7 @@
             closed: BTreeSet::new(),
             paused: BTreeSet::new(),
             finished: Vec::new(),
+            tallies: Vec::new(),
             notes: Vec::new(),
             records: Vec::new(),
             kept_list: None,
@@ -211,6 +213,7 @@
                 Output::Resume(conn) => assert!(self.paused.remove(&conn)),
                 Output::KeepList(text) => self.kept_list = Some(text),
                 Output::Finished(line) => self.finished.push(line.0),
+                Output::Tally(tally) => self.tallies.push(*tally),
                 Output::Note(_, text) => self.notes.push(text),
                 Output::Record(number, record) => self.records.push((number, *record)),
             }
