--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -318,9 +318,10 @@
     firsts: Rate,
     asked: Rate,
     beginnings: Recent<PrefixId, Rate, BEGINNINGS_MOST>,
-    /// What a warm worker of a role finishes for us, over those there were at the time: the first to
-    /// come back finds none beside it.
+    /// What a warm worker of a role finishes for us, and what it is sent, over those there were at the
+    /// time: the first to come back finds none beside it.
     finished: BTreeMap<Role, Rate>,
+    given: BTreeMap<Role, Rate>,
 }
 
 /// The decision module of one router.
@@ -578,8 +579,7 @@
         if let Some((w, kept)) = self.local(job) {
             return Some((w, Stage::Write, Some(kept)));
         }
-        let mixed = self.pool(job, |r| r == Role::Mixed);
-        let readers = self.pool(job, |r| r == Role::Reader);
+        let (mixed, readers) = (self.hashable(job, Role::Mixed), self.hashable(job, Role::Reader));
         let writers = self.pool(job, |r| r == Role::Writer);
         if readers.is_empty() || (writers.is_empty() && mixed.is_empty()) || self.mixed_turn(job, &mixed) {
             if let Some(s) = self.hashed(job, &mixed) {
@@ -591,7 +591,7 @@
         }
         // No reader is left, not merely full: a writer reads, if it can.
         let left = |s: &Server| s.info.role == Role::Reader && s.info.lifecycle == Lifecycle::In && !s.down;
-        let left = |s: &Server| left(s) && self.may_send(job, s);
+        let left = |s: &Server| left(s) && self.may_run(job, s) && self.cold_room(job, s);
         if !self.set.self_prefill || self.servers.values().any(left) {
             return None;
         }
@@ -670,6 +670,11 @@
             Role::Mixed => s.streams,
             _ => s.reads.max((s.read_tokens as f64 / usual) as u32) + slow(s),
         };
+        // One of many routers knows nothing of a cold one: it is no better than the warm ones in the mean,
+        // or all routers would turn to it once these are slow.
+        let warm = pool.iter().filter(|s| seldom && !self.is_cold(s)).map(|s| load(s));
+        let (n, sum) = warm.fold((0, 0), |(n, sum), l| (n + 1, sum + l));
+        let load = |s: &Server| load(s).max(if self.is_cold(s) { sum / n.max(1) } else { 0 });
         let least = pool.iter().map(|s| load(s)).min().unwrap_or(0);
         // A shared beginning can be too hot for two, or one of them slow: the pair widens in the order of
         // the hash, to its part of what we are asked or past those with too many of our reads out, at the
@@ -757,9 +762,11 @@
     fn send(&mut self, job: &mut Job, (worker, stage, predicted): Step, out: &mut Vec<Action>) {
         let now = self.now;
         let (effect, pace) = (self.effect(job).0, self.pace());
-        let trial = self.servers.get(&worker).is_some_and(|s| s.failing >= FAILING || !self.fit(s));
+        let Some(s) = self.servers.get(&worker) else { return };
+        let (cold, trial, role) = (self.is_cold(s), s.failing >= FAILING || !self.fit(s), s.info.role);
+        let part = if cold { 0.0 } else { 1.0 / self.peers(role) };
+        self.seen.given.entry(role).or_default().add(now, self.set.cold_for, part);
         let Some(s) = self.servers.get_mut(&worker) else { return };
-        let cold = s.cold(now, self.set.cold_for).is_some();
         if cold {
             s.sends.retain(|t| *t + self.set.fall_after > now);
             s.sends.push(now);
@@ -983,6 +990,36 @@
     /// they are more than half of the pool: then the trouble is elsewhere. One where nobody listens stays
     /// out in any case: it would eat every attempt.
     fn pool(&self, job: &Job, role: impl Fn(Role) -> bool) -> Vec<&Server> {
+        self.allowed(job, role, |s| self.cold_room(job, s))
+    }
+
+    /// Those that a hash may fall on. One of many routers seldom has room for a cold one, and its hash seldom
+    /// falls on it just then: all together would leave it idle until it is warm. So there a coin a request
+    /// takes it in beside warm ones of its role: as often as it is warm, less by what these are sent in vain,
+    /// and by half of the budget where most are cold.
+    fn hashable(&self, job: &Job, role: Role) -> Vec<&Server> {
+        let fade = |r: &Rate| r.fade(self.now, self.set.cold_for);
+        let finished = self.seen.finished.get(&role).map_or(0.0, fade);
+        if finished > 0.0 && self.seldom() {
+            let listed = |s: &&Server| s.info.role == role && s.info.lifecycle == Lifecycle::In;
+            let peers = self.servers.values().filter(listed).map(|s| self.present(s));
+            let (n, all) = peers.fold((0.0, 0.0), |(n, all), s| (n + 1.0, all + s));
+            let most = (self.set.fall_multiple * COLD_SHARE / 2.0 * all / f64::max(n, 1.0)).min(1.0);
+            let part = most * (finished / self.seen.given.get(&role).map_or(finished, fade)).min(1.0);
+            let some = self.allowed(job, |r| r == role, |s| self.cold_turn(job, s, part));
+            if some.iter().any(|s| !self.is_cold(s)) {
+                return some;
+            }
+        }
+        self.pool(job, |r| r == role)
+    }
+
+    fn allowed<'a>(
+        &'a self,
+        job: &Job,
+        role: impl Fn(Role) -> bool,
+        room: impl Fn(&Server) -> bool,
+    ) -> Vec<&'a Server> {
         let serves = |s: &&Server| s.info.lifecycle == Lifecycle::In && role(s.info.role);
         let answers = |s: &&Server| !s.down || self.fit(s) || s.failing < FAILING;
         let all: Vec<&Server> = self.servers.values().filter(serves).filter(answers).collect();
@@ -990,7 +1027,7 @@
         let judged = if fit.len() * 2 >= all.len() { fit } else { all };
         // One that turns away looks empty and is not sick: it is left alone for a moment, longer each time.
         let full = |s: &Server| s.full.get(&job.req.class).is_some_and(|(_, until)| self.now < *until);
-        let ready = |s: &&Server| !full(s) && self.may_send(job, s);
+        let ready = |s: &&Server| !full(s) && self.may_run(job, s) && room(s);
         let allowed: Vec<&Server> = judged.into_iter().filter(ready).collect();
         let fresh: Vec<&Server> = allowed.iter().copied().filter(|s| !job.tried(&s.info.id)).collect();
         Some(fresh).filter(|f| !f.is_empty()).unwrap_or(allowed)
@@ -1006,14 +1043,14 @@
         class.map_or((Effect::SingleShot, Micros(0)), |c| (c.effect, c.dedup_window))
     }
 
-    /// Rules 2 and 4: whether this request may go to this worker now.
-    fn may_send(&self, job: &Job, s: &Server) -> bool {
+    /// Rule 2: whether this request may go to this worker now.
+    fn may_run(&self, job: &Job, s: &Server) -> bool {
         if job.tries.len() as u32 >= self.set.max_attempts || job.open() {
             return false;
         }
         let ran: Vec<&Try> = job.tries.iter().filter(|t| t.ran).collect();
         let (effect, window) = self.effect(job);
-        let effect_ok = s.info.role == Role::Reader && ran.is_empty()
+        s.info.role == Role::Reader && ran.is_empty()
             || match effect {
                 Effect::Free => true,
                 Effect::SingleShot => ran.is_empty(),
@@ -1026,8 +1063,7 @@
                             Group::Cell => at.is_some_and(|a| a.cell == s.info.cell),
                         }
                 }),
-            };
-        effect_ok && self.cold_room(job, s)
+            }
     }
 
     /// Whether a refusal, which says that trying again is harmless, would be true.
@@ -1076,21 +1112,46 @@
     /// role's warm workers finish for us; what they are sent is in a jam many times more. Among many
     /// routers the part is under one request: a coin for each window gives it to as many as it bears.
     fn cold_room(&self, job: &Job, s: &Server) -> bool {
-        let Some(age) = s.cold(self.now, self.set.cold_for) else { return true };
+        let window = self.set.fall_after;
+        let (sent, budget) = self.cold_budget(job, s);
+        let turn = (self.now + window.mul_f64(self.coin("phase", &s.info.id.0))).0 / window.0.max(1);
+        let coin = self.coin(turn.to_le_bytes(), &s.info.id.0);
+        !self.is_cold(s) || sent < budget.floor() + f64::from(u8::from(coin < budget.fract()))
+    }
+
+    /// Whether a worker is taken in for this request where a hash chooses.
+    fn cold_turn(&self, job: &Job, s: &Server, part: f64) -> bool {
+        let (sent, budget) = self.cold_budget(job, s);
+        let turn = self.present(s) * part / self.long(job);
+        !self.is_cold(s) || (sent < budget.floor().max(1.0) && self.coin(&*job.req.id.0, &s.info.id.0) < turn)
+    }
+
+    fn is_cold(&self, s: &Server) -> bool {
+        s.cold(self.now, self.set.cold_for).is_some()
+    }
+
+    /// The share of its capacity that a worker has at least, by what is told.
+    fn present(&self, s: &Server) -> f64 {
+        let span = self.set.cold_for.as_secs_f64().max(1e-6);
+        let age = s.cold(self.now, self.set.cold_for).map_or(span, |age| age.as_secs_f64());
+        self.set.cold_from + (1.0 - self.set.cold_from) * age / span
+    }
+
+    /// How many usual prompts a long one weighs.
+    fn long(&self, job: &Job) -> f64 {
+        (job.req.prompt_tokens as f64 / self.seen.prompt.0.unwrap_or(1.0).max(1.0)).max(1.0)
+    }
+
+    /// What we sent it in this window, and our part of its budget.
+    fn cold_budget(&self, job: &Job, s: &Server) -> (f64, f64) {
         let window = self.set.fall_after;
         let sent = s.sends.iter().filter(|t| **t + window > self.now).count();
         let rate = self.seen.finished.get(&s.info.role).map_or(0.0, |r| r.per_s(self.now, self.set.cold_for));
         let share = (1.0 - COLD_CHANCE / f64::from(self.set.routers.max(1)).sqrt()).min(COLD_SHARE);
-        let warmth = age.as_secs_f64() / self.set.cold_for.as_secs_f64().max(1e-6);
-        let present = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
         // Where nothing is known yet, all together try one a window. A long prompt weighs as many.
         let least = 1.0 / f64::from(self.set.routers.max(1));
-        let budget = (rate * window.as_secs_f64() * self.set.fall_multiple * present * share).max(least);
-        let usual = self.seen.prompt.0.unwrap_or(1.0).max(1.0);
-        let budget = budget / (job.req.prompt_tokens as f64 / usual).max(1.0);
-        let turn = (self.now + window.mul_f64(self.coin("phase", &s.info.id.0))).0 / window.0.max(1);
-        let coin = self.coin(turn.to_le_bytes(), &s.info.id.0);
-        (sent as f64) < budget.floor() + f64::from(u8::from(coin < budget.fract()))
+        let per_s = self.set.fall_multiple * self.present(s) * share;
+        (sent as f64, (rate * window.as_secs_f64() * per_s).max(least) / self.long(job))
     }
 }
 
--- a/crates/policy/tests/many_routers.rs
+++ b/crates/policy/tests/many_routers.rs
@@ -81,6 +81,65 @@
     assert!(f64::from(total) < full * 2.0 * 3.0 * 0.4, "{total} against {full} a second");
 }
 
+/// Part of the reads of all routers that goes to cold readers, five of ten, in the two seconds after their start, and
+/// how many each of them gets of what each warm one finished in that time before. `took`: seconds of a read before.
+fn part_of_cold(took: f64, ends: Outcome) -> (f64, f64) {
+    let (mut to_cold, mut reads, mut finished) = (0.0, 0.0, 0.0);
+    for seed in 0..u64::from(ROUTERS) {
+        let mut rig = one(seed, many(), readers(10));
+        for i in 0..12 {
+            let id = format!("{seed}a{i}");
+            rig.ask(&id, &id, FREE, LONG);
+            rig.wait(took);
+            // Every third comes back in any case.
+            let ends = if i % 3 == 0 { Outcome::Parsed } else { ends };
+            finished += f64::from(u8::from(ends == Outcome::Parsed));
+            rig.feed(Event::Verdict {
+                id: id.as_str().into(),
+                attempt: AttemptNo(0),
+                outcome: ends,
+                elapsed: secs(took),
+                over: false,
+                kept: 0,
+                report: None,
+            });
+            rig.stream(&id, 1);
+            rig.end(&id, 1, Outcome::Served, 0);
+            rig.wait(1.2 - took);
+        }
+        let cold = (0..5).map(|i| Worker { started: Some(rig.now), ..worker(&format!("r{i}"), Role::Reader, 0) });
+        rig.feed(Event::Workers { kind: ListKind::Changes, workers: cold.collect() });
+        for i in 0..2 {
+            let id = format!("{seed}c{i}");
+            if let Some((to, _)) = sent(&rig.ask(&id, &id, FREE, LONG)) {
+                reads += 1.0;
+                to_cold += f64::from(u8::from(to.as_str() < "r5"));
+            }
+            rig.end(&id, 0, Outcome::Parsed, 0);
+            rig.end(&id, 1, Outcome::Served, 0);
+            rig.wait(1.0);
+        }
+    }
+    // Twelve requests took 14.4 s, over ten readers.
+    (to_cold / reads, (to_cold / 5.0) / (finished / 10.0 / 14.4 * 2.0))
+}
+
+#[test]
+fn cold_readers_are_used_as_far_as_they_are_warm() {
+    let (part, _) = part_of_cold(0.1, Outcome::Parsed);
+    // Five with a quarter to nearly a half of their capacity, beside five warm ones.
+    assert!(0.12 < part && part < 0.35, "{part} of the reads");
+}
+
+#[test]
+fn in_a_jam_cold_readers_get_no_more_than_their_budget() {
+    // What each warm reader finishes, times the multiple of 3, times a quarter.
+    let (_, often) = part_of_cold(0.1, Outcome::Refused { no_state: false });
+    assert!(often < 3.0 * 0.25, "two of three reads end in vain: {often} of what a warm one finishes");
+    let (_, often) = part_of_cold(1.1, Outcome::Parsed);
+    assert!(often < 3.0 * 0.25, "the warm ones are slow: {often} of what a warm one finishes");
+}
+
 // ---- Choice.
 
 #[test]
