--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1116,11 +1116,14 @@
     /// role's warm workers finish for us; what they are sent is in a jam many times more. Among many
     /// routers the part is under one request: a coin for each window gives it to as many as it bears.
     fn cold_room(&self, job: &Job, s: &Server) -> bool {
+        if !self.is_cold(s) {
+            return true;
+        }
         let window = self.set.fall_after;
         let (sent, budget) = self.cold_budget(job, s);
         let turn = (self.now + window.mul_f64(self.coin("phase", &s.info.id.0))).0 / window.0.max(1);
         let coin = self.coin(turn.to_le_bytes(), &s.info.id.0);
-        !self.is_cold(s) || sent < budget.floor() + f64::from(u8::from(coin < budget.fract()))
+        sent < budget.floor() + f64::from(u8::from(coin < budget.fract()))
     }
 
     fn is_cold(&self, s: &Server) -> bool {
--- a/crates/router/tests/common/day.rs
+++ b/crates/router/tests/common/day.rs
@@ -334,6 +334,13 @@
             assert_eq!(self.y.answers(a.conn).len(), 1, "rule 1: exactly one final answer");
         }
         assert_eq!(self.y.finished.len(), self.asked.len());
+        // Each has one end, and a condition exactly where the module gave it up.
+        let ids: BTreeSet<&str> = self.y.finished.iter().map(|f| f.id.as_str()).collect();
+        assert_eq!(ids.len(), self.asked.len());
+        for f in &self.y.finished {
+            let given_up = matches!(f.ended, Ended::Refused | Ended::Failed);
+            assert_eq!(given_up, f.why.is_some(), "{f:?}");
+        }
         let heard = self.y.heard.lock().unwrap();
         let (mut sends, mut verdicts): (BTreeMap<String, u32>, BTreeSet<(String, u32)>) = Default::default();
         for (_, event, actions) in heard.iter() {
