--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1004,13 +1004,14 @@
     /// it is warm, less by what these are sent in vain, and by half of the budget where most are cold.
     fn hashable(&self, job: &Job, role: Role) -> Vec<&Server> {
         let fade = |r: &Rate| r.fade(self.now, self.set.cold_for);
-        let finished = self.seen.finished.get(&role).map_or(0.0, fade);
-        if finished > 0.0 && self.seldom() {
+        if self.seldom() {
             let listed = |s: &&Server| s.info.role == role && s.info.lifecycle == Lifecycle::In;
             let peers = self.servers.values().filter(listed).map(|s| self.present(s));
             let (n, all) = peers.fold((0.0, 0.0), |(n, all), s| (n + 1.0, all + s));
             let most = (self.set.fall_multiple * COLD_SHARE / 2.0 * all / f64::max(n, 1.0)).min(1.0);
-            let part = most * (finished / self.seen.given.get(&role).map_or(finished, fade)).min(1.0);
+            // With one imagined that was finished: a router that has just begun knows of none.
+            let of = |r: &BTreeMap<Role, Rate>| r.get(&role).map_or(0.0, fade) + 1.0 / self.peers(role);
+            let part = most * (of(&self.seen.finished) / of(&self.seen.given)).min(1.0);
             let turn = |s: &Server| {
                 self.coin(&*job.req.id.0, &s.info.id.0) < self.present(s) * part / self.long(job)
             };
--- a/crates/policy/tests/many_routers.rs
+++ b/crates/policy/tests/many_routers.rs
@@ -141,6 +141,24 @@
     assert!(often < 3.0 * 0.25, "the warm ones are slow: {often} of what a warm one finishes");
 }
 
+#[test]
+fn routers_that_have_just_begun_leave_cold_readers_their_part() {
+    // Two of four readers have just begun, as on a day on which routers and workers are replaced together.
+    let first = |seed| {
+        let mut rig = one(seed, many(), vec![]);
+        let cold = |i: usize| (i < 2).then_some(rig.now);
+        let readers =
+            (0..4).map(|i| Worker { started: cold(i), ..worker(&format!("r{i}"), Role::Reader, 0) });
+        let workers = readers.chain([worker("w0", Role::Writer, 0)]).collect();
+        rig.feed(Event::Workers { kind: ListKind::Full, workers });
+        let id = format!("first{seed}");
+        sent(&rig.ask(&id, &id, FREE, LONG)).unwrap().0
+    };
+    let cold = (0..400).map(first).filter(|to| to == "r0" || to == "r1").count();
+    // At a quarter of their capacity they are due a fifth of all; the coin of the budget alone gives them one in a hundred.
+    assert!((20..=100).contains(&cold), "{cold} of 400 first reads went to cold readers");
+}
+
 // ---- Choice.
 
 #[test]
