After a lost register each router asks again at a time of its own

Cause: the module asked for the list again after a tenth of the told span, the same for all routers. Line at fault: the Failed arm of list().

Change: half to one and a half times that pause, by a coin from the instance's seed, another for each call. Folded beside it: three lines of the module that stood twice.

The platform's own list is told by an agent on each router's machine and is not asked by this timer. Test: routers_that_lose_the_list_at_one_moment_ask_again_at_times_of_their_own.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -88,7 +88,7 @@
 /// The rate of first tokens is taken over this span, and not judged before so many.
 const RATE_SPAN: Micros = Micros(3_000_000);
 const RATE_LEAST: f64 = 5.0;
-/// After a failed call the list is asked for again after this share of the longest span allowed.
+/// After a failed call the list is asked for again after about this share of the longest span allowed.
 const ASK_AGAIN: f64 = 0.1;
 /// A tenant may save up this many seconds of its share.
 const BUCKET_S: f64 = 2.0;
@@ -426,10 +426,12 @@
         // it was sent still presses on it.
         let (now, cold_for) = (self.now, self.set.cold_for);
         self.servers.retain(|_, s| s.info.lifecycle != Lifecycle::Out || s.cold(now, cold_for).is_some());
-        // Where the list has to be asked for: at the start, and again some time after a call has failed.
+        // Where the list has to be asked for: at the start, and again some time after a call has failed. All
+        // routers may have lost it at one moment, so each has a time of its own.
+        let again = ASK_AGAIN * (0.5 + self.coin(self.next_timer.to_le_bytes(), "list"));
         match kind {
             ListKind::Stale if self.set.discovery == Discovery::Ask => out.push(Action::Subscribe),
-            ListKind::Failed => self.set_timer(self.now + self.set.must_ask_in.mul_f64(ASK_AGAIN), None, out),
+            ListKind::Failed => self.set_timer(self.now + self.set.must_ask_in.mul_f64(again), None, out),
             _ => {}
         }
     }
@@ -482,12 +484,11 @@
     /// every jam, wherever it sits; a rate that lags behind a sudden rise would refuse too early, so a
     /// few that wait are never too many: they also keep a jam that has passed in sight.
     fn forecast(&self) -> Micros {
-        let waiting = self.waiting;
-        if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
+        if self.waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
             return Micros(0);
         }
         let rate = self.seen.firsts.per_s(self.now, RATE_SPAN).max(RATE_LEAST / RATE_SPAN.as_secs_f64());
-        Micros::from_secs_f64(waiting as f64 / rate)
+        Micros::from_secs_f64(self.waiting as f64 / rate)
     }
 
     /// Whether this is one of many routers, asked too seldom to count queues or to judge silence.
@@ -724,8 +725,7 @@
                     -(f64::from(s.streams) + f64::from(s.pending) * PENDING) / weight
                 } else {
                     // One that has just started is known to be empty.
-                    let empty = s.cold(self.now, self.set.cold_for).is_some();
-                    s.room(self.set.routers, if empty { 1.0 } else { mean })
+                    s.room(self.set.routers, if self.is_cold(s) { 1.0 } else { mean })
                 };
                 let near = match at {
                     Some(_) if cell == Some(s.info.cell) => NEAR,
@@ -1169,8 +1169,7 @@
 fn strike(s: &mut Server, now: Micros, weight: f64, bench: Micros) {
     s.failing += (1.0 - s.failing) * weight;
     if s.failing >= FAILING && now >= s.benched_until {
-        let longest = Micros(BENCH.0 << BENCH_DOUBLINGS);
-        s.benched_until = now + Micros(bench.0 << s.benches).min(longest);
+        s.benched_until = now + Micros((bench.0 << s.benches).min(BENCH.0 << BENCH_DOUBLINGS));
         s.benches = (s.benches + 1).min(BENCH_DOUBLINGS);
     }
 }
--- a/crates/policy/tests/many_routers.rs
+++ b/crates/policy/tests/many_routers.rs
@@ -159,6 +159,24 @@
     assert!((20..=100).contains(&cold), "{cold} of 400 first reads went to cold readers");
 }
 
+#[test]
+fn routers_that_lose_the_list_at_one_moment_ask_again_at_times_of_their_own() {
+    let pause = |seed| {
+        let mut rig = one(seed, Settings { discovery: Discovery::Ask, ..many() }, fleet());
+        let failed = rig.feed(Event::Workers { kind: ListKind::Failed, workers: vec![] });
+        let before = rig.now;
+        assert_eq!(rig.fire(&failed), [Action::Subscribe]);
+        (rig.now - before).0
+    };
+    let mut pauses: Vec<u64> = (0..u64::from(ROUTERS)).map(pause).collect();
+    pauses.sort_unstable();
+    // Over a second, of which any tenth is due a tenth of the routers and what such a count scatters.
+    let busiest =
+        pauses.iter().map(|at| pauses.iter().filter(|p| (*at..at + 100_000).contains(*p)).count()).max();
+    assert!(busiest.unwrap() <= 15 + 3 * 4 + 3, "{busiest:?} of {ROUTERS} routers ask within 100 ms");
+    assert!(pauses[0] >= 500_000, "not at once: the service is loaded");
+}
+
 // ---- Choice.
 
 #[test]
