--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,6 +15,7 @@
 mod logs;
 mod losses;
 mod notify;
+mod overload;
 mod platform;
 mod reload;
 mod replay;
@@ -114,7 +115,8 @@
     /// Play a day on loopback against stand-ins and judge the five rules from the traffic.
     Rehearse {
         /// The day: `bad-day`, `calm-day`, `budgets` (token budgets over 16 routers),
-        /// `restart-afternoon` (routers replaced under load), or a day file that the bench printed.
+        /// `restart-afternoon` (routers replaced under load), `overload` (many routers and what they do to each
+        /// other when parts fail), or a day file that the bench printed.
         day: String,
         /// Seed of the day.
         #[arg(long, default_value_t = 1)]
@@ -128,6 +130,8 @@
         /// How to print the report.
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
+        #[command(flatten)]
+        overload: overload::Arguments,
     },
     /// Run the settlement job: leases of the token budgets for all routers, from their ledgers.
     Settle {
@@ -305,10 +309,15 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Replay { file } => replay::replay(&file),
-        Command::Rehearse { day, seed, record, seconds, format } => {
+        Command::Rehearse { day, seed, record, seconds, format, overload } => {
             let exe = std::env::current_exe().map_err(|e| Trouble::CouldNotRun(e.to_string()))?;
             let plan = chalkyard_rehearsal::Plan { exe, seed, record, seconds };
+            if day != "overload" && overload.is_given() {
+                let why = "--case, --seeds, --routers, --exe and --fed go with `rehearse overload`";
+                return Err(Trouble::BadInput(why.into()));
+            }
             let own = match day.as_str() {
+                "overload" => return overload::overload(&plan, &overload, format),
                 "budgets" => {
                     let report = chalkyard_rehearsal::rehearse_budgets(&plan).map_err(trouble)?;
                     Some((report.text(), report.json(), report.held()))
--- /dev/null
+++ b/crates/daemon/src/overload.rs
@@ -0,0 +1,90 @@
+//! `chalkyard rehearse overload`: many routers, as processes with faults on the links between them, or as cores in fed time.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use chalkyard_fleet::{case, emulate, Report, CASES};
+use chalkyard_rehearsal::{play, Plan};
+
+use crate::{trouble, Format, Trouble};
+
+/// Routers, if not told otherwise: what four cores carry as processes beside the stand-ins.
+const ROUTERS: usize = 24;
+const SECONDS: u64 = 40;
+
+/// What goes with `rehearse overload` alone.
+#[derive(Debug, clap::Args)]
+pub struct Arguments {
+    /// Of `rehearse overload`: the case, or several at once as `one+other`; all of them one after the other, if not given.
+    #[arg(long)]
+    case: Option<String>,
+    /// Of `rehearse overload`: so many seeds, from `--seed` on.
+    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=1_000))]
+    seeds: Option<u64>,
+    /// Of `rehearse overload`: how many routers.
+    #[arg(long, value_parser = clap::value_parser!(u64).range(2..=400))]
+    routers: Option<u64>,
+    /// Of `rehearse overload`: another build of this program, which plays the same days beside this one.
+    #[arg(long, value_name = "PATH")]
+    exe: Option<PathBuf>,
+    /// Of `rehearse overload`: cores in fed time instead of processes: the same result every time, and no sockets.
+    #[arg(long)]
+    fed: bool,
+}
+
+impl Arguments {
+    /// Whether any was given.
+    pub fn is_given(&self) -> bool {
+        self.fed
+            || self.case.is_some()
+            || self.seeds.is_some()
+            || self.routers.is_some()
+            || self.exe.is_some()
+    }
+}
+
+/// Plays the cases; exit code 3 if a rule was broken or a bound passed.
+pub fn overload(plan: &Plan, arguments: &Arguments, format: Format) -> Result<ExitCode, Trouble> {
+    if arguments.fed && arguments.exe.is_some() {
+        return Err(Trouble::BadInput("--exe plays processes; in fed time there is this build alone".into()));
+    }
+    let routers = arguments.routers.map_or(ROUTERS, |n| n as usize);
+    let seconds = plan.seconds.unwrap_or(SECONDS);
+    let names: Vec<String> = match &arguments.case {
+        Some(name) => vec![name.clone()],
+        None => CASES.iter().map(|c| c.name.to_owned()).collect(),
+    };
+    let (mut held, mut played) = (true, 0);
+    for name in names {
+        for seed in plan.seed..plan.seed + arguments.seeds.unwrap_or(1) {
+            let day = case(&name, seed, routers, seconds).map_err(Trouble::BadInput)?;
+            // Processes take the machine's clock.
+            if !arguments.fed && day.clocks > 0 {
+                if arguments.case.is_some() {
+                    return Err(Trouble::BadInput(format!(
+                        "case `{name}`: clocks are apart in --fed time alone"
+                    )));
+                }
+                continue;
+            }
+            let report = if arguments.fed {
+                Report::new(&day, "fed", &emulate(&day).map_err(trouble)?.lines, None)
+            } else {
+                let lines = play(&day, plan).map_err(trouble)?;
+                let other = arguments.exe.as_ref().map(|exe| Plan { exe: exe.clone(), ..plan.clone() });
+                let other = other.map(|plan| play(&day, &plan)).transpose().map_err(trouble)?;
+                Report::new(&day, "processes", &lines, other.as_deref())
+            };
+            match format {
+                Format::Text => print!("{}", report.text()),
+                Format::Json => println!("{}", report.json()),
+            }
+            held &= report.held();
+            played += 1;
+        }
+    }
+    if let Format::Text = format {
+        println!("{played} days played: {}", if held { "rules and bounds held" } else { "NOT all held" });
+    }
+    Ok(if held { ExitCode::SUCCESS } else { ExitCode::from(3) })
+}
--- /dev/null
+++ b/crates/fleet/src/emulate.rs
@@ -0,0 +1,282 @@
+//! Plays a day in fed time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use chalkyard_api::keys::KeyRing;
+use chalkyard_policy as p;
+use chalkyard_policy::Micros;
+use chalkyard_rehearsal::day::{Day, Fault, Kind};
+use chalkyard_rehearsal::engine::Role;
+use chalkyard_rehearsal::record::{Effect, Line};
+use chalkyard_rehearsal::scene::Scene;
+use chalkyard_rehearsal::Error;
+use chalkyard_router::{Bounds, ClassEntry, Config, Core, Finished, Input, KindEntry, Output, Tally, Waits};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::memory::{Due, Heard, Memory};
+
+/// The day's beginning, µs since 1970: any time will do, as long as it is always the same.
+const UNIX: u64 = 1_700_000_000_000_000;
+/// A router that was killed is back after this, and the next one this much later.
+const BACK: u64 = 300_000;
+/// Things done at one moment; more, and something goes round in a circle.
+const AT_ONCE: u32 = 1_000_000;
+
+/// What came of a day.
+#[derive(Debug)]
+pub struct Emulated {
+    /// What engines, register and clients saw.
+    pub lines: Vec<Line>,
+    /// What the routers counted, a second of all together.
+    pub tallies: Vec<Tally>,
+    /// Each request that ended, with its router.
+    pub finished: Vec<(usize, Finished)>,
+}
+
+struct Router {
+    core: Option<Box<Core>>,
+    life: u64,
+    /// How far its clock is ahead.
+    ahead: u64,
+    due: Option<u64>,
+}
+
+struct Play<'a> {
+    scene: Scene<'a, Memory>,
+    routers: Vec<Router>,
+    names: Vec<(String, SocketAddr)>,
+    registers: Vec<SocketAddr>,
+    /// When cores want to be woken.
+    due: BTreeSet<(u64, usize)>,
+    returns: Vec<(u64, usize)>,
+    outputs: Vec<Output>,
+    tallies: BTreeMap<u64, Tally>,
+    finished: Vec<(usize, Finished)>,
+}
+
+/// As the kit's settings for processes say it.
+fn config(day: &Day, name: &str, register: SocketAddr) -> Config {
+    let f = &day.figures;
+    let classes = day.classes.iter().map(|c| p::Class {
+        aim: Micros(c.aim_us),
+        aim_per_1000_tokens: Micros(c.aim_per_1000_us),
+        deadline: Micros(c.deadline_us),
+        effect: match c.effect {
+            Effect::Free => p::Effect::Free,
+            Effect::SingleShot => p::Effect::SingleShot,
+            Effect::Guarded => p::Effect::Guarded(p::Group::Cell),
+        },
+        dedup_window: Micros(c.window_us),
+    });
+    let kind = |role, tokens| KindEntry { role, kv_tokens: Some(tokens) };
+    let second = Micros(1_000_000);
+    Config {
+        name: name.into(),
+        policy: p::Settings {
+            routers: day.told_routers.unwrap_or(day.routers as u32),
+            classes: classes.collect(),
+            tenants: Vec::new(),
+            discovery: p::Discovery::Push,
+            must_ask_in: Micros(10 * second.0),
+            self_prefill: true,
+            resume: false,
+            release: Micros(f.release_us),
+            max_attempts: 4,
+            may_cancel: true,
+            max_retry_after: second,
+            fall_multiple: f.fall_multiple,
+            fall_after: Micros(f.fall_us),
+            cold_from: f.cold_from,
+            cold_for: Micros(f.cold_us),
+            answer_slack: Micros(f.slack_us),
+            tick: Micros(1_000),
+            weighted: false,
+            reports: p::Reports::InAnswers,
+        },
+        classes: day.classes.iter().map(|c| ClassEntry { name: c.name.clone() }).collect(),
+        default_class: 0,
+        tenants: Vec::new(),
+        keys: KeyRing::new([0; 32]),
+        zones: [("yard".to_owned(), p::ZoneId(0))].into(),
+        kinds: [
+            (Role::Reader.name().to_owned(), kind(p::Role::Reader, 200_000)),
+            (Role::Writer.name().to_owned(), kind(p::Role::Writer, 120_000)),
+            (Role::Mixed.name().to_owned(), kind(p::Role::Mixed, 160_000)),
+        ]
+        .into(),
+        register: Some(register),
+        bounds: Bounds::default(),
+        waits: Waits {
+            stream: Micros(5 * second.0),
+            slow_client: Micros(2 * second.0),
+            register: Micros(5 * second.0),
+            ..Waits::default()
+        },
+        dialect: None,
+    }
+}
+
+/// Plays a day. The same day gives the same record.
+pub fn emulate(day: &Day) -> Result<Emulated, Error> {
+    let (scene, (names, registers)) = Scene::new(day, Memory::new(), UNIX, |net, registers| {
+        let names: Vec<(String, SocketAddr)> =
+            (1..=day.routers).map(|i| (format!("r{i}"), net.add_router())).collect();
+        Ok((names.clone(), (names, registers.to_vec())))
+    })?;
+    let mut rng = ChaCha8Rng::seed_from_u64(day.seed ^ 0xc10c);
+    let routers = names.iter().map(|_| {
+        let ahead = if day.clocks == 0 { 0 } else { rng.random_range(0..=day.clocks) };
+        Router { core: None, life: 0, ahead, due: None }
+    });
+    let mut play = Play {
+        routers: routers.collect(),
+        scene,
+        names,
+        registers,
+        due: BTreeSet::new(),
+        returns: Vec::new(),
+        outputs: Vec::new(),
+        tallies: BTreeMap::new(),
+        finished: Vec::new(),
+    };
+    play.run()?;
+    Ok(Emulated {
+        lines: play.scene.tape.lines,
+        tallies: play.tallies.into_values().collect(),
+        finished: play.finished,
+    })
+}
+
+impl Play<'_> {
+    fn run(&mut self) -> Result<(), Error> {
+        for i in 0..self.routers.len() {
+            self.start(i);
+            self.scene.router_is(i, true);
+        }
+        let (mut at, mut steps) = (0, 0_u32);
+        loop {
+            let cores = self.due.first().map_or(u64::MAX, |(at, _)| *at);
+            let returns = self.returns.iter().map(|(at, _)| *at).min().unwrap_or(u64::MAX);
+            let net = self.scene.net.inner.next_due();
+            let next = self.scene.next_due().min(cores).min(returns).min(net);
+            if next == u64::MAX {
+                return Err(Error::CouldNotRun("nothing is due any more, and the day is not over".into()));
+            }
+            steps = if next > at { 0 } else { steps + 1 };
+            if steps > AT_ONCE {
+                return Err(Error::CouldNotRun(format!("time stands still at {at} µs")));
+            }
+            at = at.max(next);
+            self.scene.at(at);
+            self.network();
+            self.strike();
+            if self.scene.tick() {
+                return Ok(());
+            }
+            while let Some((_, i)) = self.due.first().copied().filter(|(due, _)| *due <= at) {
+                self.feed(i, Input::Tick);
+            }
+        }
+    }
+
+    /// Brings what is due on the network to its side.
+    fn network(&mut self) {
+        while let Some(due) = self.scene.net.inner.pop() {
+            match due {
+                Due::World(happened) => self.scene.spread(vec![happened]),
+                Due::Core(i, conn, heard) => match heard {
+                    Heard::Accepted => self.feed(i, Input::Accepted(conn)),
+                    Heard::Connected => self.feed(i, Input::Connected(conn)),
+                    Heard::Lost => self.feed(i, Input::Lost(conn)),
+                    Heard::Bytes(bytes) => self.feed(i, Input::Bytes(conn, &bytes)),
+                    Heard::Eof => self.feed(i, Input::Eof(conn)),
+                    Heard::Wrote(bytes) => self.feed(i, Input::Wrote(conn, bytes)),
+                },
+            }
+        }
+    }
+
+    fn clock(&self, i: usize) -> Micros {
+        let ahead = self.routers.get(i).map_or(0, |r| r.ahead);
+        Micros(UNIX + self.scene.tape.now + ahead)
+    }
+
+    fn start(&mut self, i: usize) {
+        let now = self.clock(i);
+        let Some((name, _)) = self.names.get(i) else { return };
+        let register = self.registers.get(i).or(self.registers.first());
+        let (Some(register), Some(router)) = (register, self.routers.get_mut(i)) else { return };
+        router.life += 1;
+        let day = self.scene.day;
+        let seed = day.seed.wrapping_mul(1_000).wrapping_add(i as u64 * 64 + router.life);
+        let mut core = Box::new(Core::new(config(day, name, *register), seed, now));
+        core.count_seconds();
+        core.start(now, None, &mut self.outputs);
+        router.core = Some(core);
+        self.scene.net.inner.start(i);
+        self.carry_out(i);
+    }
+
+    fn kill(&mut self, i: usize) {
+        let Some(router) = self.routers.get_mut(i) else { return };
+        router.core = None;
+        if let Some(due) = router.due.take() {
+            self.due.remove(&(due, i));
+        }
+        self.scene.net.inner.kill(i);
+        self.scene.router_is(i, false);
+    }
+
+    fn feed(&mut self, i: usize, input: Input<'_>) {
+        let now = self.clock(i);
+        if let Some(core) = self.routers.get_mut(i).and_then(|r| r.core.as_mut()) {
+            core.handle(now, input, &mut self.outputs);
+            self.carry_out(i);
+        }
+    }
+
+    fn carry_out(&mut self, i: usize) {
+        for output in std::mem::take(&mut self.outputs) {
+            match self.scene.net.inner.carry_out(i, output) {
+                Some(Output::Finished(line)) => self.finished.push((i, line.0)),
+                Some(Output::Tally(tally)) => {
+                    let ahead = self.routers.get(i).map_or(0, |r| r.ahead);
+                    let second = tally.second.saturating_sub((UNIX + ahead) / 1_000_000);
+                    let all = self.tallies.entry(second).or_default();
+                    all.add(Tally { second, ..*tally });
+                }
+                _ => {}
+            }
+        }
+        let Some(router) = self.routers.get_mut(i) else { return };
+        let due = router.core.as_ref().and_then(|c| c.next_due());
+        let due = due.map(|at| at.0.saturating_sub(UNIX + router.ahead));
+        if due != router.due {
+            if let Some(old) = std::mem::replace(&mut router.due, due) {
+                self.due.remove(&(old, i));
+            }
+            self.due.extend(due.map(|at| (at, i)));
+        }
+    }
+
+    fn strike(&mut self) {
+        while let Some((fault, begins)) = self.scene.next_fault() {
+            self.scene.fault(fault, begins);
+            if let Fault { kind: Kind::BalancerRoll, on, len, .. } = fault {
+                for (n, i) in on.iter().copied().enumerate().filter(|_| begins) {
+                    self.kill(i);
+                    self.returns.push((self.scene.tape.now + len + n as u64 * BACK, i));
+                }
+            }
+        }
+        let now = self.scene.tape.now;
+        let due: Vec<usize> = self.returns.iter().filter(|(at, _)| *at <= now).map(|(_, i)| *i).collect();
+        self.returns.retain(|(at, _)| *at > now);
+        for i in due {
+            self.start(i);
+            self.scene.router_is(i, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/shrink.rs
@@ -0,0 +1,30 @@
+//! A failing day made as small as it can be and still fail.
+
+use chalkyard_rehearsal::day::Day;
+
+/// Takes faults away, one after the other and then again, as long as the day still fails; gives the day with the fewest
+/// that were found, and how many days were tried. Taking any one more away would have it pass.
+pub fn shrink(day: &Day, mut fails: impl FnMut(&Day) -> bool) -> (Day, u32) {
+    let (mut least, mut tried) = (day.clone(), 0);
+    // Large parts first, so that a day of many faults takes few tries.
+    let mut part = least.faults.len().div_ceil(2);
+    while part > 0 {
+        let mut at = 0;
+        while at < least.faults.len() {
+            let mut fewer = least.clone();
+            fewer.faults.drain(at..(at + part).min(fewer.faults.len()));
+            tried += 1;
+            if fails(&fewer) {
+                least = fewer;
+            } else {
+                at += part;
+            }
+        }
+        // Once more at one, until nothing goes.
+        part = match part {
+            1 => 0,
+            n => n.div_ceil(2),
+        };
+    }
+    (least, tried)
+}
--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -9,6 +9,8 @@
 
 /// So many broken cases of a rule are told in words.
 const TOLD: u64 = 5;
+/// A connection that a fault of links breaks is found to be so long after, µs.
+const RESET_NOISE: u64 = 20_000;
 /// A lost connection counts as a killed router's for this long after the kill, µs.
 const KILL_SHADOW: u64 = 1_000_000;
 
@@ -105,6 +107,8 @@
     /// Spans without a process, of engines that write.
     downs: Vec<(&'a str, u64, u64)>,
     readers: BTreeSet<&'a str>,
+    /// Spans of faults of links: what, which engines (none named: all), from when to when.
+    links: Vec<(&'a str, BTreeSet<&'a str>, u64, u64)>,
     end: u64,
 }
 
@@ -147,6 +151,7 @@
             engines: BTreeMap::new(),
             downs: Vec::new(),
             readers: BTreeSet::new(),
+            links: Vec::new(),
             end: lines.last().map_or(0, |l| l.t),
         };
         for line in lines {
@@ -158,7 +163,20 @@
     fn line(&mut self, line: &'a Line) {
         let t = line.t;
         match &line.seen {
-            Seen::Day { .. } | Seen::Fault { .. } | Seen::Work { .. } | Seen::Unreached { .. } => {}
+            Seen::Fault { name, on, begins } if name.starts_with("link_") => {
+                if *begins {
+                    self.links.push((name, on.split_whitespace().collect(), t, u64::MAX));
+                } else if let Some(open) = self.links.iter_mut().find(|l| l.0 == name && l.3 == u64::MAX) {
+                    open.3 = t;
+                }
+            }
+            Seen::Day { .. }
+            | Seen::Fault { .. }
+            | Seen::Work { .. }
+            | Seen::Connect { .. }
+            | Seen::Listed { .. }
+            | Seen::Use { .. }
+            | Seen::Unreached { .. } => {}
             Seen::Engine { engine, role, cell, capacity_per_s } => {
                 if role == "reader" {
                     self.readers.insert(engine);
@@ -259,6 +277,23 @@
         }
     }
 
+    /// Whether a fault broke connections at this moment.
+    fn broke(&self, at: u64) -> bool {
+        let breaks = |name: &str| matches!(name, "link_reset" | "link_cut");
+        self.links
+            .iter()
+            .any(|(name, _, from, to)| breaks(name) && (*from..=to.saturating_add(RESET_NOISE)).contains(&at))
+    }
+
+    /// Until when an answer that an engine gave then can't be heard, or a call be made there: the attempt is out as long.
+    fn unheard(&self, engine: &str, at: u64) -> Option<u64> {
+        let silent = |name: &str| matches!(name, "link_mute" | "link_deaf" | "link_cut");
+        let here = |l: &&(&str, BTreeSet<&str>, u64, u64)| {
+            silent(l.0) && (l.1.is_empty() || l.1.contains(engine)) && (l.2..l.3).contains(&at)
+        };
+        self.links.iter().filter(here).map(|l| l.3).max()
+    }
+
     fn class(&self, name: &str) -> Option<&'a Class> {
         self.classes.iter().find(|c| c.name == name)
     }
@@ -278,6 +313,7 @@
                     Some(format!("answered {} µs late", at - t.deadline))
                 }
                 ([_], ..) => None,
+                ([], Some(at), _) if self.broke(at) => None,
                 ([], Some(at), _)
                     if self.killed(t.router, t.asked, at)
                         || self.killed(t.router, at.saturating_sub(KILL_SHADOW), at) =>
@@ -430,7 +466,10 @@
                 .attempts
                 .values()
                 .filter(|a| a.request == h.request)
-                .map(|a| (a.arrived, a.ended.map_or(self.end, |(t, _)| t)))
+                .map(|a| {
+                    let ended = a.ended.map_or(self.end, |(t, _)| t);
+                    (a.arrived, self.unheard(a.engine, ended).unwrap_or(ended))
+                })
                 .collect();
             spans.sort_unstable();
             let (mut at, mut longest) = (h.from, 0);
@@ -461,8 +500,8 @@
         moments.max()
     }
 
-    /// Worth answered in time over worth asked; a request is one identity, from its first try.
-    fn goodput(&self) -> (u64, f64) {
+    /// A request is one identity, from its first try: when it was asked, its worth, and what of that was answered in time.
+    fn worths(&self) -> impl Iterator<Item = (u64, f64, f64)> + use<'a> {
         let mut asked: BTreeMap<&str, (u64, f64, f64)> = BTreeMap::new();
         for t in self.tries.values() {
             let Some(c) = self.class(t.class) else { continue };
@@ -480,10 +519,33 @@
                 }
             }
         }
-        let worth: f64 = asked.values().map(|(_, w, _)| w).sum();
-        let good: f64 = asked.values().map(|(_, _, g)| g).sum();
-        (asked.len() as u64, if worth > 0.0 { good / worth } else { 0.0 })
+        asked.into_values()
+    }
+
+    /// Worth answered in time over worth asked.
+    fn goodput(&self) -> (u64, f64) {
+        let (mut n, mut worth, mut good) = (0, 0.0, 0.0);
+        for (_, w, g) in self.worths() {
+            (n, worth, good) = (n + 1, worth + w, good + g);
+        }
+        (n, if worth > 0.0 { good / worth } else { 0.0 })
+    }
+}
+
+/// For each second of the day, the worth asked in it and what of that was answered in time.
+pub fn by_second(lines: &[Line]) -> Vec<(f64, f64)> {
+    let mut seconds: Vec<(f64, f64)> = Vec::new();
+    let Some((book, ..)) = Book::read(lines) else { return seconds };
+    for (at, worth, good) in book.worths() {
+        let second = (at / 1_000_000) as usize;
+        if seconds.len() <= second {
+            seconds.resize(second + 1, (0.0, 0.0));
+        }
+        if let Some(sum) = seconds.get_mut(second) {
+            *sum = (sum.0 + worth, sum.1 + good);
+        }
     }
+    seconds
 }
 
 fn times(values: impl Iterator<Item = u64>) -> Times {
--- a/crates/rehearsal/src/clients.rs
+++ b/crates/rehearsal/src/clients.rs
@@ -12,14 +12,14 @@
 use crate::net::{Conn, Net};
 use crate::record::{Answer, Class, Effect, Seen};
 
-/// Tries of one request, the first one counted.
-const TRIES: u32 = 3;
 /// How long a client waits past its deadline for what is then a broken rule, µs.
 const PATIENCE: u64 = 1_000_000;
 /// A begun stream without a further token for so long is given up, µs.
 const SILENCE: u64 = 30_000_000;
 /// The front layer goes on sending to a dead router for so long, µs.
 const FRONT_NOTICE: u64 = 700_000;
+/// A naive client comes again after this, µs.
+const NAIVE: u64 = 1_000;
 /// Idle connections that are kept to one router.
 const IDLE: usize = 32;
 
@@ -86,6 +86,12 @@
     pub long: f64,
     pub leaving: f64,
     pub slow: f64,
+    /// Share of clients that come again at once when they are refused, whatever they are told.
+    pub naive: f64,
+    /// Tries of one request, the first one counted.
+    most_tries: u32,
+    /// A router that gets so many times what each other one gets.
+    favourite: Option<(usize, f64)>,
     hot_system: String,
     budgets: Option<BudgetSpec>,
 }
@@ -124,13 +130,16 @@
             long: 0.0,
             leaving: 0.0,
             slow: 0.0,
+            naive: day.naive,
+            most_tries: day.tries,
+            favourite: day.favourite,
             hot_system,
             budgets: day.budgets.clone(),
         }
     }
 
     /// So many requests of the first tenant at once, over all routers.
-    pub fn volley(&mut self, n: usize, net: &mut Net, tape: &mut Tape) {
+    pub fn volley(&mut self, n: usize, net: &mut dyn Net, tape: &mut Tape) {
         for i in 0..n {
             let wish = self.wish(0);
             let router = i % self.routers.len().max(1);
@@ -164,7 +173,7 @@
         self.tries.values().map(limit).min().unwrap_or(u64::MAX).min(later)
     }
 
-    pub fn tick(&mut self, net: &mut Net, tape: &mut Tape) {
+    pub fn tick(&mut self, net: &mut dyn Net, tape: &mut Tape) {
         while let Some(((at, n), _)) = self.later.first_key_value().map(|(k, v)| (*k, v)) {
             if at > tape.now {
                 break;
@@ -191,7 +200,7 @@
         }
     }
 
-    fn arrive(&mut self, at: u64, net: &mut Net, tape: &mut Tape) {
+    fn arrive(&mut self, at: u64, net: &mut dyn Net, tape: &mut Tape) {
         if at >= self.until {
             return;
         }
@@ -251,8 +260,8 @@
         let fit = |a: &Option<u64>| a.is_none_or(|known| known > now);
         let alive: Vec<usize> =
             self.avoid.iter().enumerate().filter(|(_, a)| fit(a)).map(|(i, _)| i).collect();
-        if let Some(skew) = self.budgets.as_ref().map(|b| b.skew) {
-            let favourite = tenant * 5 % self.routers.len().max(1);
+        let of_tenant = self.budgets.as_ref().map(|b| (tenant * 5 % self.routers.len().max(1), b.skew));
+        if let Some((favourite, skew)) = self.favourite.or(of_tenant) {
             let others = (self.routers.len() - 1) as f64;
             if alive.contains(&favourite) && self.rng.random_bool(skew / (skew + others)) {
                 return favourite;
@@ -264,12 +273,12 @@
         }
     }
 
-    fn ask(&mut self, wish: Wish, net: &mut Net, tape: &mut Tape) {
+    fn ask(&mut self, wish: Wish, net: &mut dyn Net, tape: &mut Tape) {
         let router = self.pick(tape.now, wish.tenant);
         self.ask_at(wish, router, net, tape);
     }
 
-    fn ask_at(&mut self, mut wish: Wish, router: usize, net: &mut Net, tape: &mut Tape) {
+    fn ask_at(&mut self, mut wish: Wish, router: usize, net: &mut dyn Net, tape: &mut Tape) {
         let Some(class) = self.classes.get(wish.class) else { return };
         let share = self.rng.random_range(0.6..1.0);
         let wait = (class.deadline_us as f64 * share) as u64;
@@ -299,7 +308,7 @@
         let address = self.routers.get(router).map(|r| r.1);
         let conn = match (reused, address) {
             (Some(conn), _) => Ok(conn),
-            (None, Some(address)) => net.connect(address),
+            (None, Some(address)) => net.connect(address, router),
             _ => return,
         };
         let no = self.next;
@@ -341,7 +350,7 @@
         }
     }
 
-    fn send(&mut self, t: &mut Try, conn: Conn, net: &mut Net, tape: &mut Tape) {
+    fn send(&mut self, t: &mut Try, conn: Conn, net: &mut dyn Net, tape: &mut Tape) {
         t.sent = true;
         tape.add(Seen::Ask {
             no: t.no,
@@ -368,7 +377,7 @@
         self.tries.contains_key(&conn)
     }
 
-    pub fn connected(&mut self, conn: Conn, net: &mut Net, tape: &mut Tape) {
+    pub fn connected(&mut self, conn: Conn, net: &mut dyn Net, tape: &mut Tape) {
         if let Some(mut t) = self.tries.remove(&conn) {
             self.send(&mut t, conn, net, tape);
             self.tries.insert(conn, t);
@@ -392,7 +401,7 @@
         }
     }
 
-    pub fn bytes(&mut self, conn: Conn, bytes: &[u8], net: &mut Net, tape: &mut Tape) {
+    pub fn bytes(&mut self, conn: Conn, bytes: &[u8], net: &mut dyn Net, tape: &mut Tape) {
         let Some(mut t) = self.tries.remove(&conn) else {
             // Nobody asked: a further answer on a connection that has had its own.
             for idle in &mut self.idle {
@@ -487,7 +496,13 @@
         if how == Answer::Refused && tape.now as f64 + wait * 1e6 > self.until as f64 + 5e6 {
             return;
         }
-        if how == Answer::Refused && wait > 0.0 && t.wish.tries < TRIES {
+        if how == Answer::Refused && self.rng.random_bool(self.naive.clamp(0.0, 1.0)) {
+            if t.wish.tries < self.most_tries {
+                self.schedule(tape.now + NAIVE, Later::Again(Box::new(t.wish.clone())));
+            }
+            return;
+        }
+        if how == Answer::Refused && wait > 0.0 && t.wish.tries < self.most_tries {
             return self.again(t.wish.clone(), (wait * 1e6) as u64, tape.now);
         }
         self.after(t, how, tape.now);
@@ -519,7 +534,7 @@
     }
 
     fn again(&mut self, wish: Wish, wait: u64, now: u64) {
-        if wish.tries < TRIES {
+        if wish.tries < self.most_tries {
             let wait = wait + self.rng.random_range(50_000..300_000);
             self.schedule(now + wait, Later::Again(Box::new(wish)));
         }
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -45,6 +45,33 @@
     Reload,
     /// The settlement job is killed, and started again at the end.
     SettlementKilled,
+    /// Links are cut: connections are reset, and new ones too.
+    LinkCut,
+    /// Links are silent towards routers; what is sent comes when they are back.
+    LinkMute,
+    /// Links are silent from routers.
+    LinkDeaf,
+    /// Links take so many µs longer each way.
+    LinkSlow,
+    /// All connections of links are reset, once.
+    LinkReset,
+}
+
+/// Which links a fault strikes; of engines' those of the engines in [`Fault::on`], all of them if none is named.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Links {
+    pub of: LinkOf,
+    /// Routers by place; none named: all.
+    pub routers: Vec<usize>,
+}
+
+/// What links lead to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkOf {
+    Clients,
+    Engines,
+    Register,
+    All,
 }
 
 /// How the routers of a day keep budgets.
@@ -79,7 +106,7 @@
 }
 
 /// The kinds by the names that the bench's day files use, and by those that it has none for.
-pub const KINDS: [(&str, Kind); 23] = [
+pub const KINDS: [(&str, Kind); 28] = [
     ("crash", Kind::Crash),
     ("mass_restart", Kind::MassRestart),
     ("fast_errors", Kind::FastErrors),
@@ -103,6 +130,11 @@
     ("reload", Kind::Reload),
     ("volley", Kind::Volley),
     ("settlement_killed", Kind::SettlementKilled),
+    ("link_cut", Kind::LinkCut),
+    ("link_mute", Kind::LinkMute),
+    ("link_deaf", Kind::LinkDeaf),
+    ("link_slow", Kind::LinkSlow),
+    ("link_reset", Kind::LinkReset),
 ];
 
 impl Kind {
@@ -140,6 +172,8 @@
     pub on: Vec<usize>,
     /// How hard: a factor, or a share, by kind.
     pub size: f64,
+    /// Of faults of links: which.
+    pub links: Option<Links>,
 }
 
 /// A day.
@@ -162,11 +196,24 @@
     /// Thousandths by which engines count more prompt tokens than a token for four bytes, at most.
     pub counts_more: u64,
     pub budgets: Option<BudgetSpec>,
+    /// Share of clients that come again at once when they are refused.
+    pub naive: f64,
+    /// Tries of one request, the first one counted.
+    pub tries: u32,
+    /// A router that gets so many times what each other one gets.
+    pub favourite: Option<(usize, f64)>,
+    /// Each router reaches engines and register at addresses of its own, so that links can be told apart.
+    pub apart: bool,
+    /// How many routers the settings say there are, where that is not so.
+    pub told_routers: Option<u32>,
+    /// How far routers' clocks are apart at most, µs; where the clock is fed.
+    pub clocks: u64,
 }
 
 const S: u64 = 1_000_000;
 
-fn make(role: Role) -> Make {
+/// What an engine of a role is like in the kit's days.
+pub fn make(role: Role) -> Make {
     let (slots, queue, memory, capacity_per_s) = match role {
         Role::Reader => (6, 30, 200_000, 14.0),
         Role::Writer => (40, 20, 120_000, 25.0),
@@ -180,7 +227,8 @@
     Make { role, slots, queue, memory, read_per_s, step_us, per_answer_us, capacity_per_s }
 }
 
-fn base(name: &str, seed: u64, length: u64) -> Day {
+/// A small fleet without faults; `length` in µs.
+pub fn base(name: &str, seed: u64, length: u64) -> Day {
     let roles = [
         ("read-a1", Role::Reader, 1),
         ("read-a2", Role::Reader, 1),
@@ -230,6 +278,12 @@
         faults: Vec::new(),
         counts_more: 0,
         budgets: None,
+        naive: 0.0,
+        tries: 3,
+        favourite: None,
+        apart: false,
+        told_routers: None,
+        clocks: 0,
     }
 }
 
@@ -252,7 +306,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let engine = rng.random_range(3..7);
     let mut fault = |kind, at: u64, len: u64, on: Vec<usize>, size: f64| {
-        day.faults.push(Fault { kind, at, len, on, size });
+        day.faults.push(Fault { kind, at, len, on, size, links: None });
     };
     let length = seconds * S;
     fault(Kind::Drain, length / 5, length / 8, vec![engine], 0.0);
@@ -353,7 +407,14 @@
     for (kind, at, len, size) in plan.iter().copied() {
         let at = (at + rng.random_range(-0.02..0.02)).max(0.03);
         let on = strike(kind, size, day, rng);
-        day.faults.push(Fault { kind, at: (at * length) as u64, len: (len * length) as u64, on, size });
+        day.faults.push(Fault {
+            kind,
+            at: (at * length) as u64,
+            len: (len * length) as u64,
+            on,
+            size,
+            links: None,
+        });
     }
     day.faults.sort_by_key(|f| f.at);
 }
@@ -432,6 +493,7 @@
             len: (t.len.max(0.0) * scale) as u64,
             on,
             size,
+            links: None,
         });
     }
     day.faults.sort_by_key(|f| f.at);
@@ -461,7 +523,7 @@
     fn a_bad_day_has_most_kinds_and_is_the_same_for_a_seed() {
         let (one, two, other) = (bad_day(1, 60), bad_day(1, 60), bad_day(2, 60));
         let kinds = KINDS.iter().filter(|(_, k)| one.faults.iter().any(|f| f.kind == *k)).count();
-        let of_other_days = 4;
+        let of_other_days = 9;
         assert_eq!(kinds, KINDS.len() - of_other_days);
         assert_eq!(format!("{one:?}"), format!("{two:?}"));
         assert_ne!(format!("{:?}", one.faults), format!("{:?}", other.faults));
--- a/crates/rehearsal/src/engine.rs
+++ b/crates/rehearsal/src/engine.rs
@@ -140,6 +140,14 @@
         (slots.min(1.0), memory.min(1.0), self.running.len() + self.held.len(), self.queue.len(), waiting)
     }
 
+    /// Of what it can do, the part in use: a reader's time, the slots of one that writes.
+    pub fn used(&self) -> f64 {
+        match self.make.role {
+            Role::Reader => f64::from(u8::from(!self.running.is_empty())),
+            _ => self.running.len() as f64 / self.make.slots.max(1) as f64,
+        }
+    }
+
     pub fn take(&mut self, now: u64, work: Work) {
         self.waited.insert(work.no, now);
         self.queue.push_back(work);
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -10,7 +10,7 @@
 
 use crate::day::Day;
 use crate::engine::{blocks, Engine, Progress, Role, Work, TOKEN_BYTES};
-use crate::net::{Conn, Listener, Net};
+use crate::net::{Conn, Link, Listener, Net, To};
 use crate::record::{Effect, End, Freed, Line, Seen, Stage};
 
 /// What crossed the sockets so far, and the time.
@@ -29,6 +29,8 @@
 const HOLD_MOST: u64 = 6_000_000;
 /// Load reports are made anew so often, µs.
 const REPORT_EVERY: u64 = 250_000;
+/// How far engines are used is looked at so often, µs.
+const LOOK_EVERY: u64 = 20_000;
 /// Tokens a second over a link within a cell, and between cells.
 const NEAR: f64 = 300_000.0;
 const FAR: f64 = 60_000.0;
@@ -103,8 +105,9 @@
     id: String,
     cell: u64,
     engine: Engine,
-    listener: Option<Listener>,
-    address: SocketAddr,
+    /// One for all routers, or one for each.
+    listeners: Vec<Listener>,
+    addresses: Vec<SocketAddr>,
     up: bool,
     troubles: Troubles,
     attempts: BTreeMap<u64, Attempt>,
@@ -133,13 +136,17 @@
     hosts: Vec<Host>,
     listeners: BTreeMap<Listener, usize>,
     conns: BTreeMap<Conn, usize>,
-    pub register: SocketAddr,
-    register_listener: Listener,
+    /// One for all routers, or one for each.
+    pub register: Vec<SocketAddr>,
+    register_listeners: Vec<Listener>,
     watchers: BTreeMap<Conn, (Decoder, Option<String>)>,
     entries: BTreeMap<usize, (&'static str, u64)>,
     changes: Vec<Change>,
     version: u64,
     next_ping: u64,
+    /// When use is looked at next; per role what was in use and what there was, since the second began.
+    next_look: u64,
+    uses: BTreeMap<&'static str, (f64, f64)>,
     pub stale: bool,
     pub links_slow: f64,
     unix: u64,
@@ -165,16 +172,22 @@
     /// `unix`: µs since 1970 at the day's beginning.
     pub fn new(
         day: &Day,
-        net: &mut Net,
+        net: &mut dyn Net,
         tape: &mut Tape,
         unix: u64,
         rng: ChaCha8Rng,
     ) -> std::io::Result<Self> {
-        let (register_listener, register) = net.listen(0)?;
+        let sides: Vec<Option<usize>> =
+            if day.apart { (0..day.routers).map(Some).collect() } else { vec![None] };
+        let at = |net: &mut dyn Net, to: To| -> std::io::Result<(Vec<Listener>, Vec<SocketAddr>)> {
+            let sides = sides.iter().map(|router| net.listen(0, Link { router: *router, to }));
+            Ok(sides.collect::<std::io::Result<Vec<_>>>()?.into_iter().unzip())
+        };
+        let (register_listeners, register) = at(net, To::Register)?;
         let (mut hosts, mut listeners, mut entries) = (Vec::new(), BTreeMap::new(), BTreeMap::new());
         for (i, spec) in day.engines.iter().enumerate() {
-            let (listener, address) = net.listen(0)?;
-            listeners.insert(listener, i);
+            let (own, addresses) = at(net, To::Engine(i))?;
+            listeners.extend(own.iter().map(|l| (*l, i)));
             entries.insert(i, ("in", 0));
             tape.add(Seen::Engine {
                 engine: spec.id.clone(),
@@ -187,8 +200,8 @@
                 id: spec.id.clone(),
                 cell: spec.cell,
                 engine: Engine::new(spec.make, 0, false),
-                listener: Some(listener),
-                address,
+                listeners: own,
+                addresses,
                 up: true,
                 troubles: Troubles::default(),
                 attempts: BTreeMap::new(),
@@ -203,12 +216,14 @@
             listeners,
             conns: BTreeMap::new(),
             register,
-            register_listener,
+            register_listeners,
             watchers: BTreeMap::new(),
             entries,
             changes: Vec::new(),
             version: 1,
             next_ping: 0,
+            next_look: 0,
+            uses: BTreeMap::new(),
             stale: false,
             links_slow: 1.0,
             unix,
@@ -236,10 +251,10 @@
 
     // ---- Processes.
 
-    pub fn crash(&mut self, i: usize, fell: bool, net: &mut Net, tape: &mut Tape) {
+    pub fn crash(&mut self, i: usize, fell: bool, net: &mut dyn Net, tape: &mut Tape) {
         let Some(host) = self.hosts.get_mut(i).filter(|h| h.up) else { return };
         host.up = false;
-        if let Some(listener) = host.listener.take() {
+        for listener in std::mem::take(&mut host.listeners) {
             net.stop_listening(listener);
             self.listeners.remove(&listener);
         }
@@ -260,17 +275,21 @@
         self.changes.push(Change { due, engine: i, state: "out", started });
     }
 
-    pub fn restart(&mut self, i: usize, net: &mut Net, tape: &mut Tape) {
+    pub fn restart(&mut self, i: usize, net: &mut dyn Net, tape: &mut Tape) {
         let Some(host) = self.hosts.get_mut(i).filter(|h| !h.up) else { return };
         // Somebody may have taken the port meanwhile: then the register tells of another.
-        let listening = net.listen(host.address.port()).or_else(|_| net.listen(0));
-        let Ok((listener, address)) = listening else { return };
-        host.address = address;
-        host.listener = Some(listener);
+        let many = host.addresses.len() > 1;
+        for (router, address) in host.addresses.iter_mut().enumerate() {
+            let link = Link { router: many.then_some(router), to: To::Engine(i) };
+            let listening = net.listen(address.port(), link).or_else(|_| net.listen(0, link));
+            let Ok((listener, at)) = listening else { return };
+            *address = at;
+            host.listeners.push(listener);
+            self.listeners.insert(listener, i);
+        }
         host.up = true;
         host.engine = Engine::new(host.engine.make, tape.now, true);
         host.arrivals.clear();
-        self.listeners.insert(listener, i);
         tape.add(Seen::Start { engine: host.id.clone(), cold: true });
         // Known sooner than a loss, but never ahead of it.
         let due = tape.now + self.notice / 2;
@@ -294,14 +313,17 @@
     pub fn next_due(&self) -> u64 {
         let steps = self.hosts.iter().filter(|h| h.up).filter_map(|h| h.engine.next_due());
         let changes = self.changes.iter().map(|c| c.due);
-        steps.chain(changes).chain([self.next_ping]).min().unwrap_or(u64::MAX)
+        steps.chain(changes).chain([self.next_ping, self.next_look]).min().unwrap_or(u64::MAX)
     }
 
-    pub fn tick(&mut self, net: &mut Net, tape: &mut Tape) {
+    pub fn tick(&mut self, net: &mut dyn Net, tape: &mut Tape) {
         let now = tape.now;
         for i in 0..self.hosts.len() {
             self.step(i, net, tape);
         }
+        if now >= self.next_look {
+            self.look(tape);
+        }
         if now >= self.next_ping {
             self.next_ping = now + 500_000;
             let mut ping = Vec::new();
@@ -323,6 +345,23 @@
         }
     }
 
+    fn look(&mut self, tape: &mut Tape) {
+        let (from, cold_us) = (self.figures.cold_from, self.figures.cold_us);
+        for host in self.hosts.iter().filter(|h| h.up) {
+            let warmth = host.engine.warmth(tape.now, from, cold_us);
+            let (used, all) = self.uses.entry(host.engine.make.role.name()).or_default();
+            *used += host.engine.used() * warmth;
+            *all += warmth;
+        }
+        let before = self.next_look / 1_000_000;
+        self.next_look = tape.now + LOOK_EVERY;
+        if self.next_look / 1_000_000 > before {
+            for (role, (used, all)) in std::mem::take(&mut self.uses) {
+                tape.add(Seen::Use { role: role.into(), used: used / all.max(1e-9) });
+            }
+        }
+    }
+
     fn expire(&mut self, tape: &mut Tape) {
         for host in &mut self.hosts {
             for request in host.engine.held_since(tape.now.saturating_sub(HOLD_MOST)) {
@@ -332,7 +371,7 @@
         }
     }
 
-    fn step(&mut self, i: usize, net: &mut Net, tape: &mut Tape) {
+    fn step(&mut self, i: usize, net: &mut dyn Net, tape: &mut Tape) {
         let now = tape.now;
         let (from, cold_us) = (self.figures.cold_from, self.figures.cold_us);
         let progress = {
@@ -364,7 +403,7 @@
         }
     }
 
-    fn read_done(&mut self, i: usize, no: u64, kept: u64, net: &mut Net, tape: &mut Tape) {
+    fn read_done(&mut self, i: usize, no: u64, kept: u64, net: &mut dyn Net, tape: &mut Tape) {
         let lost = self.is_lost(i);
         let Some(host) = self.hosts.get_mut(i) else { return };
         let Some(mut attempt) = host.attempts.remove(&no) else { return };
@@ -393,7 +432,7 @@
         share > 0.0 && self.rng.random_bool(share.clamp(0.0, 1.0))
     }
 
-    fn began(&mut self, i: usize, no: u64, kept: u64, net: &mut Net, tape: &mut Tape) {
+    fn began(&mut self, i: usize, no: u64, kept: u64, net: &mut dyn Net, tape: &mut Tape) {
         let lost = self.is_lost(i);
         let Some(host) = self.hosts.get_mut(i) else { return };
         let cell = host.cell;
@@ -428,7 +467,7 @@
         tape.add(Seen::Run { attempt: no });
     }
 
-    fn token(&mut self, i: usize, no: u64, last: bool, net: &mut Net, tape: &mut Tape) {
+    fn token(&mut self, i: usize, no: u64, last: bool, net: &mut dyn Net, tape: &mut Tape) {
         let Some(host) = self.hosts.get_mut(i) else { return };
         let report = host.report.clone();
         let Some(attempt) = host.attempts.get_mut(&no) else { return };
@@ -478,7 +517,7 @@
         net.send(conn, &bytes);
     }
 
-    fn break_off(&mut self, i: usize, conn: Conn, net: &mut Net) {
+    fn break_off(&mut self, i: usize, conn: Conn, net: &mut dyn Net) {
         net.cut(conn);
         self.conns.remove(&conn);
         if let Some(host) = self.hosts.get_mut(i) {
@@ -486,7 +525,7 @@
         }
     }
 
-    fn reply(&mut self, i: usize, conn: Conn, status: u16, body: &[u8], net: &mut Net) {
+    fn reply(&mut self, i: usize, conn: Conn, status: u16, body: &[u8], net: &mut dyn Net) {
         let Some(host) = self.hosts.get_mut(i) else { return };
         let fields = [("content-type", "application/json"), ("endpoint-load-metrics", host.report.as_str())];
         net.send(conn, &encode::response(status, &fields, body, true));
@@ -495,7 +534,7 @@
         }
     }
 
-    fn turn_away(&mut self, i: usize, conn: Conn, no: u64, how: End, net: &mut Net, tape: &mut Tape) {
+    fn turn_away(&mut self, i: usize, conn: Conn, no: u64, how: End, net: &mut dyn Net, tape: &mut Tape) {
         tape.add(Seen::End { attempt: no, how });
         let (status, kind) = match how {
             End::Refused => (429, "full"),
@@ -509,16 +548,17 @@
     // ---- Sockets.
 
     /// Whether the listener was one of the fleet's; then the connection is too.
-    pub fn accepted(&mut self, listener: Listener, conn: Conn) -> bool {
+    pub fn accepted(&mut self, listener: Listener, conn: Conn, tape: &mut Tape) -> bool {
         let decoder =
             Decoder::new(Side::Request, Limits { body_bytes: 8 * 1024 * 1024, ..Limits::default() });
-        if listener == self.register_listener {
+        if self.register_listeners.contains(&listener) {
             self.watchers.insert(conn, (decoder, None));
             return true;
         }
         let Some(i) = self.listeners.get(&listener).copied() else { return false };
         self.conns.insert(conn, i);
         if let Some(host) = self.hosts.get_mut(i) {
+            tape.add(Seen::Connect { engine: host.id.clone() });
             host.conns.insert(conn, Peer { decoder, head: None, body: Vec::new(), attempt: None });
         }
         true
@@ -537,7 +577,7 @@
         }
     }
 
-    pub fn bytes(&mut self, conn: Conn, bytes: &[u8], net: &mut Net, tape: &mut Tape) {
+    pub fn bytes(&mut self, conn: Conn, bytes: &[u8], net: &mut dyn Net, tape: &mut Tape) {
         if let Some((decoder, _)) = self.watchers.get_mut(&conn) {
             decoder.push(bytes);
             if let Ok(Some(Part::Head(head))) = decoder.next_part() {
@@ -566,7 +606,7 @@
         }
     }
 
-    fn call(&mut self, i: usize, conn: Conn, head: &Head, body: &[u8], net: &mut Net, tape: &mut Tape) {
+    fn call(&mut self, i: usize, conn: Conn, head: &Head, body: &[u8], net: &mut dyn Net, tape: &mut Tape) {
         let Start::Request { target, .. } = &head.start else { return };
         match target.as_str() {
             "/v1/completions" => self.complete(i, conn, head, body, net, tape),
@@ -582,7 +622,15 @@
         }
     }
 
-    fn complete(&mut self, i: usize, conn: Conn, head: &Head, body: &[u8], net: &mut Net, tape: &mut Tape) {
+    fn complete(
+        &mut self,
+        i: usize,
+        conn: Conn,
+        head: &Head,
+        body: &[u8],
+        net: &mut dyn Net,
+        tape: &mut Tape,
+    ) {
         let call: Call = match serde_json::from_slice(body) {
             Ok(call) => call,
             Err(_) => return self.reply(i, conn, 400, b"{}", net),
@@ -679,11 +727,15 @@
 
     // ---- The register.
 
-    fn entry(&self, i: usize, state: &str, started: u64) -> serde_json::Value {
+    /// As this router is told it: its address of an engine may be its own.
+    fn entry(&self, i: usize, state: &str, started: u64, router: &str) -> serde_json::Value {
         let Some(host) = self.hosts.get(i) else { return serde_json::Value::Null };
+        let place = router.trim_start_matches('r').parse::<usize>().unwrap_or(1).saturating_sub(1);
+        let address = host.addresses.get(place).or(host.addresses.first());
+        let address = address.map_or_else(String::new, SocketAddr::to_string);
         let started = if started > 0 { (self.unix + started) / 1_000 } else { 0 };
         serde_json::json!({
-            "worker": host.id, "address": host.address.to_string(), "zone": "yard", "cell": host.cell,
+            "worker": host.id, "address": address, "zone": "yard", "cell": host.cell,
             "kind": host.engine.make.role.name(), "state": state, "started_unix_ms": started,
         })
     }
@@ -692,10 +744,14 @@
         Seen::Told { router: router.into(), engine: self.id(i), state: state.into(), started }
     }
 
-    fn watch(&mut self, conn: Conn, head: &Head, net: &mut Net, tape: &mut Tape) {
+    fn watch(&mut self, conn: Conn, head: &Head, net: &mut dyn Net, tape: &mut Tape) {
         let router = router_of(head);
-        let workers: Vec<serde_json::Value> =
-            self.entries.iter().map(|(i, (state, started))| self.entry(*i, state, *started)).collect();
+        tape.add(Seen::Listed { router: router.clone() });
+        let workers: Vec<serde_json::Value> = self
+            .entries
+            .iter()
+            .map(|(i, (state, started))| self.entry(*i, state, *started, &router))
+            .collect();
         let list = serde_json::json!({ "version": self.version, "workers": workers }).to_string();
         let streams = matches!(&head.start, Start::Request { target, .. } if target.contains("watch=1"));
         for (i, (state, started)) in &self.entries {
@@ -721,7 +777,7 @@
         }
     }
 
-    fn publish(&mut self, change: Change, net: &mut Net, tape: &mut Tape) {
+    fn publish(&mut self, change: Change, net: &mut dyn Net, tape: &mut Tape) {
         let Change { engine: i, state, started, .. } = change;
         if state == "out" {
             self.entries.remove(&i);
@@ -729,14 +785,14 @@
             self.entries.insert(i, (state, started));
         }
         self.version += 1;
-        let change =
-            serde_json::json!({ "version": self.version, "workers": [self.entry(i, state, started)] });
-        let mut event = Vec::new();
-        sse::write(&mut event, "change", Some(self.version), &change.to_string());
-        let mut bytes = Vec::new();
-        encode::chunk(&mut bytes, &event);
         for (conn, (_, router)) in &self.watchers {
             if let Some(router) = router {
+                let entry = self.entry(i, state, started, router);
+                let change = serde_json::json!({ "version": self.version, "workers": [entry] });
+                let mut event = Vec::new();
+                sse::write(&mut event, "change", Some(self.version), &change.to_string());
+                let mut bytes = Vec::new();
+                encode::chunk(&mut bytes, &event);
                 net.send(*conn, &bytes);
                 tape.add(self.told(router, i, state, started));
             }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -7,22 +7,33 @@
 mod afternoon;
 mod audit;
 mod budgets;
-mod clients;
-mod day;
-mod engine;
-mod fleet;
-mod net;
-mod record;
+#[doc(hidden)]
+pub mod clients;
+#[doc(hidden)]
+pub mod day;
+#[doc(hidden)]
+pub mod engine;
+#[doc(hidden)]
+pub mod fleet;
+#[doc(hidden)]
+pub mod links;
+#[doc(hidden)]
+pub mod net;
+#[doc(hidden)]
+pub mod record;
 mod report;
 mod routers;
+#[doc(hidden)]
+pub mod scene;
 mod world;
 
 use std::path::PathBuf;
 
 pub use afternoon::{rehearse as rehearse_afternoon, AfternoonReport};
-pub use audit::audit;
+pub use audit::{audit, by_second, judge};
 pub use budgets::{rehearse as rehearse_budgets, BudgetReport};
 pub use report::{Report, Rule, Rules};
+pub use world::play;
 
 /// What a rehearsal is to do.
 #[derive(Debug, Clone)]
--- a/crates/rehearsal/src/net.rs
+++ b/crates/rehearsal/src/net.rs
@@ -1,4 +1,4 @@
-//! Sockets of the stand-ins: one mio loop, connections by number.
+//! What stand-ins need of a network, and sockets that give it: one mio loop, connections by number.
 
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -26,6 +26,44 @@
     Gone(Conn),
 }
 
+/// What a link leads from a router to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum To {
+    /// Its clients.
+    Clients,
+    /// The engine of this place in the day's list.
+    Engine(usize),
+    /// The register.
+    Register,
+}
+
+/// A link: all connections between one router and one peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Link {
+    /// The router, by its place; none where one listener serves all.
+    pub router: Option<usize>,
+    /// Its peer.
+    pub to: To,
+}
+
+/// A network between stand-ins and routers.
+pub trait Net {
+    /// Time goes on, µs since the day began.
+    fn at(&mut self, _now: u64) {}
+    /// Listens for that link; port 0 takes any.
+    fn listen(&mut self, port: u16, link: Link) -> io::Result<(Listener, SocketAddr)>;
+    /// No connection comes there any more.
+    fn stop_listening(&mut self, number: Listener);
+    /// Begins a client's connection to that router: [`Happened::Connected`] or [`Happened::Gone`] follows.
+    fn connect(&mut self, address: SocketAddr, router: usize) -> io::Result<Conn>;
+    /// Writes, now or once the connection stands.
+    fn send(&mut self, conn: Conn, bytes: &[u8]);
+    /// Nothing more is read from it.
+    fn make_deaf(&mut self, conn: Conn);
+    /// Closes at once.
+    fn cut(&mut self, conn: Conn);
+}
+
 struct Sock {
     stream: TcpStream,
     out: Vec<u8>,
@@ -38,7 +76,8 @@
 const OUT_BYTES: usize = 16 * 1024 * 1024;
 const READ_BYTES: usize = 16 * 1024;
 
-pub struct Net {
+/// Real sockets.
+pub struct Sockets {
     poll: Poll,
     events: Events,
     listeners: BTreeMap<Listener, TcpListener>,
@@ -47,7 +86,7 @@
     happened: Vec<Happened>,
 }
 
-impl Net {
+impl Sockets {
     pub fn new() -> io::Result<Self> {
         Ok(Self {
             poll: Poll::new()?,
@@ -64,22 +103,6 @@
         self.next
     }
 
-    /// Listens on loopback; port 0 takes any.
-    pub fn listen(&mut self, port: u16) -> io::Result<(Listener, SocketAddr)> {
-        let mut listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], port)))?;
-        let number = self.number();
-        self.poll.registry().register(&mut listener, Token(number), Interest::READABLE)?;
-        let address = listener.local_addr()?;
-        self.listeners.insert(number, listener);
-        Ok((number, address))
-    }
-
-    pub fn stop_listening(&mut self, number: Listener) {
-        if let Some(mut listener) = self.listeners.remove(&number) {
-            let _ = self.poll.registry().deregister(&mut listener);
-        }
-    }
-
     fn add(&mut self, mut stream: TcpStream, connecting: bool) -> io::Result<Conn> {
         let _ = stream.set_nodelay(true);
         let number = self.number();
@@ -90,35 +113,6 @@
         Ok(number)
     }
 
-    pub fn connect(&mut self, address: SocketAddr) -> io::Result<Conn> {
-        let stream = TcpStream::connect(address)?;
-        self.add(stream, true)
-    }
-
-    pub fn send(&mut self, conn: Conn, bytes: &[u8]) {
-        let Some(sock) = self.socks.get_mut(&conn) else { return };
-        sock.out.extend_from_slice(bytes);
-        if sock.out.len() > OUT_BYTES {
-            return self.gone(conn);
-        }
-        if !sock.connecting {
-            self.flush(conn);
-        }
-    }
-
-    pub fn make_deaf(&mut self, conn: Conn) {
-        if let Some(sock) = self.socks.get_mut(&conn) {
-            sock.deaf = true;
-        }
-    }
-
-    /// Closes at once.
-    pub fn cut(&mut self, conn: Conn) {
-        if let Some(mut sock) = self.socks.remove(&conn) {
-            let _ = self.poll.registry().deregister(&mut sock.stream);
-        }
-    }
-
     fn gone(&mut self, conn: Conn) {
         if self.socks.contains_key(&conn) {
             self.cut(conn);
@@ -204,3 +198,48 @@
         }
     }
 }
+
+impl Net for Sockets {
+    fn listen(&mut self, port: u16, _link: Link) -> io::Result<(Listener, SocketAddr)> {
+        let mut listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], port)))?;
+        let number = self.number();
+        self.poll.registry().register(&mut listener, Token(number), Interest::READABLE)?;
+        let address = listener.local_addr()?;
+        self.listeners.insert(number, listener);
+        Ok((number, address))
+    }
+
+    fn stop_listening(&mut self, number: Listener) {
+        if let Some(mut listener) = self.listeners.remove(&number) {
+            let _ = self.poll.registry().deregister(&mut listener);
+        }
+    }
+
+    fn connect(&mut self, address: SocketAddr, _router: usize) -> io::Result<Conn> {
+        let stream = TcpStream::connect(address)?;
+        self.add(stream, true)
+    }
+
+    fn send(&mut self, conn: Conn, bytes: &[u8]) {
+        let Some(sock) = self.socks.get_mut(&conn) else { return };
+        sock.out.extend_from_slice(bytes);
+        if sock.out.len() > OUT_BYTES {
+            return self.gone(conn);
+        }
+        if !sock.connecting {
+            self.flush(conn);
+        }
+    }
+
+    fn make_deaf(&mut self, conn: Conn) {
+        if let Some(sock) = self.socks.get_mut(&conn) {
+            sock.deaf = true;
+        }
+    }
+
+    fn cut(&mut self, conn: Conn) {
+        if let Some(mut sock) = self.socks.remove(&conn) {
+            let _ = self.poll.registry().deregister(&mut sock.stream);
+        }
+    }
+}
--- a/crates/rehearsal/src/record.rs
+++ b/crates/rehearsal/src/record.rs
@@ -300,6 +300,23 @@
         /// Which.
         router: String,
     },
+    /// A connection was taken at an engine.
+    Connect {
+        /// Which.
+        engine: String,
+    },
+    /// The register was asked for the list.
+    Listed {
+        /// By which router.
+        router: String,
+    },
+    /// How far the engines of a role were used in the second that ends.
+    Use {
+        /// `reader`, `writer` or `mixed`.
+        role: String,
+        /// Of what they can do now, cold ones less, the part in use: readers' time, writers' slots.
+        used: f64,
+    },
     /// A router's process was started or killed.
     Router {
         /// Which.
--- a/crates/rehearsal/src/routers.rs
+++ b/crates/rehearsal/src/routers.rs
@@ -63,7 +63,7 @@
     <kind name="mixed" role="mixed" kv-tokens="160000"/>
   </kinds>
 "#,
-        day.routers,
+        day.told_routers.map_or(day.routers, |n| n as usize),
         folder.display(),
         f.release_us,
         f.fall_multiple,
@@ -139,7 +139,7 @@
 }
 
 impl Routers {
-    pub fn new(day: &Day, exe: PathBuf, register: SocketAddr) -> io::Result<Self> {
+    pub fn new(day: &Day, exe: PathBuf, registers: &[SocketAddr]) -> io::Result<Self> {
         static RUNS: AtomicU64 = AtomicU64::new(0);
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let folder =
@@ -162,13 +162,15 @@
             ending: Vec::new(),
             lives: 0,
         };
+        let first = registers.first().copied().ok_or(io::ErrorKind::InvalidInput)?;
         let none: Vec<String> = (0..keys(day).len()).map(|i| format!("{i:064}")).collect();
-        let bare = settings(day, "r0", register, register, "none", &none, &routers.folder);
+        let bare = settings(day, "r0", first, first, "none", &none, &routers.folder);
         let mut hashes = Vec::new();
         for (_, key) in keys(day) {
             hashes.push(routers.hash_key(&bare, key)?);
         }
-        for (name, listen) in &routers.names {
+        for (i, (name, listen)) in routers.names.iter().enumerate() {
+            let register = registers.get(i).copied().unwrap_or(first);
             let list = routers.folder.join(format!("{name}.list"));
             let xml =
                 settings(day, name, *listen, register, &list.display().to_string(), &hashes, &routers.folder);
