Among many routers what cold workers finish counts for their budget

The budget of a cold worker follows what the role's warm workers finish; where all are cold nothing counted, the rate faded with the cold time, and all routers starved the role until the first worker was warm; the queue that this made was then refused as a jam. Lines at fault: 'part = if cold { 0.0 }' in send() and the filter on warm ones in verdict().

Change: one of more than four routers counts what cold workers finish, and what they are sent, one for one. A finish is never more than a worker can do, so the estimate stays under what a warm one does. No new constant.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -319,7 +319,8 @@
     asked: Rate,
     beginnings: Recent<PrefixId, Rate, BEGINNINGS_MOST>,
     /// What a warm worker of a role finishes for us, and what it is sent, over those there were at the
-    /// time: the first to come back finds none beside it.
+    /// time: the first to come back finds none beside it. Among many routers cold ones count too: were all
+    /// cold, none would finish anything that counts, and all routers would leave them idle.
     finished: BTreeMap<Role, Rate>,
     given: BTreeMap<Role, Rate>,
 }
@@ -778,7 +779,7 @@
         let (effect, pace) = (self.effect(job).0, self.pace());
         let Some(s) = self.servers.get(&worker) else { return };
         let (cold, trial, role) = (self.is_cold(s), s.failing >= FAILING || !self.fit(s), s.info.role);
-        let part = if cold { 0.0 } else { 1.0 / self.peers(role) };
+        let part = if cold && f64::from(self.set.routers) <= SELDOM { 0.0 } else { 1.0 / self.peers(role) };
         self.seen.given.entry(role).or_default().add(now, self.set.cold_for, part);
         let Some(s) = self.servers.get_mut(&worker) else { return };
         if cold {
@@ -846,7 +847,7 @@
 
     /// Books the end of an attempt.
     fn verdict(&mut self, job: &mut Job, attempt: AttemptNo, (outcome, elapsed, kept, report): End) {
-        let (bench, mut warm) = (self.bench(), None);
+        let (bench, many, mut warm) = (self.bench(), f64::from(self.set.routers) > SELDOM, None);
         let Some(t) = job.tries.get_mut(attempt.0 as usize).filter(|t| t.open) else { return };
         t.open = false;
         t.due = None;
@@ -885,7 +886,7 @@
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
                     s.heard = now;
                     s.answered = s.answered.max(t.sent);
-                    warm = s.cold(now, self.set.cold_for).is_none().then_some(s.info.role);
+                    warm = (many || s.cold(now, self.set.cold_for).is_none()).then_some(s.info.role);
                 }
                 // Where nothing good was heard lately one failure says enough: a router that seldom sends
                 // there would need minutes to see two in a row.
--- a/crates/policy/tests/many_routers.rs
+++ b/crates/policy/tests/many_routers.rs
@@ -159,6 +159,35 @@
     assert!((20..=100).contains(&cold), "{cold} of 400 first reads went to cold readers");
 }
 
+#[test]
+fn where_all_readers_are_cold_what_they_finish_brings_them_more() {
+    // Of all routers, the reads begun in the second half of the time in which all readers are cold.
+    let mut begun = 0;
+    for seed in 0..u64::from(ROUTERS) {
+        let set = Settings { self_prefill: false, ..many() };
+        let cold_for = set.cold_for.as_secs_f64();
+        let mut rig = one(seed, set, readers(4));
+        quiet_run(&mut rig, "a", 20);
+        let at = rig.now;
+        let cold = (0..4).map(|i| Worker { started: Some(at), ..worker(&format!("r{i}"), Role::Reader, 0) });
+        rig.feed(Event::Workers { kind: ListKind::Changes, workers: cold.collect() });
+        let mut n = 0;
+        while rig.now < at + secs(cold_for) {
+            let id = format!("c{n}");
+            if sent(&rig.ask(&id, &id, FREE, LONG)).is_some() {
+                begun += u32::from(rig.now > at + secs(cold_for / 2.0));
+                rig.parsed_after(&id, 0.05);
+                rig.end(&id, 1, Outcome::Served, 0);
+            } else {
+                rig.feed(Event::ClientGone(id.as_str().into()));
+            }
+            (n, _) = (n + 1, rig.wait(0.5));
+        }
+    }
+    // Of ten for each router. By what warm ones finish alone a third: none is warm, and what they had finished fades.
+    assert!(begun > 900, "{begun} of 1500 reads were begun while all readers were half warm or more");
+}
+
 #[test]
 fn routers_that_lose_the_list_at_one_moment_ask_again_at_times_of_their_own() {
     let pause = |seed| {
