--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -37,6 +37,8 @@
 const LINGERING: usize = 1_024;
 /// Budget figures are told so often.
 const FIGURES: Duration = Duration::from_secs(60);
+/// A wait that ends so much too late, or a turn of the loop that takes so long, is told: streams stood still as long.
+const STALL: Duration = Duration::from_millis(300);
 /// Out of file descriptors, no connection is taken for this span.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -319,6 +321,14 @@
     Ok(socket)
 }
 
+/// Whether the loop stood still, and where: in its own work, or in a wait that the machine ended too late.
+fn stalled(worked: Duration, wait: Option<Duration>, waited: Duration) -> Option<String> {
+    let late = wait.map_or(Duration::ZERO, |wait| waited.saturating_sub(wait));
+    (worked >= STALL || late >= STALL).then(|| {
+        format!("the loop worked for {} ms, then woke {} ms late", worked.as_millis(), late.as_millis())
+    })
+}
+
 impl<S: Sink> Shell<S> {
     /// A shell around a core, at the beginning of its life.
     pub fn new(core: Core, sink: S, clock: Clock, place: Place, terms: Terms) -> io::Result<Self> {
@@ -367,8 +377,15 @@
         let mut events = Events::with_capacity(1_024);
         self.core.start(self.clock.now(), last_list, &mut self.outputs);
         self.finish();
+        let mut woke = Instant::now();
         loop {
-            match self.poll.poll(&mut events, self.wait()) {
+            let (waits, wait) = (Instant::now(), self.wait());
+            let polled = self.poll.poll(&mut events, wait);
+            let worked = waits.saturating_duration_since(std::mem::replace(&mut woke, Instant::now()));
+            if let Some(text) = stalled(worked, wait, woke.saturating_duration_since(waits)) {
+                self.sink.note("stall", &text);
+            }
+            match polled {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
             }
@@ -862,3 +879,20 @@
         self.accept_at = Some(Instant::now());
     }
 }
+
+#[cfg(test)]
+mod tests {
+    #![allow(clippy::unwrap_used)]
+    use super::*;
+
+    #[test]
+    fn a_loop_that_stood_still_says_where() {
+        let ms = Duration::from_millis;
+        assert_eq!(stalled(ms(20), Some(ms(100)), ms(120)), None, "a busy machine");
+        assert_eq!(stalled(ms(20), None, ms(90_000)), None, "nothing was due");
+        let worked = stalled(ms(900), Some(ms(1)), ms(1)).unwrap();
+        assert_eq!(worked, "the loop worked for 900 ms, then woke 0 ms late");
+        let late = stalled(ms(1), Some(ms(100)), ms(1_700)).unwrap();
+        assert_eq!(late, "the loop worked for 1 ms, then woke 1600 ms late");
+    }
+}
