--- a/crates/fleet/src/cases.rs
+++ b/crates/fleet/src/cases.rs
@@ -185,12 +185,14 @@
 /// What the sums of a day may be, with what they are. None depends on a run: they follow from the day and the settings.
 pub fn bounds(day: &Day, sums: &Sums) -> Vec<Bound> {
     let (routers, engines) = (day.routers as f64, day.engines.len() as f64);
+    let bursts = day.faults.iter().filter(|f| f.kind == Kind::Burst).map(|f| f.size);
+    let traffic = day.rate * bursts.fold(1.0, f64::max);
     let tenth = 0.1;
     // A router leaves a sick worker alone for eight of its own requests, or 16 s: over all, an eighth of the traffic at
     // the most, or what routers that are hardly asked try when their time is over.
-    let trials = scatter((day.rate / 8.0).max(routers / 16.0));
+    let trials = scatter((traffic / 8.0).max(routers / 16.0));
     // A connection is opened for a call that finds none idle; retries of a burst double the calls, two stages each.
-    let connects = 2.0 * scatter(2.0 * 2.0 * day.rate / engines * tenth) / tenth;
+    let connects = 2.0 * scatter(2.0 * 2.0 * traffic / engines * tenth) / tenth;
     // Each router asks again within the span over which its pause is spread.
     let lists = scatter(routers * tenth / LIST_SPAN_S) / tenth;
     let most = [
