Core: what was one file of attempts is split by job; no behaviour changed

Need: attempts.rs held 1,150 lines of six jobs (requests, attempts, replies, letting go, moving on, final answers), so that a change to one was read through all.

--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -6,7 +6,7 @@
 use chalkyard_budget::{Ask, Ending, Figures, Grant, Keeper, Plan, Settled, Time, Usage, Why};
 use chalkyard_policy as p;
 
-use super::attempts::Job;
+use super::job::Job;
 use super::record::Ended;
 use super::{Core, Output};
 
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -5,7 +5,7 @@
 use chalkyard_policy::{Event, Micros};
 use chalkyard_proto::{encode, Decoder, Head, Part, Side, Start};
 
-use super::attempts::{Call, Job};
+use super::job::{Call, Job};
 use super::record::{Ended, Finished};
 use super::{ConnId, Core, Due, FinishedLine, Output};
 use crate::dialect::Heard;
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -1,10 +1,15 @@
 //! The sans-IO core: inputs to outputs.
 
+mod answers;
 mod attempts;
 mod budgets;
 mod clients;
+mod job;
+mod moves;
 mod pool;
 pub(crate) mod record;
+mod releases;
+mod replies;
 mod sources;
 pub(crate) mod tally;
 pub(crate) mod view;
@@ -21,8 +26,8 @@
 use crate::identity::Identities;
 use crate::register;
 use crate::timers::Timers;
-use attempts::Job;
 use clients::Client;
+use job::Job;
 use pool::{Engine, Link, Rest, Task};
 use record::Finished;
 use tally::Tally;
--- a/crates/router/src/core/pool.rs
+++ b/crates/router/src/core/pool.rs
@@ -7,7 +7,7 @@
 use chalkyard_policy::Micros;
 use chalkyard_proto::{Decoder, Side};
 
-use super::attempts::Reply;
+use super::job::Reply;
 use super::{ConnId, Core, Due, Output};
 use crate::timers::Key;
 
