--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -16,8 +16,7 @@
 /// shares of the tightest first-token aim: every stream of the writer waits for as long.
 const LOCAL_LEAST: f64 = 0.13;
 const LOCAL_MOST: f64 = 0.2;
-/// ... and up to the first while reads take over the second share of that aim, and pulls less than the
-/// third share of reads.
+/// ... up to the first while reads take over the second of that aim, pulls less than the third of reads.
 const LOCAL_JAM: f64 = 1.0;
 const READS_JAM: f64 = 0.5;
 const WRITERS_IDLE: f64 = 0.2;
@@ -47,8 +46,7 @@
 const IDLE_ROOM: f64 = 0.5;
 /// Held state is let go after this share of the told release time.
 const RELEASE_SHARE: f64 = 0.8;
-/// Share of the cold budget that is used; less by this over the root of the number of routers, since
-/// the counts of few leave more to chance.
+/// Share of the cold budget that is used; less by the second over the root of the number of routers.
 const COLD_SHARE: f64 = 0.8;
 const COLD_CHANCE: f64 = 0.7;
 /// A request that finds no worker looks again after this span.
@@ -176,8 +174,7 @@
     /// Last report, and tokens of our streams sent since.
     report: Option<Report>,
     since: f64,
-    /// Our sends within the cold window, while it is cold; the prompt tokens so far, the clock by which
-    /// notes age.
+    /// Our sends within the cold window, while it is cold; prompt tokens so far, by which notes age.
     sends: Vec<Micros>,
     poured: u64,
     /// Notes made up to this time are void: what a worker kept is lost with a restart.
@@ -194,6 +191,8 @@
     /// When it last began an answer or ended a read or an answer, and the last sent of these.
     heard: Micros,
     answered: Micros,
+    /// For how long attempts that ended since have waited there in vain.
+    silent: Micros,
 }
 
 impl Server {
@@ -304,8 +303,7 @@
     wait: Ewma,
     prompt: Ewma,
     local_pace: Ewma,
-    /// Seconds of reads, of first tokens from a state that was pulled, and of those of requests that
-    /// were sent whole.
+    /// Seconds of reads, of first tokens from a pulled state, of those of requests that were sent whole.
     read_s: Ewma,
     pull_s: Ewma,
     mixed_s: Ewma,
@@ -418,8 +416,7 @@
                 }
             }
         }
-        // One off the list is forgotten once it is not cold: should it come back with the same start, what
-        // it was sent still presses on it.
+        // One off the list is forgotten once warm: until then what it was sent still presses on it.
         let (now, cold_for) = (self.now, self.set.cold_for);
         self.servers.retain(|_, s| s.info.lifecycle != Lifecycle::Out || s.cold(now, cold_for).is_some());
         // Where the list has to be asked for: at the start, and again some time after a call has failed. All
@@ -476,15 +473,18 @@
         }
     }
 
-    /// How long the next request is likely to wait for its first token, by Little's law. Guards against
-    /// every jam, wherever it sits; a rate that lags behind a sudden rise would refuse too early, so a
-    /// few that wait are never too many: they also keep a jam that has passed in sight.
+    /// How long the next request is likely to wait for its first token, by Little's law, wherever the jam
+    /// sits. A few that wait are never too many: a rate lags, and they keep a jam that has passed in sight.
     fn forecast(&self) -> Micros {
-        if self.waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
+        // What is out at a worker that has fallen silent is no queue: the next one goes elsewhere.
+        let silent = |s: &&Server| self.now - s.heard > self.tightest();
+        let stuck = self.servers.values().filter(silent).map(|s| s.overdue as usize).sum();
+        let waiting = self.waiting.saturating_sub(stuck);
+        if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
             return Micros(0);
         }
         let rate = self.seen.firsts.per_s(self.now, RATE_SPAN).max(RATE_LEAST / RATE_SPAN.as_secs_f64());
-        Micros::from_secs_f64(self.waiting as f64 / rate)
+        Micros::from_secs_f64(waiting as f64 / rate)
     }
 
     /// Whether this is one of many routers, asked too seldom to count queues or to judge silence.
@@ -609,8 +609,7 @@
         Some((self.roomiest(job, None)?, Stage::Write, None))
     }
 
-    /// A short remainder is read where it is written: at the session's home, or, where the whole
-    /// prompt is short, at the roomiest writer.
+    /// A short remainder is read where it is written: at home, or, with a short prompt, at the roomiest.
     fn local(&self, job: &Job) -> Option<(WorkerId, u64)> {
         let tightest = self.tightest();
         let (read, pull) = (self.seen.read_s.0.unwrap_or(0.0), self.seen.pull_s.0.unwrap_or(0.0));
@@ -640,9 +639,8 @@
 
     /// Mixed servers take their share: as many of our requests out on each as on the others, more where
     /// the way over a reader takes longer to the first token. Guards against few or slow readers and a
-    /// jam of writers; harms where mixed servers answer early and write slowly, so it is bounded. With
-    /// less than one out a server there are no counts to go by: a coin; one of many routers starts with
-    /// fewer, and gives slow ones fewer.
+    /// jam of writers; harms where mixed servers answer early and write slowly, so it is bounded. With less
+    /// than one out a server a coin decides; one of many routers starts with fewer, fewest for slow ones.
     fn mixed_turn(&self, job: &Job, mixed: &[&Server]) -> bool {
         let split = |s: &&Server| s.info.lifecycle == Lifecycle::In && s.info.role != Role::Mixed;
         let out: u32 = self.servers.values().filter(split).map(|s| s.reads + s.streams).sum();
@@ -687,9 +685,8 @@
         let (n, sum) = warm.fold((0, 0), |(n, sum), l| (n + 1, sum + l));
         let load = |s: &Server| load(s).max(if self.is_cold(s) { sum / n.max(1) } else { 0 });
         let least = pool.iter().map(|s| load(s)).min().unwrap_or(0);
-        // A shared beginning can be too hot for two, or one of them slow: the pair widens in the order of
-        // the hash, to its part of what we are asked or past those with too many of our reads out, at the
-        // cost of reading the beginning once more.
+        // A shared beginning can be too hot for two, or one of them slow: the pair widens in the order of the
+        // hash, to its part of what we are asked or past those with too many of our reads out.
         let hot = job.req.prefix.as_ref().and_then(|p| self.seen.beginnings.get(p));
         let hot = hot.map_or(0.0, |r| r.fade(self.now, HOT_SPAN));
         let part = hot / (self.seen.asked.fade(self.now, HOT_SPAN) + HOT_LEAST);
@@ -704,8 +701,7 @@
         let pool = pools.find(|p| !p.is_empty())?;
         let heard: Vec<f64> = pool.iter().filter_map(|s| s.told()).collect();
         let mean = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        // Without reports the unit is our streams, and a difference under the root of the others' number,
-        // by which theirs vary, tells nothing.
+        // Without reports the unit is our streams; a difference under the root of others' tells nothing.
         let ours = pool.iter().map(|s| f64::from(s.streams)).sum::<f64>() / pool.len().max(1) as f64;
         let others = ours * f64::from(self.set.routers.saturating_sub(1));
         let unit = if heard.is_empty() { 1.0 + NEAR * ours + others.sqrt() } else { 1.0 };
@@ -787,10 +783,10 @@
             Stage::Write if job.held.is_some() => self.seen.pull_s,
             Stage::Write => self.seen.mixed_s,
         };
-        // Reading takes its time: what we know to lie before this one, and itself, is allowed for.
+        // What lies before it, and itself, has to be read; what waited in vain is part of the silence.
         let reading = (s.read_tokens as f64 + job.req.prompt_tokens as f64) / pace;
         let usual = Micros::from_secs_f64(usual.0.unwrap_or(0.0) * OVERDUE_FACTOR);
-        let patience = job.aim.mul_f64(OVERDUE_FLOOR).max(usual) + Micros::from_secs_f64(reading);
+        let patience = job.aim.mul_f64(OVERDUE_FLOOR).max(usual - s.silent) + Micros::from_secs_f64(reading);
         // Where nothing can be cancelled, a time-out has to be set beforehand.
         let again = stage == Stage::Read || effect == Effect::Free;
         let give_up = Some(patience + patience).filter(|g| !self.set.may_cancel && again && g.0 > 0);
@@ -813,7 +809,9 @@
         self.waiting -= usize::from(job.waits());
         job.streaming = true;
         let took = elapsed.as_secs_f64();
+        let hung = job.tries.get(attempt.0 as usize).is_some_and(|t| hung(&self.servers, t));
         match job.tries.get(attempt.0 as usize).and_then(|t| t.predicted) {
+            _ if hung => {}
             _ if job.held.is_some() => self.seen.pull_s.add(took),
             Some(kept) => {
                 let read = job.req.prompt_tokens.saturating_sub(kept) as f64;
@@ -831,7 +829,7 @@
             s.answered = s.answered.max(t.sent);
             s.full.remove(&job.req.class);
             s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
-            s.heard = self.now;
+            (s.heard, s.silent) = (self.now, Micros(0));
         }
     }
 
@@ -842,7 +840,7 @@
         t.open = false;
         t.due = None;
         t.ran = t.stage == Stage::Write && !outcome.proves_not_run();
-        let now = self.now;
+        let (now, hung) = (self.now, hung(&self.servers, t));
         // What reached nobody was never out: the time for which the state is held runs on.
         t.unreached = matches!(outcome, Outcome::NoConnection | Outcome::NotSent);
         job.held_since = if t.unreached && job.held.is_some() { job.held_since } else { now };
@@ -864,6 +862,9 @@
             if t.stage == Stage::Read {
                 s.took = (elapsed.as_secs_f64() / job.aim.as_secs_f64().max(1e-6), now);
             }
+            if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && s.heard < t.sent {
+                s.silent = s.silent + elapsed;
+            }
             match outcome {
                 Outcome::Refused { no_state: false } => {
                     let queued = s.report.and_then(|r| r.queued).unwrap_or(0.0);
@@ -876,12 +877,11 @@
                     s.full.remove(&job.req.class);
                     s.failing *= 1.0 - WELL_GAIN;
                     s.benches = if s.failing < FAIL_GAIN / 2.0 { 0 } else { s.benches };
-                    s.heard = now;
+                    (s.heard, s.silent) = (now, Micros(0));
                     s.answered = s.answered.max(t.sent);
                     warm = (many || s.cold(now, self.set.cold_for).is_none()).then_some(s.info.role);
                 }
-                // Where nothing good was heard lately one failure says enough: a router that seldom sends
-                // there would need minutes to see two in a row.
+                // Where nothing good was heard lately one failure says enough: two may take minutes.
                 Outcome::ServerError | Outcome::NoConnection | Outcome::ConnectionLost => {
                     let lately = s.heard + BENCH > now && !s.down;
                     strike(s, now, if lately { FAIL_GAIN } else { FAILING }, bench)
@@ -912,7 +912,9 @@
         }
         match outcome {
             Outcome::Parsed => {
-                self.seen.read_s.add(elapsed.as_secs_f64());
+                if !hung {
+                    self.seen.read_s.add(elapsed.as_secs_f64());
+                }
                 job.held = Some(t.worker.clone());
             }
             Outcome::Refused { no_state: true } => job.held = None,
@@ -951,8 +953,7 @@
         }
     }
 
-    /// A request that ends with no first token counts as a long wait: else a jam that clients leave
-    /// early would look short.
+    /// A request without a first token counts as a long wait: a jam that clients leave would look short.
     fn missed(&mut self, job: &Job) {
         if job.waits() && !job.tries.is_empty() {
             self.seen.wait.add_at(self.now, self.waited(job).clamp(MISSED, WAIT_CLIP));
@@ -968,8 +969,7 @@
         }
         job.done = true;
         if self.now + self.set.tick < job.req.deadline && self.may_refuse(&job) {
-            // As long as the queue that we see takes to fall to what is admitted; a router that is asked
-            // seldom sees none, but by how much first tokens are too late.
+            // Until the queue that we see falls to what is admitted; one asked seldom goes by first tokens.
             let late = if self.seldom() { self.pressure() - SELDOM_FELT } else { 0.0 };
             let drained = self.forecast() - self.tightest().mul_f64(ADMIT / 2.0);
             let drained = drained.max(self.tightest().mul_f64(late));
@@ -1162,6 +1162,11 @@
     servers.get_mut(&t.worker).filter(|s| s.begun <= t.sent)
 }
 
+/// It was overdue, and its worker said nothing meanwhile: how long it took is no sign of load.
+fn hung(servers: &BTreeMap<WorkerId, Server>, t: &Try) -> bool {
+    t.overdue && servers.get(&t.worker).is_some_and(|s| s.heard < t.sent)
+}
+
 /// A failure; enough of them bench the worker, each time for longer.
 fn strike(s: &mut Server, now: Micros, weight: f64, bench: Micros) {
     s.failing += (1.0 - s.failing) * weight;
