--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -29,9 +29,8 @@
 const OVERDUE_FLOOR: f64 = 0.4;
 /// Weight of a new observation in every EWMA.
 const GAIN: f64 = 0.1;
-/// A failure closes this share of the gap between a worker's failing and 1, a success takes off that
-/// share of it; from FAILING on it is benched, each time for longer, the first time for so many of our
-/// requests: two failures in a row do, and one in three for a while.
+/// A failure closes this share of the gap between a worker's failing and 1, a success takes that share off;
+/// from FAILING on it is benched, ever longer, first for TRIAL of our requests: two failures in a row do.
 const FAIL_GAIN: f64 = 0.3;
 const WELL_GAIN: f64 = 0.15;
 const FAILING: f64 = 0.45;
@@ -69,9 +68,8 @@
 const TILT: f64 = 3.0;
 /// Without reports, a stream of ours that still waits at a writer counts as so many more.
 const PENDING: f64 = 3.0;
-/// A new request is refused when its forecast first token takes more than this multiple of the
-/// tightest aim (beyond its tenant's share, the second), more than so many wait, or one a worker and
-/// router, and first tokens do take at least that share of it: a rise alone is no jam.
+/// A new request is refused when its forecast first token takes more than this multiple of the tightest
+/// aim (beyond its tenant's share, the second), and more than so many wait, or one a worker and router.
 const ADMIT: f64 = 1.0;
 const ADMIT_OVER_SHARE: f64 = 0.4;
 const FEW: usize = 4;
@@ -277,6 +275,8 @@
     held: Option<WorkerId>,
     held_since: Micros,
     streaming: bool,
+    /// Its attempt is overdue at a worker that has said nothing since: it waits there, in no queue.
+    stuck: bool,
     /// A final answer was given, or the client is gone.
     done: bool,
 }
@@ -287,7 +287,7 @@
     }
 
     fn waits(&self) -> bool {
-        !self.streaming && !self.done
+        !self.streaming && !self.done && !self.stuck
     }
 
     fn tried(&self, w: &WorkerId) -> bool {
@@ -326,8 +326,8 @@
     now: Micros,
     servers: BTreeMap<WorkerId, Server>,
     jobs: BTreeMap<RequestId, Job>,
-    /// How many of these wait for a first token: open streams are many more, and are not walked.
-    waiting: usize,
+    /// How many of these wait for a first token, and the sum of their arrivals: open streams are not walked.
+    waiting: (usize, u128),
     homes: Recent<SessionId, Home, HOMES_MOST>,
     /// What each timer wakes: a request, or asking for the list again.
     timers: BTreeMap<TimerId, Option<RequestId>>,
@@ -342,7 +342,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let buckets = settings.tenants.iter().map(|_| (f64::MAX, Micros(0))).collect();
         let (servers, jobs, homes, timers) = Default::default();
-        let (now, next_timer, waiting, seen) = (Micros(0), 0, 0, Seen::default());
+        let (now, next_timer, waiting, seen) = (Micros(0), 0, (0, 0), Seen::default());
         Self { set: settings, seed, now, servers, jobs, waiting, homes, timers, next_timer, seen, buckets }
     }
 
@@ -380,12 +380,14 @@
 
     fn take(&mut self, id: &RequestId) -> Option<Job> {
         let job = self.jobs.remove(id)?;
-        self.waiting -= usize::from(job.waits());
+        let waits = usize::from(job.waits());
+        self.waiting = (self.waiting.0 - waits, self.waiting.1 - u128::from(job.arrived.0) * waits as u128);
         Some(job)
     }
 
     fn keep(&mut self, job: Job) {
-        self.waiting += usize::from(job.waits());
+        let waits = usize::from(job.waits());
+        self.waiting = (self.waiting.0 + waits, self.waiting.1 + u128::from(job.arrived.0) * waits as u128);
         self.jobs.insert(job.req.id.clone(), job);
     }
 
@@ -452,21 +454,24 @@
             rate.add(self.now, HOT_SPAN, 1.0);
             self.seen.beginnings.note(p.clone(), rate);
         }
-        let (tries, held, now) = (Vec::new(), None, self.now);
-        let job = Job { req, arrived: now, aim, tries, held, held_since: now, streaming: false, done: false };
+        let (tries, held, now, [streaming, stuck, done]) = (Vec::new(), None, self.now, [false; 3]);
+        let job = Job { req, arrived: now, aim, tries, held, held_since: now, streaming, stuck, done };
         let most = if over_share { ADMIT_OVER_SHARE } else { ADMIT };
-        let felt = self.seen.wait.0.is_some_and(|w| w > most * FELT);
+        // A rise alone is no jam: first tokens are late, and those that wait have waited for half as long.
+        let since = self.now - self.tightest().mul_f64(most * FELT);
+        let felt = u128::from(since.0) * self.waiting.0 as u128 > self.waiting.1;
+        let felt = felt && self.seen.wait.0.is_some_and(|w| w > most * FELT);
         // What its client will not wait for is not begun while first tokens are slow.
         let usual = self.seen.read_s.0.zip(self.seen.pull_s.0).map_or(0.0, |(r, p)| r + p);
         let slow = self.seen.wait.0.is_some_and(|w| w > ADMIT_OVER_SHARE);
         let doomed = slow && self.now + Micros::from_secs_f64(usual) > job.req.deadline;
-        // One of many has no queue to count: all refuse by how long first tokens take and workers queue.
+        // One of many counts no queue: all refuse by how long first tokens take; workers tell of queues.
         let seldom = self.seldom();
-        let turned = seldom
-            && self.coin(&*job.req.id.0, "") < (self.pressure() / most - SELDOM_FELT) * self.queueing();
-        let jam = turned || (!seldom && felt && self.forecast() > self.tightest().mul_f64(most));
+        let late = if seldom { self.pressure() / most - SELDOM_FELT } else { 1.0 };
+        let jam = seldom || (felt && self.forecast() > self.tightest().mul_f64(most));
+        let jam = jam && self.coin(&*job.req.id.0, "") < late * self.queueing();
         // What has begun for its client and broke off is not given up for load: its worth is nearly earned.
-        let why = if turned { Why::Pressure } else { Why::Forecast };
+        let why = if seldom { Why::Pressure } else { Why::Forecast };
         match Some(why).filter(|_| jam).or((doomed && self.local(&job).is_none()).then_some(Why::Doomed)) {
             Some(why) if !job.req.came_back => self.finish(job, why, out),
             _ => self.settle(job, out),
@@ -476,10 +481,7 @@
     /// How long the next request is likely to wait for its first token, by Little's law, wherever the jam
     /// sits. A few that wait are never too many: a rate lags, and they keep a jam that has passed in sight.
     fn forecast(&self) -> Micros {
-        // What is out at a worker that has fallen silent is no queue: the next one goes elsewhere.
-        let silent = |s: &&Server| self.now - s.heard > self.tightest();
-        let stuck = self.servers.values().filter(silent).map(|s| s.overdue as usize).sum();
-        let waiting = self.waiting.saturating_sub(stuck);
+        let waiting = self.waiting.0;
         if waiting <= (self.servers.len() / self.set.routers.max(1) as usize).max(FEW) {
             return Micros(0);
         }
@@ -790,9 +792,8 @@
         // Where nothing can be cancelled, a time-out has to be set beforehand.
         let again = stage == Stage::Read || effect == Effect::Free;
         let give_up = Some(patience + patience).filter(|g| !self.set.may_cancel && again && g.0 > 0);
-        let (sent, due, overdue, open, ran, unreached) =
-            (now, Some(now + patience), false, true, true, false);
-        let at = worker.clone();
+        let (sent, due, at) = (now, Some(now + patience), worker.clone());
+        let [overdue, open, ran, unreached] = [false, true, true, false];
         job.tries.push(Try { worker: at, stage, sent, due, overdue, open, ran, unreached, predicted });
         let care = if cold { Care::Cold } else { Care::Usual };
         let care = if trial { Care::Trial } else { care };
@@ -804,11 +805,9 @@
     // ---- What comes back.
 
     fn streaming(&mut self, id: &RequestId, attempt: AttemptNo, elapsed: Micros) {
-        let Some(wait) = self.jobs.get(id).map(|j| self.waited(j)) else { return };
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        self.waiting -= usize::from(job.waits());
+        let Some(mut job) = self.take(id) else { return };
         job.streaming = true;
-        let took = elapsed.as_secs_f64();
+        let (wait, took) = (self.waited(&job), elapsed.as_secs_f64());
         let hung = job.tries.get(attempt.0 as usize).is_some_and(|t| hung(&self.servers, t));
         match job.tries.get(attempt.0 as usize).and_then(|t| t.predicted) {
             _ if hung => {}
@@ -822,15 +821,17 @@
         job.held = None;
         self.seen.firsts.add(self.now, RATE_SPAN, 1.0);
         self.seen.wait.add_at(self.now, wait.min(WAIT_CLIP));
-        let Some(t) = job.tries.get_mut(attempt.0 as usize) else { return };
-        t.due = None;
-        if let Some(s) = life(&mut self.servers, t) {
-            s.pending = s.pending.saturating_sub(1);
-            s.answered = s.answered.max(t.sent);
-            s.full.remove(&job.req.class);
-            s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
-            (s.heard, s.silent) = (self.now, Micros(0));
+        if let Some(t) = job.tries.get_mut(attempt.0 as usize) {
+            t.due = None;
+            if let Some(s) = life(&mut self.servers, t) {
+                s.pending = s.pending.saturating_sub(1);
+                s.answered = s.answered.max(t.sent);
+                s.full.remove(&job.req.class);
+                s.overdue -= u32::from(std::mem::take(&mut t.overdue)).min(s.overdue);
+                (s.heard, s.silent) = (self.now, Micros(0));
+            }
         }
+        self.keep(job);
     }
 
     /// Books the end of an attempt.
@@ -912,16 +913,15 @@
         }
         match outcome {
             Outcome::Parsed => {
-                if !hung {
-                    self.seen.read_s.add(elapsed.as_secs_f64());
-                }
+                let (took, mean) = (elapsed.as_secs_f64(), self.seen.read_s.0);
+                self.seen.read_s.add(mean.filter(|_| hung).unwrap_or(took));
                 job.held = Some(t.worker.clone());
             }
             Outcome::Refused { no_state: true } => job.held = None,
             _ => {}
         }
         // A whole answer that broke may be tried again, and has then not begun.
-        job.streaming = false;
+        (job.streaming, job.stuck) = (false, false);
     }
 
     fn bench(&self) -> Micros {
@@ -945,6 +945,7 @@
                 s.overdue += u32::from(!std::mem::replace(&mut t.overdue, true));
                 heard = s.heard > t.sent && !(late && s.answered > t.sent);
             }
+            job.stuck = !heard;
             let again = t.stage == Stage::Read || free;
             if !heard && !seldom && again && !done && self.set.may_cancel {
                 out.push(Action::Cancel { id: id.clone(), attempt: AttemptNo(i as u32) });
@@ -985,9 +986,8 @@
 
     // ---- Health and the guards of the rules.
 
-    /// The workers that may get this request's next attempt. Benched and silent ones are left out unless
-    /// they are more than half of the pool: then the trouble is elsewhere. One where nobody listens stays
-    /// out in any case: it would eat every attempt.
+    /// Workers that may get the next attempt. Benched and silent ones are left out unless they are more than
+    /// half: then the trouble is elsewhere. One where nobody listens stays out: it would eat every attempt.
     fn pool(&self, job: &Job, role: impl Fn(Role) -> bool) -> Vec<&Server> {
         self.some(job, role, |s| self.cold_room(job, s))
     }
--- a/crates/policy/tests/bounds.rs
+++ b/crates/policy/tests/bounds.rs
@@ -263,6 +263,8 @@
         for i in 0..20 {
             rig.ask(&format!("w{i}"), &format!("w{i}"), FREE, 10);
         }
+        // These have waited: a rise alone is no jam.
+        rig.wait(0.6);
         let round = |n: usize| {
             let start = std::time::Instant::now();
             for i in 0..200 {
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -272,6 +272,7 @@
         } else {
             rig.end(&id, 0, Outcome::Parsed, 0);
         }
+        rig.feed(Event::ClientGone(id.as_str().into()));
     }
     let bad = bad.unwrap();
     let late = (40..60)
@@ -279,6 +280,7 @@
             let id = format!("{i}");
             let to = sent(&rig.ask(&id, "one", FREE, LONG)).unwrap().0;
             rig.end(&id, 0, Outcome::Parsed, 0);
+            rig.feed(Event::ClientGone(id.as_str().into()));
             to == bad
         })
         .count();
@@ -686,3 +688,138 @@
         rig.wait(20.0);
     }
 }
+
+// ---- Hanging workers.
+
+/// Twenty requests are read within 0.1 s each; then `n` more are sent to readers and nothing more is heard of one.
+fn after_twenty_reads(workers: Vec<Worker>, queued: Option<f64>) -> Rig {
+    let mut rig = Rig::new(settings(), workers);
+    for i in 0..20 {
+        let id = format!("l{i}");
+        rig.ask(&id, &id, FREE, 4_000);
+        rig.wait(0.1);
+        let report = Some(Report { queued, ..Report::default() });
+        rig.end_with(&id, 0, Outcome::Parsed, 0, report);
+        rig.stream(&id, 1);
+        rig.wait(0.05);
+        rig.end(&id, 1, Outcome::Served, 0);
+    }
+    rig
+}
+
+/// Requests of a class that is not called back from where it is written wait at a writer that has fallen silent.
+fn stuck_at_a_silent_writer(queued: Option<f64>, other_is_heard: bool) -> (usize, usize) {
+    let mut all = readers(3);
+    all.push(worker("w1", Role::Writer, 0));
+    let mut rig = after_twenty_reads(all, queued);
+    let mut stuck = Vec::new();
+    for i in 0..30 {
+        let id = format!("h{i}");
+        let mut request = rig.request(&id, &id, SINGLE, 4_000);
+        request.deadline = rig.now + secs(60.0);
+        rig.feed(Event::Request(request));
+        rig.wait(0.02);
+        let actions = rig.end(&id, 0, Outcome::Parsed, 0);
+        let Some((at, _)) = sent(&actions) else { continue };
+        if at == "w0" || !other_is_heard {
+            stuck.push((id, actions));
+        } else {
+            rig.stream(&id, 1);
+        }
+    }
+    rig.wait(3.0);
+    for (_, actions) in &stuck {
+        for action in actions {
+            if let Action::SetTimer { timer, .. } = action {
+                rig.feed(Event::Timer(*timer));
+            }
+        }
+    }
+    let asked: Vec<bool> =
+        (0..20).map(|i| refused(&rig.ask(&format!("n{i}"), &format!("n{i}"), FREE, 4_000))).collect();
+    (stuck.len(), asked.iter().filter(|r| **r).count())
+}
+
+#[test]
+fn what_is_stuck_at_a_silent_worker_is_no_queue() {
+    let (stuck, refused) = stuck_at_a_silent_writer(Some(2.0), true);
+    assert!(stuck >= 5, "{stuck}");
+    assert_eq!(refused, 0, "{stuck} are stuck at one writer, the other answers");
+}
+
+#[test]
+fn where_workers_tell_of_no_queue_a_long_forecast_is_no_reason_to_refuse() {
+    let run = |queued: f64| {
+        let mut rig = after_twenty_reads(readers(3), Some(queued));
+        for i in 0..20 {
+            let id = format!("s{i}");
+            rig.ask(&id, &id, FREE, 4_000);
+            rig.wait(0.9);
+            let report = Some(Report { queued: Some(queued), ..Report::default() });
+            rig.end_with(&id, 0, Outcome::Parsed, 0, report);
+            rig.stream(&id, 1);
+            rig.end(&id, 1, Outcome::Served, 0);
+        }
+        for i in 0..20 {
+            rig.ask(&format!("w{i}"), &format!("w{i}"), FREE, 4_000);
+        }
+        rig.wait(0.7);
+        (0..20).filter(|i| refused(&rig.ask(&format!("n{i}"), &format!("n{i}"), FREE, 4_000))).count()
+    };
+    assert_eq!(run(0.0), 0);
+    assert_eq!(run(3.0), 20);
+}
+
+#[test]
+fn how_long_a_read_took_at_a_reader_that_hung_is_no_sign_of_load() {
+    for (reads, doomed) in [(0, false), (1, false)] {
+        let mut rig = after_twenty_reads(readers(3), Some(2.0));
+        for i in 0..reads {
+            let id = format!("h{i}");
+            let actions = rig.ask(&id, &id, FREE, 4_000);
+            rig.now = rig.now + secs(20.0);
+            for action in &actions {
+                if let Action::SetTimer { timer, .. } = action {
+                    rig.feed(Event::Timer(*timer));
+                }
+            }
+            let (id, attempt, elapsed) = (id.as_str().into(), AttemptNo(0), secs(20.0));
+            let (outcome, over, kept, report) = (Outcome::Parsed, false, 0, None);
+            rig.feed(Event::Verdict { id, attempt, outcome, elapsed, over, kept, report });
+        }
+        let mut request = rig.request("z", "z", FREE, 4_000);
+        request.deadline = rig.now + secs(0.8);
+        assert_eq!(refused(&rig.feed(Event::Request(request))), doomed);
+    }
+}
+
+#[test]
+fn silence_adds_up_over_attempts_whose_clients_left() {
+    let patience = |left: usize| {
+        let mut rig = after_twenty_reads(readers(1), Some(0.0));
+        // Reads of 0.6 s: four times as long is silence.
+        for i in 0..60 {
+            let id = format!("s{i}");
+            rig.ask(&id, &id, FREE, 100);
+            rig.parsed_after(&id, 0.6);
+            rig.feed(Event::ClientGone(id.as_str().into()));
+        }
+        for i in 0..left {
+            let id = format!("c{i}");
+            rig.ask(&id, &id, FREE, 4_000);
+            rig.wait(0.7);
+            let (id, attempt, elapsed) = (id.as_str().into(), AttemptNo(0), secs(0.7));
+            let (outcome, over, kept, report) = (Outcome::TimedOut, true, 0, None);
+            rig.feed(Event::Verdict { id, attempt, outcome, elapsed, over, kept, report });
+        }
+        let actions = rig.ask("z", "z", FREE, 4_000);
+        assert_eq!(sent(&actions).unwrap().0, "r0");
+        let timer = actions.iter().find_map(|a| match a {
+            Action::SetTimer { after, .. } => Some(*after),
+            _ => None,
+        });
+        timer.unwrap().as_secs_f64()
+    };
+    let (none, two) = (patience(0), patience(2));
+    assert!(two < none - 0.5, "{none} s, {two} s after two that waited in vain");
+}
