--- a/crates/platform/tests/flow.rs
+++ b/crates/platform/tests/flow.rs
@@ -54,6 +54,20 @@
     Yard::started(started.config, started.known.as_deref())
 }
 
+/// With another release time and another wait for connections, ms, and a third writer in another zone.
+fn yard_told(release: u64, connect: u64) -> Yard {
+    let mut all = usual_members();
+    all.push(member("w3", "writes", 4, "up"));
+    all[3]["locality"] = json!("yard");
+    let told = file(false, &members(4, true, &all))
+        .replace(r#""release_s":1.0"#, &format!(r#""release_s":{}"#, release as f64 / 1e3))
+        .replace(r#""connect_timeout_s":0.25"#, &format!(r#""connect_timeout_s":{}"#, connect as f64 / 1e3))
+        .replace(r#""dcs":["hall"]"#, r#""dcs":["hall","yard"]"#);
+    let started = Started::read(&told).unwrap();
+    assert_eq!(started.config.policy.release, ms(release));
+    Yard::started(started.config, started.known.as_deref())
+}
+
 fn yard() -> Yard {
     yard_with(false)
 }
@@ -615,3 +629,42 @@
     });
     assert!(drained, "a drain is heard past the bound");
 }
+
+#[test]
+fn in_a_cut_held_state_is_pulled_elsewhere_or_let_go_of_in_time_whatever_the_settings() {
+    for release in [100, 300, 1_000] {
+        for connect in [80, 250, 750] {
+            // A zone is cut off: connections into it do not come up. The other zone's writer is next.
+            let mut y = yard_told(release, connect);
+            ask(&mut y, "id-1", "once");
+            let read = call(&mut y);
+            y.stuck.insert(ConnId(read.conn.0 + 2));
+            reply(&mut y, read.conn, 202, &[], r#"{"cached_tokens":0}"#);
+            let parsed = y.now;
+            let first = y.ports[&ConnId(read.conn.0 + 2)];
+            while !has_call(&y) && y.now < parsed + ms(release) {
+                y.advance(ms(2));
+            }
+            assert!(has_call(&y), "{release} {connect}: nothing was tried after port {first}");
+            let second = call(&mut y).port;
+            assert_eq!(first == 4, second != 4, "{release} {connect}: {first}, then {second}");
+
+            // Nobody can be reached, nor says anything: two workers are told in time.
+            let mut y = yard_told(release, connect);
+            ask(&mut y, "id-1", "once");
+            let read = call(&mut y);
+            for n in 1..=4 {
+                y.stuck.insert(ConnId(read.conn.0 + 2 * n));
+            }
+            reply(&mut y, read.conn, 202, &[], r#"{"cached_tokens":0}"#);
+            let parsed = y.now;
+            while releases(&y).len() < 2 && y.now < parsed + ms(release + 600) {
+                y.advance(ms(2));
+            }
+            let told = releases(&y);
+            assert!(told.len() >= 2, "{release} {connect}: {told:?}");
+            assert_ne!(told[0].1, told[1].1);
+            assert!(y.now <= parsed + ms(release + 300), "{release} {connect}: {:?}", y.now - parsed);
+        }
+    }
+}
