Test of reads at a hanging worker can fail: first tokens in it are slow

Change: first tokens after half of the aim in the test.

Measured: passes; with the guard taken out of verdict by hand it fails at its last line.

--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -772,8 +772,18 @@
 
 #[test]
 fn how_long_a_read_took_at_a_reader_that_hung_is_no_sign_of_load() {
-    for (reads, doomed) in [(0, false), (1, false)] {
-        let mut rig = after_twenty_reads(readers(3), Some(2.0));
+    for reads in [0, 1] {
+        let mut rig = Rig::new(settings(), readers(3));
+        // First tokens after half of the aim: what a client will not wait for is not begun.
+        for i in 0..20 {
+            let id = format!("l{i}");
+            rig.ask(&id, &id, FREE, 4_000);
+            rig.wait(0.5);
+            rig.parsed_after(&id, 0.5);
+            rig.stream(&id, 1);
+            rig.wait(0.1);
+            rig.end(&id, 1, Outcome::Served, 0);
+        }
         for i in 0..reads {
             let id = format!("h{i}");
             let actions = rig.ask(&id, &id, FREE, 4_000);
@@ -789,7 +799,7 @@
         }
         let mut request = rig.request("z", "z", FREE, 4_000);
         request.deadline = rig.now + secs(0.8);
-        assert_eq!(refused(&rig.feed(Event::Request(request))), doomed);
+        assert!(!refused(&rig.feed(Event::Request(request))), "{reads} reads at a reader that hung");
     }
 }
 
