Crossings at a router process: eleven faults found by forcing the order, mended

Cause and change, each where the state is owned: - A client that flooded was paused; read() returned at once and its FIN or RST was never heard: attempts went on 0.12 to 1.4 s after it had gone. The end is noted and told though nothing is read (shell.rs, Sock::ended). - A repeat was written in the turn in which its client's end was read later. Ends of clients are handled first in a turn; events name connections by their own numbers, so that none meets another socket. - close() at the bound of lingering connections dropped unsent bytes: a stream's last chunk was lost at a restart's end. Those that were told all give way; while the rest is over the bound nobody is accepted. - A slow client's last answer was cut after 2 s though it took it steadily (10 s now while it takes something). - A listening socket that goes reset what waited at it beyond 64; it is emptied first. - The process ended with calls to let go outstanding (open_requests counts none): it waits for them, as long as they are made. - Discovery: after a silent call each next one was waited for 3 s; now the wait for connections (250 ms), and none waits for news until one was answered. A list read in part advanced past what was not; the whole is asked for. A half written configuration at SIGHUP was given up at once; SIGHUP while leaving was ignored. - A drain told while an attempt waits for its connection: the call was written to the draining worker once it stood. It is placed again. - A kept connection that had ended before a byte was written counted as "nobody listens there" and benched the worker for 1 to 16 s; the attempt goes on a new connection. Calls go to each zone in turn and on for 1 s; a later read's state is no more let go of by calls for an earlier one.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -5,7 +5,6 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 
 use chalkyard_platform::Started;
 use chalkyard_router::shell::{granularity, Clock, News, Place, Shell, Sink};
@@ -29,16 +28,17 @@
 const DRAIN: u64 = 60_000_000;
 /// Last answers have so long to leave, µs.
 const FAREWELL: u64 = 200_000;
-/// New configurations that wait for the loop.
-const WAITING: usize = 8;
+/// A configuration that can't be read may be one that is being written: it is read again so often, each time the loop
+/// keeps house, which is well within the 4 s after which what it says counts.
+const READ_AGAIN: u32 = 20;
 
 struct Told {
     log: logs::Log,
     /// Each request is told.
     all: bool,
     file: PathBuf,
-    sender: SyncSender<News>,
-    news: Receiver<News>,
+    /// Tries left to read another configuration; none: nothing is to be read.
+    rereads: Option<u32>,
 }
 
 impl Sink for Told {
@@ -68,25 +68,35 @@
         }
     }
 
-    /// A file that can't be read leaves the old settings. Small, so read in the loop.
+    /// Read by [`Sink::housekeep`], which follows within its period.
     fn reload(&mut self) {
-        match read(&self.file) {
-            Ok(started) => {
-                if let Some(address) = started.config.register {
-                    info!(target: "router", discovery = %address, "another configuration");
-                    let _ = self.sender.try_send(Input::Register(address));
-                }
-            }
-            Err(why) => warn!(target: "router", "the old configuration stays: {why}"),
-        }
+        self.rereads = Some(READ_AGAIN);
     }
 
     fn period(&self) -> Option<std::time::Duration> {
         Some(std::time::Duration::from_millis(100))
     }
 
+    /// A file that can't be read leaves the old settings. Small, so read in the loop.
     fn housekeep(&mut self) -> Vec<News> {
-        self.news.try_iter().take(WAITING).collect()
+        let Some(left) = self.rereads.take() else { return Vec::new() };
+        match read(&self.file) {
+            Ok(started) => {
+                let address = started.config.register;
+                if let Some(address) = address {
+                    info!(target: "router", discovery = %address, "another configuration");
+                }
+                address.map(Input::Register).into_iter().collect()
+            }
+            Err(why) => {
+                self.rereads = left.checked_sub(1);
+                if left == READ_AGAIN || left == 0 {
+                    let next = if left > 0 { "it is read again" } else { "given up" };
+                    warn!(target: "router", "the old configuration stays, {next}: {why}");
+                }
+                Vec::new()
+            }
+        }
     }
 }
 
@@ -111,12 +121,11 @@
     let place = Place::take(started.listen, false);
     let place = place.map_err(|e| could_not(&format!("listening at {}", started.listen), e))?;
     let mut core = Core::new(config, started.seed.unwrap_or(clock.now().0), clock.now());
-    let (sender, news) = sync_channel(WAITING);
     let all = std::env::var_os(logs::LEVEL_NAME).is_some();
     if all {
         core.count_seconds();
     }
-    let told = Told { log: logs::Log { list_file: None }, all, file, sender, news };
+    let told = Told { log: logs::Log { list_file: None }, all, file, rereads: None };
     let terms = Terms { start: START, leave, drain: DRAIN, farewell: FAREWELL };
     let mut shell = Shell::new(core, told, clock, place, terms).map_err(|e| could_not("starting", e))?;
     shell.bound_lingering(started.lingering);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -148,6 +148,8 @@
             slow_client: ms(5_000),
             // News count as told 2 s after the wait is over.
             register: ms(WATCH_MS + 1_000),
+            // An agent on the same machine answers at once; as long as a connection is waited for.
+            register_doubted: told(params.limits.connect_timeout_s, ms(250)),
             reply_margin: Micros(0),
             identity: Micros(0),
         };
--- a/crates/platform/src/speak.rs
+++ b/crates/platform/src/speak.rs
@@ -89,9 +89,10 @@
         encode::request("DELETE", &format!("/internal/reservations/{}", id.0), host, &[], &[])
     }
 
-    fn watch(&self, after: Option<u64>, host: &str) -> Vec<u8> {
+    fn watch(&self, after: Option<u64>, waits: bool, host: &str) -> Vec<u8> {
+        let wait = if waits { WATCH_MS } else { 0 };
         let target = match after {
-            Some(version) => format!("/discovery/hosts?after={version}&wait_ms={WATCH_MS}"),
+            Some(version) => format!("/discovery/hosts?after={version}&wait_ms={wait}"),
             None => "/discovery/hosts".into(),
         };
         encode::request("GET", &target, host, &[], &[])
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -119,6 +119,8 @@
     pub slow_client: p::Micros,
     /// Without a sign of life from the register.
     pub register: p::Micros,
+    /// The same for the first sign of a dialect's source after a call to it has failed.
+    pub register_doubted: p::Micros,
     /// A final answer leaves so long before the client's time is up.
     pub reply_margin: p::Micros,
     /// How long identities of finished requests that may have run are remembered.
@@ -140,6 +142,7 @@
             stream: ms(20_000),
             slow_client: ms(10_000),
             register: ms(15_000),
+            register_doubted: ms(250),
             reply_margin: ms(25),
             identity: ms(600_000),
         }
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -21,8 +21,6 @@
         care: p::Care,
     ) {
         let (now, most) = (self.now, self.config.policy.max_attempts as usize);
-        let via = self.via.clone();
-        let host = self.host(&worker);
         let role = self.engines.get(&worker).filter(|e| e.listed).map(|e| e.role);
         let Some(job) = self.jobs.get_mut(id) else { return };
         let at = match (role, &job.held) {
@@ -36,10 +34,13 @@
             Some(a) if at == At::Pull && a.at == At::Read => tally::Call::Pull,
             Some(_) => tally::Call::Again { ran: job.may_have_run() },
         };
+        let due = give_up.map_or(job.request.deadline, |g| (now + g).min(job.request.deadline));
         let attempt = Attempt {
-            worker: worker.clone(),
+            worker,
             at,
             sent: now,
+            due,
+            connect,
             care,
             conn: None,
             timer: None,
@@ -59,15 +60,44 @@
         {
             return self.end_attempt(id, no, Outcome::NotSent, 0);
         }
-        let due = give_up.map_or(job.request.deadline, |g| (now + g).min(job.request.deadline));
-        let times = (due, connect);
+        self.dial(id, no);
+        if let Some(conn) = self.attempt_mut(id, no).and_then(|a| a.conn) {
+            let timer = self.timers.set(due, Due::Attempt(id.clone(), no));
+            if let Some(attempt) = self.attempt_mut(id, no).filter(|a| a.conn == Some(conn)) {
+                attempt.timer = Some(timer);
+            }
+        }
+    }
+
+    /// Has an attempt's call written on a kept connection, or on a new one.
+    pub(super) fn dial(&mut self, id: &RequestId, no: AttemptNo) {
+        let attempt = self.attempt_mut(id, no).filter(|a| a.ended.is_none());
+        let Some((worker, connect)) = attempt.map(|a| (a.worker.clone(), a.connect)) else { return };
+        let bytes =
+            self.attempt_bytes(id, no).filter(|_| self.engines.get(&worker).is_some_and(|e| e.listed));
+        let task = Task::Attempt(id.clone(), no, Reply::None);
+        let conn = bytes.and_then(|bytes| self.call(&worker, task, bytes, 0));
+        // Our own bound: it says nothing of the engine.
+        let Some(conn) = conn else { return self.end_attempt(id, no, Outcome::NotSent, 0) };
+        if let Some(span) = connect {
+            self.connect_within(conn, span);
+        }
+        if let Some(attempt) = self.attempt_mut(id, no) {
+            attempt.conn = Some(conn);
+        }
+    }
+
+    /// An attempt's call as it is written.
+    fn attempt_bytes(&self, id: &RequestId, no: AttemptNo) -> Option<Vec<u8>> {
+        let job = self.jobs.get(id)?;
+        let attempt = job.attempts.get(no.0 as usize)?;
+        let (at, host) = (attempt.at, self.host(&attempt.worker));
         let call = match (&job.call, &self.config.dialect) {
             (Call::Messages(call), _) => call,
-            (Call::Passed(passed), Some(dialect)) => {
-                let bytes = dialect.attempt(&job.request, passed, &host, due - now);
-                return self.send_bytes(id, no, &worker, bytes, times);
+            (Call::Passed(passed), dialect) => {
+                let left = attempt.due - self.now;
+                return dialect.as_ref().map(|d| d.attempt(&job.request, passed, &host, left));
             }
-            (Call::Passed(_), None) => return self.end_attempt(id, no, Outcome::NotSent, 0),
         };
         let stage = match (at, &job.held) {
             (At::Read, _) => Stage::Read,
@@ -79,7 +109,7 @@
         let number = no.0.to_string();
         let mut fields = vec![
             ("content-type", "application/json"),
-            ("via", &*via),
+            ("via", &*self.via),
             (engine::REQUEST_ID, &*id.0),
             ("x-class", class),
             (engine::ATTEMPT, &number),
@@ -90,29 +120,7 @@
         if let Some(key) = &key {
             fields.push(("idempotency-key", key));
         }
-        let bytes = encode::request("POST", engine::COMPLETIONS, &host, &fields, &body);
-        self.send_bytes(id, no, &worker, bytes, times);
-    }
-
-    fn send_bytes(
-        &mut self,
-        id: &RequestId,
-        no: AttemptNo,
-        worker: &WorkerId,
-        bytes: Vec<u8>,
-        (due, connect): (Micros, Option<Micros>),
-    ) {
-        let conn = self.call(worker, Task::Attempt(id.clone(), no, Reply::None), bytes, 0);
-        // Our own bound: it says nothing of the engine.
-        let Some(conn) = conn else { return self.end_attempt(id, no, Outcome::NotSent, 0) };
-        if let Some(span) = connect {
-            self.connect_within(conn, span);
-        }
-        let timer = self.timers.set(due, Due::Attempt(id.clone(), no));
-        if let Some(attempt) = self.attempt_mut(id, no) {
-            attempt.conn = Some(conn);
-            attempt.timer = Some(timer);
-        }
+        Some(encode::request("POST", engine::COMPLETIONS, &host, &fields, &body))
     }
 
     pub(super) fn attempt_mut(&mut self, id: &RequestId, no: AttemptNo) -> Option<&mut Attempt> {
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -567,8 +567,8 @@
             return self.close_client(conn);
         }
         client.decoder.close();
-        let idle = client.is_idle();
-        if !idle {
+        // What a client has asked that takes no answers, and is not heard for it, has gone with it.
+        if !client.is_idle() && !client.held_up {
             self.drive_client(conn);
         }
         // What was begun before the close has been answered above or is being served.
--- a/crates/router/src/core/job.rs
+++ b/crates/router/src/core/job.rs
@@ -73,6 +73,9 @@
     pub(super) worker: WorkerId,
     pub(super) at: At,
     pub(super) sent: Micros,
+    /// It is given up then; how long a connection may take, if not as long as usual.
+    pub(super) due: Micros,
+    pub(super) connect: Option<Micros>,
     pub(super) care: p::Care,
     pub(super) conn: Option<ConnId>,
     pub(super) timer: Option<Key>,
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -162,8 +162,9 @@
     register: Option<ConnId>,
     /// The newest version of the list, where a dialect reads it.
     version: Option<u64>,
-    /// When a dialect's source was last asked.
+    /// When a dialect's source was last asked; its last call failed, or it has moved since.
     asked: Micros,
+    list_doubted: bool,
     /// When the list last changed.
     list_changed: Option<Micros>,
     /// Bytes of request bodies that came and may still have to be sent.
@@ -211,6 +212,7 @@
             register: None,
             version: None,
             asked: Micros(0),
+            list_doubted: false,
             list_changed: None,
             bodies: 0,
             gap: None,
@@ -346,6 +348,11 @@
         self.jobs.len()
     }
 
+    /// What engines have not said yet that they let go of, within the told release time.
+    pub fn open_releases(&self) -> usize {
+        self.letting.len()
+    }
+
     /// Client connections.
     pub fn open_clients(&self) -> usize {
         self.clients.len()
@@ -424,6 +431,12 @@
                 self.note("engine", "bytes that nobody asked for; connection closed".into());
                 self.abort_link(conn);
             }
+            // The same where a call was about to follow: what came before a byte of it was written is no answer to it.
+            _ if link.wrote == 0 => {
+                self.note("engine", "bytes ahead of any call; connection closed".into());
+                self.out.push(Output::Abort(conn));
+                self.link_lost(conn);
+            }
             _ => {
                 link.decoder.push(bytes);
                 self.drive_link(conn);
--- a/crates/router/src/core/pool.rs
+++ b/crates/router/src/core/pool.rs
@@ -47,7 +47,10 @@
     /// The address as the Host of calls.
     pub host: Arc<str>,
     pub role: p::Role,
+    pub zone: Option<p::ZoneId>,
     pub listed: bool,
+    /// Wants nothing new: what has not reached it yet is placed again.
+    pub leaving: bool,
     /// Last used last: the most recent one is the least likely to be closed by the engine.
     pub idle: Vec<ConnId>,
     pub open: usize,
@@ -189,12 +192,7 @@
         let bytes = link.waiting.take();
         match link.task {
             Task::Idle => self.park(conn),
-            Task::Watch(_) | Task::Poll(_) => {
-                let timer = self.timers.set(self.now + self.config.waits.register, Due::Register(conn));
-                if let Some(link) = self.links.get_mut(&conn) {
-                    link.timer = Some(timer);
-                }
-            }
+            Task::Watch(_) | Task::Poll(_) => self.alive(conn),
             // A call that is no attempt has no time-out of the module's.
             Task::Release(..) => self.limit(conn),
             Task::Attempt(..) | Task::Rest => {}
--- a/crates/router/src/core/releases.rs
+++ b/crates/router/src/core/releases.rs
@@ -10,6 +10,9 @@
 /// A call to let go is made again after at least this pause, and half the time since the first, while the told release
 /// time lasts; then the engine's own time-out is left to it.
 const RELEASE_PAUSE: Micros = Micros(30_000);
+/// In a dialect, whose engines free nothing by themselves, calls go on for at least so long: what was not let go of in
+/// time is held all the longer, and in a cut some calls meet nobody.
+const RELEASE_LEAST: Micros = Micros(1_000_000);
 
 /// One letting go: never given twice in a core's life.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,6 +48,17 @@
         self.release_call(no, worker);
     }
 
+    /// The request holds state anew, or its answer has begun: in a dialect a call to let go would take that too. What an
+    /// earlier read may have left goes with the one at the request's end, or has gone by itself.
+    pub(super) fn keep_held(&mut self, id: &RequestId) {
+        if self.config.dialect.is_none() {
+            return;
+        }
+        let earlier = self.letting.extract_if(.., |_, l| l.request == *id);
+        let told = earlier.filter_map(|(_, l)| l.verdict).map(|(verdict, _)| verdict);
+        self.events.extend(told);
+    }
+
     fn release_call(&mut self, no: ReleaseNo, worker: WorkerId) {
         let Some(letting) = self.letting.get_mut(&no) else { return };
         letting.asked.push(worker.clone());
@@ -86,7 +100,8 @@
 
     pub(super) fn release_due(&mut self, no: ReleaseNo) {
         let Some(letting) = self.letting.get(&no) else { return };
-        let late = self.now >= letting.since + self.config.policy.release;
+        let least = if self.config.dialect.is_some() { RELEASE_LEAST } else { Micros(0) };
+        let late = self.now >= letting.since + self.config.policy.release.max(least);
         let worker = self.next_asked(letting).filter(|w| !late && self.engines.contains_key(w));
         if let Some(letting) = self.letting.get_mut(&no) {
             let told = letting.verdict.take_if(|(_, by)| worker.is_none() || self.now >= *by);
@@ -102,14 +117,17 @@
     }
 
     /// Where the next call to let go is made: where the state is, or in a dialect, where any worker takes it, at the one
-    /// heard from last of those that were not asked.
+    /// heard from last of those that were not asked, first in zones where none was: a cut leaves out whole zones.
     fn next_asked(&self, letting: &Letting) -> Option<WorkerId> {
         let last = letting.asked.last();
         if self.config.dialect.is_none() {
             return last.cloned();
         }
         let others = self.engines.iter().filter(|(id, e)| e.listed && !letting.asked.contains(id));
-        let other = others.max_by_key(|(_, e)| (e.heard, e.idle.len())).map(|(id, _)| id);
+        let zone = |w: &WorkerId| self.engines.get(w).map(|e| e.zone);
+        let zones: Vec<_> = letting.asked.iter().filter_map(zone).collect();
+        let other = others.max_by_key(|(_, e)| (!zones.contains(&e.zone), e.heard, e.idle.len()));
+        let other = other.map(|(id, _)| id);
         other.or(last).cloned()
     }
 
--- a/crates/router/src/core/replies.rs
+++ b/crates/router/src/core/replies.rs
@@ -77,6 +77,9 @@
         let needed = if self.config.dialect.is_some() { link.size } else { 1 };
         let sent = link.waiting.is_none() && link.wrote >= needed;
         match link.task {
+            // One kept from an earlier call that had ended before a byte of this one was written: the engine may close
+            // what rests, and it tells nothing of whether anybody listens there. The attempt has not begun yet.
+            Task::Attempt(id, no, _) if link.rested.is_some() && link.wrote == 0 => self.dial(&id, no),
             Task::Attempt(id, no, _) => {
                 let outcome = if sent { Outcome::ConnectionLost } else { Outcome::NoConnection };
                 self.end_attempt(&id, no, outcome, 0);
@@ -223,6 +226,9 @@
                 if let Some(attempt) = self.attempt_mut(&id, no) {
                     attempt.conn = None;
                 }
+                if outcome == Outcome::Parsed {
+                    self.keep_held(&id);
+                }
                 self.end_attempt(&id, no, outcome, kept);
                 false
             }
@@ -328,6 +334,7 @@
             job.first_token = Some(now);
             // With the first token the state has moved, and whatever else was held goes by itself.
             job.held = None;
+            self.keep_held(id);
         }
         Some(first)
     }
--- a/crates/router/src/core/sources.rs
+++ b/crates/router/src/core/sources.rs
@@ -5,7 +5,7 @@
 use chalkyard_policy::Event;
 use chalkyard_proto::{encode, sse, Part, Start};
 
-use super::pool::{Engine, Task};
+use super::pool::{Engine, Link, Task};
 use super::{ConnId, Core, Due, Output};
 use crate::dialect::List;
 use crate::register::{Named, Wrong};
@@ -35,25 +35,28 @@
         }
         if whole {
             for engine in self.engines.values_mut() {
-                engine.listed = false;
+                (engine.listed, engine.leaving) = (false, true);
             }
         }
         let mut moved = Vec::new();
         for (worker, address) in &named {
             let listed = worker.lifecycle != p::Lifecycle::Out;
+            let leaving = worker.lifecycle != p::Lifecycle::In;
             let host = address.to_string().into();
             let fresh = Engine {
                 address: *address,
                 host,
                 role: worker.role,
+                zone: worker.zone,
                 listed,
+                leaving,
                 idle: Vec::new(),
                 open: 0,
                 heard: p::Micros(0),
             };
             let engine = self.engines.entry(worker.id.clone()).or_insert(fresh);
-            engine.role = worker.role;
-            engine.listed = listed;
+            (engine.role, engine.zone) = (worker.role, worker.zone);
+            (engine.listed, engine.leaving) = (listed, leaving);
             if engine.address != *address {
                 engine.address = *address;
                 engine.host = address.to_string().into();
@@ -68,6 +71,22 @@
         named.into_iter().map(|(worker, _)| worker).collect()
     }
 
+    /// What the module is told of workers; then attempts that still wait for a connection to one that leaves are over:
+    /// nothing of them was sent, and by the time it stands it may be too late.
+    fn tell_workers(&mut self, kind: p::ListKind, workers: Vec<p::Worker>) {
+        self.events.push_back(Event::Workers { kind, workers });
+        let leaves = |w: &p::WorkerId| self.engines.get(w).is_some_and(|e| e.leaving);
+        let waits = |l: &&Link| l.waiting.is_some() && l.worker.as_ref().is_some_and(leaves);
+        let attempt = |l: &Link| match &l.task {
+            Task::Attempt(id, no, _) => Some((id.clone(), *no)),
+            _ => None,
+        };
+        let waiting: Vec<_> = self.links.values().filter(waits).filter_map(attempt).collect();
+        for (id, no) in waiting {
+            self.end_attempt(&id, no, p::Outcome::NotSent, 0);
+        }
+    }
+
     fn register_call(&mut self, target: &str, task: Task) -> Option<ConnId> {
         let address = self.config.register?;
         self.count(|t| t.list_calls += 1);
@@ -78,7 +97,7 @@
     pub(super) fn watch_register(&mut self) {
         if let Some(dialect) = self.config.dialect.clone() {
             let Some(address) = self.config.register.filter(|_| self.register.is_none()) else { return };
-            let bytes = dialect.watch(self.version, &address.to_string());
+            let bytes = dialect.watch(self.version, !self.list_doubted, &address.to_string());
             self.asked = self.now;
             self.count(|t| t.list_calls += 1);
             self.register = Some(self.connect(None, address, Task::Poll(Vec::new()), bytes));
@@ -97,6 +116,7 @@
         if let Some(old) = self.register.take() {
             self.abort_link(old);
         }
+        self.list_doubted = true;
         self.watch_register();
     }
 
@@ -106,7 +126,9 @@
             self.note("list", format!("an entry is left out: {wrong}"));
         }
         self.has_list = true;
-        self.version = Some(list.version);
+        // What could not be read is asked for once more, with the whole list; what is wrong again is left out.
+        let again = !list.wrong.is_empty() && self.version.is_some();
+        self.version = (!again).then_some(list.version);
         let kind = if list.whole { p::ListKind::Full } else { p::ListKind::Changes };
         // Past the bound new workers are left out; what is told of those that are held, above all drains, is taken.
         let held = if list.whole { 0 } else { self.engines.len() };
@@ -131,7 +153,13 @@
         let Some(link) = self.links.get_mut(&conn) else { return false };
         let Task::Poll(body) = &mut link.task else { return false };
         match part {
-            Part::Head(head) if head.start == (Start::Response { status: 200 }) => return true,
+            Part::Head(head) if head.start == (Start::Response { status: 200 }) => {
+                // It answers again; a long list may take longer.
+                if std::mem::take(&mut self.list_doubted) {
+                    self.alive(conn);
+                }
+                return true;
+            }
             Part::Data(data) if body.len() + data.len() <= LIST_BYTES => {
                 body.extend(data);
                 return true;
@@ -148,7 +176,7 @@
             Ok(list) => {
                 let (workers, kind) = self.read_list(list);
                 if kind == p::ListKind::Full || !workers.is_empty() {
-                    self.events.push_back(Event::Workers { kind, workers });
+                    self.tell_workers(kind, workers);
                 }
             }
             Err(why) => {
@@ -172,7 +200,7 @@
             return false;
         }
         let host = self.config.register.map(|a| a.to_string()).unwrap_or_default();
-        let bytes = dialect.watch(self.version, &host);
+        let bytes = dialect.watch(self.version, true, &host);
         self.asked = self.now;
         self.count(|t| t.list_calls += 1);
         self.out.push(Output::Write(conn, bytes));
@@ -184,6 +212,7 @@
     pub(super) fn register_lost(&mut self) {
         self.register = None;
         if self.config.dialect.is_some() {
+            self.list_doubted = true;
             self.timers.set(self.now + ASK_PAUSE, Due::Watch);
             return;
         }
@@ -198,8 +227,12 @@
         }
     }
 
-    fn alive(&mut self, conn: ConnId) {
-        let timer = self.timers.set(self.now + self.config.waits.register, Due::Register(conn));
+    /// The source has so long for its answer: where the last call failed none waits for news, and one that is silent
+    /// may be a source that is down, whose return counts at once.
+    pub(super) fn alive(&mut self, conn: ConnId) {
+        let waits = &self.config.waits;
+        let wait = if self.list_doubted { waits.register_doubted } else { waits.register };
+        let timer = self.timers.set(self.now + wait, Due::Register(conn));
         if let Some(link) = self.links.get_mut(&conn) {
             if let Some(old) = link.timer.replace(timer) {
                 self.timers.cancel(old);
@@ -265,6 +298,6 @@
         self.has_list = true;
         let workers = self.learn(named, kind == p::ListKind::Full);
         self.out.push(Output::KeepList(self.held.text()));
-        self.events.push_back(Event::Workers { kind, workers });
+        self.tell_workers(kind, workers);
     }
 }
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -102,8 +102,8 @@
     fn beside(&self) -> Box<dyn Beside>;
     /// The call that releases all that is held for a request, at whatever worker.
     fn release(&self, id: &p::RequestId, host: &str) -> Vec<u8>;
-    /// The call for news of the list; it is answered at once, or may wait for news.
-    fn watch(&self, after: Option<u64>, host: &str) -> Vec<u8>;
+    /// The call for news of the list: it is answered at once or, with `waits`, once there is news.
+    fn watch(&self, after: Option<u64>, waits: bool, host: &str) -> Vec<u8>;
     /// Reads the answer to it.
     fn list(&self, body: &[u8]) -> Result<List, String>;
 }
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -12,6 +12,7 @@
 use chalkyard_budget::{Figures, Record, Settled};
 use chalkyard_policy::Micros;
 use chalkyard_state::{Act, Event as LifeEvent, Life, Phase, Stop, Terms};
+use mio::event::Event;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
 use slab::Slab;
@@ -20,7 +21,6 @@
 
 const LISTENER: Token = Token(0);
 const WAKER: Token = Token(1);
-const FIRST: usize = 2;
 /// Bytes read at once, and so many such reads from one connection before others have their turn.
 const READ_BYTES: usize = 16 * 1024;
 const READS_A_TURN: usize = 8;
@@ -31,9 +31,12 @@
 const EVENTS_A_GROUP: usize = 16;
 /// Connections taken at once before others have their turn.
 const ACCEPTS_A_TURN: usize = 64;
-/// A connection that is closed has this long to take what is left, and to close its side.
+/// A connection that is closed has this long to close its side, and, while it takes something of what is left in each
+/// such span, so long in all.
 const LINGER: Duration = Duration::from_secs(2);
-/// So many at most may linger, if not told otherwise; more are cut.
+const LINGER_MOST: Duration = Duration::from_secs(10);
+/// So many at most may linger, if not told otherwise: those that have been told all give way first, and while more have
+/// something to be told no connection is taken.
 const LINGERING: usize = 1_024;
 /// Budget figures are told so often.
 const FIGURES: Duration = Duration::from_secs(60);
@@ -226,7 +229,17 @@
     paused: bool,
     /// Readable since the last time that reading had to wait.
     readable: bool,
+    /// The peer has closed its side, or reset the connection; what it said before may not have been read yet.
+    ended: bool,
     shut: bool,
+    /// Closing: when that began, and whether the peer has taken anything since it was last looked at.
+    closed: Option<Instant>,
+    takes: bool,
+}
+
+/// The token of a connection: its own number, so that an event meant for one that is gone meets no other.
+fn token(id: ConnId) -> Token {
+    Token(usize::try_from(id.0).map_or(usize::MAX, |n| n.saturating_add(1)))
 }
 
 impl Sock {
@@ -329,6 +342,11 @@
     })
 }
 
+/// Whether the peer has closed its side, or the connection is lost.
+fn ends(event: &Event) -> bool {
+    event.is_read_closed() || event.is_error()
+}
+
 impl<S: Sink> Shell<S> {
     /// A shell around a core, at the beginning of its life.
     pub fn new(core: Core, sink: S, clock: Clock, place: Place, terms: Terms) -> io::Result<Self> {
@@ -389,16 +407,21 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
             }
-            for (n, event) in events.iter().enumerate() {
+            // Clients that have gone are heard first: nothing that this turn brings is sent for them.
+            let (gone, others): (Vec<&Event>, Vec<&Event>) =
+                events.iter().partition(|e| ends(e) && self.is_client(e.token()));
+            for (n, event) in gone.into_iter().chain(others).enumerate() {
                 if n % EVENTS_A_GROUP == EVENTS_A_GROUP - 1 {
                     self.finish();
                 }
                 match event.token() {
                     LISTENER => self.accept_at = Some(Instant::now()),
                     WAKER => {}
-                    Token(token) => {
-                        let ends = event.is_read_closed() || event.is_error();
-                        self.ready(token - FIRST, event.is_readable() || ends, event.is_writable(), ends);
+                    token => {
+                        if let Some(key) = self.key_of(token) {
+                            let ends = ends(event);
+                            self.ready(key, event.is_readable() || ends, event.is_writable(), ends);
+                        }
                     }
                 }
             }
@@ -434,12 +457,21 @@
         }
     }
 
+    fn key_of(&self, token: Token) -> Option<usize> {
+        let id = ConnId(u64::try_from(token.0.checked_sub(1)?).ok()?);
+        self.by_id.get(&id).copied()
+    }
+
+    fn is_client(&self, token: Token) -> bool {
+        self.key_of(token).and_then(|key| self.socks.get(key)).is_some_and(|s| !s.id.is_link())
+    }
+
     /// What the loop itself can tell the router's life.
     fn watch_life(&mut self) {
         match self.life.phase() {
             Phase::Starting if self.core.has_list() => self.live(LifeEvent::Listed),
             Phase::Ending | Phase::Farewell => {
-                let open = self.core.open_requests() + self.core.open_clients();
+                let open = self.core.open_requests() + self.core.open_clients() + self.core.open_releases();
                 if open == 0 && self.lingering == 0 {
                     self.live(LifeEvent::Idle);
                 }
@@ -481,6 +513,8 @@
             }
             Act::Leave => self.core.leave(self.clock.now()),
             Act::StopTaking { .. } => {
+                // Who has connected before is heard: a listening socket that goes resets those that wait at it.
+                while self.listener.is_some() && self.accept() {}
                 self.listener = None;
                 self.accept_at = None;
                 self.core.drain(self.clock.now(), &mut self.outputs);
@@ -648,7 +682,7 @@
         let entry = self.socks.vacant_entry();
         let key = entry.key();
         let both = Interest::READABLE | Interest::WRITABLE;
-        self.poll.registry().register(&mut stream, Token(key + FIRST), both)?;
+        self.poll.registry().register(&mut stream, token(id), both)?;
         entry.insert(Sock {
             id,
             stream,
@@ -658,7 +692,10 @@
             state,
             paused: false,
             readable: false,
+            ended: false,
             shut: false,
+            closed: None,
+            takes: false,
         });
         self.by_id.insert(id, key);
         Ok(key)
@@ -697,13 +734,21 @@
     fn close(&mut self, id: ConnId) {
         let Some(key) = self.by_id.get(&id).copied() else { return };
         if self.lingering >= self.may_linger {
-            self.remove(key);
-            return;
+            // One that was told all gives way. Where each still has something to be told it stays, beyond the bound:
+            // its descriptor was a client's, and no other client is taken meanwhile.
+            let told = |(_, key, id): &(Instant, usize, ConnId)| {
+                let sock = self.socks.get(*key).filter(|s| s.id == *id)?;
+                sock.shut.then_some(*key)
+            };
+            if let Some(told) = self.cuts.iter().find_map(told) {
+                self.remove(told);
+            }
         }
         if let Some(sock) = self.socks.get_mut(key) {
-            let cut = Instant::now() + LINGER;
+            let now = Instant::now();
             sock.state = State::Closing;
-            self.cuts.push_back((cut, key, id));
+            sock.closed = Some(now);
+            self.cuts.push_back((now + LINGER, key, id));
             sock.paused = false;
             self.lingering += 1;
             self.dirty.insert(key);
@@ -746,6 +791,7 @@
         if readable {
             if let Some(sock) = self.socks.get_mut(key) {
                 sock.readable = true;
+                sock.ended |= ends;
             }
             self.read(key, ends);
         }
@@ -756,11 +802,21 @@
     fn read(&mut self, key: usize, to_the_end: bool) {
         for _ in 0..READS_A_TURN {
             let Some(sock) = self.socks.get_mut(key) else { return };
+            let (closing, id) = (sock.state == State::Closing, sock.id);
+            if sock.paused && sock.ended && !closing && !id.is_link() {
+                // A client that is not read has gone all the same, and what it said ahead with it.
+                sock.ended = false;
+                return match sock.stream.take_error() {
+                    Ok(None) => self.feed(Input::Eof(id)),
+                    _ => {
+                        self.lost(key);
+                        self.settle();
+                    }
+                };
+            }
             if sock.paused || sock.state == State::Connecting {
                 return;
             }
-            let closing = sock.state == State::Closing;
-            let id = sock.id;
             match sock.stream.read(&mut self.buffer) {
                 Ok(0) if closing => {
                     if sock.out.is_empty() {
@@ -773,6 +829,7 @@
                 }
                 Ok(0) => {
                     sock.readable = false;
+                    sock.ended = false;
                     // Nothing more can come; writing goes on.
                     sock.paused = true;
                     return self.feed(Input::Eof(id));
@@ -820,6 +877,7 @@
         }
         let wrote = sock.done - before;
         sock.fresh &= wrote == 0;
+        sock.takes |= wrote > 0;
         if sock.done >= sock.out.len() {
             // An idle connection keeps no buffer.
             sock.out = Vec::new();
@@ -848,16 +906,30 @@
     fn sweep(&mut self) {
         let now = Instant::now();
         while let Some((_, key, id)) = self.cuts.pop_front_if(|(at, ..)| *at <= now) {
-            if self.by_id.get(&id) == Some(&key) {
+            if self.by_id.get(&id) != Some(&key) {
+                continue;
+            }
+            // The system tells of room only once there is much of it: a slow peer has taken something before.
+            self.write(key);
+            let Some(sock) = self.socks.get_mut(key).filter(|s| s.id == id) else { continue };
+            let may = sock.closed.is_some_and(|at| now < at + LINGER_MOST);
+            if may && !sock.shut && std::mem::take(&mut sock.takes) {
+                self.cuts.push_back((now + LINGER, key, id));
+            } else {
                 self.remove(key);
             }
         }
     }
 
-    fn accept(&mut self) {
+    /// Takes connections that have come; true: there may be more.
+    fn accept(&mut self) -> bool {
         self.accept_at = None;
         for _ in 0..ACCEPTS_A_TURN {
-            let Some(listener) = &self.listener else { return };
+            let Some(listener) = &self.listener else { return false };
+            if self.lingering > self.may_linger {
+                self.accept_at = Some(Instant::now() + ACCEPT_PAUSE);
+                return false;
+            }
             match listener.accept() {
                 Ok((stream, _)) => {
                     let id = ConnId(self.next_client);
@@ -866,17 +938,18 @@
                         self.feed(Input::Accepted(id));
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     self.sink.note("accept", &format!("no connection can be taken for now: {e}"));
                     self.accept_at = Some(Instant::now() + ACCEPT_PAUSE);
-                    return;
+                    return false;
                 }
             }
         }
         self.accept_at = Some(Instant::now());
+        true
     }
 }
 
--- a/crates/state/src/lifecycle.rs
+++ b/crates/state/src/lifecycle.rs
@@ -201,6 +201,8 @@
                 self.enter(Phase::Ending, Some(now.saturating_add(drain)));
                 acts.push(Act::StopTaking { for_good: true });
             }
+            // Where a router takes its time to leave, what it needs may move meanwhile.
+            (Phase::Leaving | Phase::Ending, Event::Reload) if leave > 0 => acts.push(Act::Reload),
             (Phase::Leaving, Event::Terminate) => self.part(Stop::Told, now, farewell, acts),
             (Phase::Ready | Phase::Drained, Event::Terminate | Event::Succeeded) => {
                 self.enter(Phase::Ending, Some(now.saturating_add(drain)));
