--- /dev/null
+++ b/crates/api/src/client_test.rs
@@ -0,0 +1,72 @@
+//! Tests of `client`.
+#![allow(clippy::unwrap_used)]
+use super::*;
+
+fn refused(body: &str) -> (String, String) {
+    let r = MessagesRequest::parse(body.as_bytes(), &Bounds::default()).unwrap_err();
+    (r.field, r.reason)
+}
+
+#[test]
+fn a_call_is_read_and_its_prompt_begins_with_the_system_text() {
+    let body = r#"{"model":"m","system":"You help.","max_tokens":9,"stream":true,
+        "messages":[{"role":"user","content":[{"type":"text","text":"Hello"}]}],
+        "metadata":{"class":"help","session":"s1","deadline_ms":900,"retry":true}}"#;
+    let r = MessagesRequest::parse(body.as_bytes(), &Bounds::default()).unwrap();
+    assert!(r.prompt.get().starts_with(r#""You help.\n\nuser: Hello\n"#));
+    assert_eq!((r.max_tokens, r.stream, r.retry, r.deadline_ms), (9, true, true, Some(900)));
+    assert_eq!(r.prefix.unwrap().1, 3);
+    assert!(r.prompt_tokens > 4);
+}
+
+#[test]
+fn whatever_is_said_reaches_the_engine_as_it_was_said() {
+    let said = "\"quoted\" \\ back\nline\u{1}\u{7f} Grüezi \u{2028}";
+    let body = serde_json::json!({"model": "m", "system": said, "messages": [
+        {"role": "user", "content": [{"type": "text", "text": said}, {"type": "text", "text": "b"}]},
+        {"role": "assistant", "content": said}, {"role": "user", "content": "plain"}]});
+    let r = MessagesRequest::parse(body.to_string().as_bytes(), &Bounds::default()).unwrap();
+    let prompt: String = serde_json::from_str(r.prompt.get()).unwrap();
+    assert_eq!(prompt, format!("{said}\n\nuser: {said}b\nassistant: {said}\nuser: plain\nassistant: "));
+    assert_eq!(r.prompt_tokens, tokens::estimate(&prompt), "piece by piece as at once");
+}
+
+#[test]
+fn refusals_name_the_field_and_the_reason() {
+    let user = r#"[{"role":"user","content":"x"}]"#;
+    let cases = [
+        ("{", "body", "EOF"),
+        (r#"{"model":"m"}"#, "body", "missing field `messages`"),
+        (r#"{"model":"m","messages":[{"role":"user","content":7}]}"#, "messages[0].content", "did not match"),
+        (r#"{"model":"m","messages":[{"role":"king","content":"x"}]}"#, "messages[0].role", "king"),
+        (r#"{"model":"m","messages":[]}"#, "messages", "1 to"),
+        (r#"{"model":"m","messages":[{"role":"assistant","content":"x"}]}"#, "messages[0].role", "last"),
+    ];
+    for (body, field, reason) in cases {
+        let (f, r) = refused(body);
+        assert!(f == field && r.contains(reason), "{body}: {f}: {r}");
+    }
+    let extra = [
+        (r#""model":"m","max_tokens":0"#, "max_tokens"),
+        (r#""model":"m","max_tokens":"many""#, "max_tokens"),
+        (r#""model":"m","max_tokens":-1"#, "max_tokens"),
+        (r#""model":"m m""#, "model"),
+        (r#""model":"m","model":"m""#, "model"),
+        (r#""model":"m","metadata":{"session":""}"#, "metadata.session"),
+        (r#""model":"m","metadata":{"deadline_ms":0}"#, "metadata.deadline_ms"),
+        (r#""model":"m","temperature":3"#, "temperature"),
+        (r#""model":"m","tempreature":1"#, "tempreature"),
+    ];
+    for (fields, field) in extra {
+        let (f, r) = refused(&format!("{{{fields},\"messages\":{user}}}"));
+        assert!(f == field || r.contains(field), "{fields}: {f}: {r}");
+    }
+}
+
+#[test]
+fn identities_are_names_quoted_or_bare() {
+    assert_eq!(identity("\"k-1\"").unwrap(), "k-1");
+    assert_eq!(identity("k-1").unwrap(), "k-1");
+    assert!(identity("\"\"").is_err());
+    assert!(identity(&"k".repeat(NAME_BYTES + 1)).is_err());
+}
--- /dev/null
+++ b/crates/api/src/engine_test.rs
@@ -0,0 +1,47 @@
+//! Tests of `engine`.
+#![allow(clippy::unwrap_used, clippy::indexing_slicing)]
+use super::*;
+use crate::client::Bounds;
+
+#[test]
+fn calls_hand_the_state_over() {
+    let body = br#"{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":5,"top_p":0.5}"#;
+    let request = MessagesRequest::parse(body, &Bounds::default()).unwrap();
+    let json = |stage| serde_json::from_slice::<serde_json::Value>(&completion(&request, stage)).unwrap();
+    let read = json(Stage::Read);
+    assert_eq!((&read["max_tokens"], &read["stream"]), (&1.into(), &false.into()));
+    assert_eq!(read["kv_transfer_params"]["do_remote_decode"], true);
+    let (usage, params) = read_answer(
+        br#"{"usage":{"prompt_tokens":7,"prompt_tokens_details":{"cached_tokens":3}},"kv_transfer_params":{"a":[1]}}"#,
+    )
+    .unwrap();
+    assert_eq!((usage.prompt_tokens, usage.kept_tokens), (7, 3));
+    let pull = json(Stage::Pull(&params));
+    assert_eq!((&pull["kv_transfer_params"]["a"][0], &pull["max_tokens"]), (&1.into(), &5.into()));
+    assert_eq!(pull["top_p"], 0.5);
+    assert!(json(Stage::Whole).get("kv_transfer_params").is_none());
+    assert!(read_answer(b"{}").is_err());
+}
+
+#[test]
+fn stream_items_and_errors() {
+    let item = stream_item(r#"{"choices":[{"text":"a","finish_reason":"stop"}],"usage":null}"#).unwrap();
+    assert!(
+        matches!(item, StreamItem::Chunk(c) if c.text == "a" && c.stop_reason.as_deref() == Some("stop"))
+    );
+    assert_eq!(stream_item("[DONE]").unwrap(), StreamItem::Done);
+    assert!(stream_item(r#"{"error":{"message":"out of memory"}}"#).unwrap_err().contains("out of memory"));
+    assert!(stream_item("{").is_err());
+    assert!(says_no_state(br#"{"error":{"type":"no_state","message":""}}"#));
+    assert!(!says_no_state(b"busy"));
+}
+
+#[test]
+fn load_reports_in_both_forms() {
+    let json = load(r#"JSON {"mem_utilization":0.5,"named_metrics":{"queue_depth":3,"x":1}}"#).unwrap();
+    let text = load("TEXT mem_utilization=0.5,named_metrics.queue_depth=3,other=1").unwrap();
+    assert_eq!(json, text);
+    assert_eq!(load("TEXT mem_utilization=-1").unwrap().mem_utilization, None);
+    assert_eq!(load("BIN abc"), None);
+    assert_eq!(load("JSON {"), None);
+}
