--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -150,42 +150,42 @@
 }
 
 #[derive(Debug)]
-enum Word {
+enum Command {
     Life(LifeEvent),
     Ask(Question, SyncSender<String>),
     /// With who was first: the loop, which gives, or the asker, who has stopped waiting.
     Succeed(SyncSender<Heritage>, Arc<AtomicBool>),
 }
 
-/// Words from other threads that wait for the loop; one more is not taken.
-const WORDS: usize = 64;
+/// Commands from other threads that wait for the loop; one more is not taken.
+const COMMANDS: usize = 64;
 
 /// Speaks to a running shell from another thread.
 #[derive(Debug, Clone)]
 pub struct Handle {
     waker: Arc<Waker>,
-    words: Arc<Mutex<VecDeque<Word>>>,
+    commands: Arc<Mutex<VecDeque<Command>>>,
 }
 
 impl Handle {
-    fn put(&self, word: Word) -> bool {
-        let Ok(mut words) = self.words.lock() else { return false };
-        if words.len() >= WORDS {
+    fn put(&self, command: Command) -> bool {
+        let Ok(mut commands) = self.commands.lock() else { return false };
+        if commands.len() >= COMMANDS {
             return false;
         }
-        words.push_back(word);
+        commands.push_back(command);
         self.waker.wake().is_ok()
     }
 
     /// Tells the router's life of something: a signal, or an operator's wish. False: it can't be told now.
     pub fn tell(&self, event: LifeEvent) -> bool {
-        self.put(Word::Life(event))
+        self.put(Command::Life(event))
     }
 
     /// Asks; none if there is no answer within the time.
     pub fn ask(&self, question: Question, within: Duration) -> Option<String> {
         let (answer, got) = sync_channel(1);
-        self.put(Word::Ask(question, answer)).then(|| got.recv_timeout(within).ok()).flatten()
+        self.put(Command::Ask(question, answer)).then(|| got.recv_timeout(within).ok()).flatten()
     }
 
     /// Has the router give its listening socket, and its ledger, to a successor; none if it has none to give, or
@@ -193,7 +193,7 @@
     pub fn succeed(&self, within: Duration) -> Option<Heritage> {
         let (answer, got) = sync_channel(1);
         let decided = Arc::new(AtomicBool::new(false));
-        if !self.put(Word::Succeed(answer, decided.clone())) {
+        if !self.put(Command::Succeed(answer, decided.clone())) {
             return None;
         }
         match got.recv_timeout(within) {
@@ -203,8 +203,8 @@
         }
     }
 
-    fn take(&self) -> Vec<Word> {
-        self.words.lock().map(|mut words| words.drain(..).collect()).unwrap_or_default()
+    fn take(&self) -> Vec<Command> {
+        self.commands.lock().map(|mut commands| commands.drain(..).collect()).unwrap_or_default()
     }
 }
 
@@ -360,7 +360,7 @@
             life: Life::new(terms, clock.now().0),
             place,
             listener: None,
-            handle: Handle { waker, words: Arc::default() },
+            handle: Handle { waker, commands: Arc::default() },
             socks: Slab::new(),
             by_id: BTreeMap::new(),
             dirty: BTreeSet::new(),
@@ -434,12 +434,12 @@
                 }
             }
             self.feed(Input::Tick);
-            for word in self.handle.take() {
-                match word {
-                    Word::Life(event) => self.live(event),
+            for command in self.handle.take() {
+                match command {
+                    Command::Life(event) => self.live(event),
                     // Nobody may be waiting any more.
-                    Word::Ask(question, answer) => drop(answer.try_send(self.answer(&question))),
-                    Word::Succeed(answer, decided) => {
+                    Command::Ask(question, answer) => drop(answer.try_send(self.answer(&question))),
+                    Command::Succeed(answer, decided) => {
                         if !decided.swap(true, Ordering::SeqCst) {
                             self.succeed(&answer);
                         }
