--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -30,7 +30,7 @@
 use job::Job;
 use pool::{Engine, Link, Rest, Task};
 use record::Finished;
-use releases::{Letting, ReleaseNo};
+use releases::{Release, ReleaseNo};
 use tally::Tally;
 
 /// A connection. Never given twice in a core's life.
@@ -155,7 +155,7 @@
     engines: BTreeMap<p::WorkerId, Engine>,
     jobs: BTreeMap<p::RequestId, Job>,
     /// What is being let go of, until an engine has said so or its time is over.
-    letting: BTreeMap<ReleaseNo, Letting>,
+    releases: BTreeMap<ReleaseNo, Release>,
     identities: Identities,
     keeper: Option<Keeper>,
     held: register::Held,
@@ -205,7 +205,7 @@
             rest: Rest::default(),
             engines: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            letting: BTreeMap::new(),
+            releases: BTreeMap::new(),
             identities,
             keeper: None,
             held: register::Held::default(),
@@ -350,7 +350,7 @@
 
     /// What engines have not said yet that they let go of, within the told release time.
     pub fn open_releases(&self) -> usize {
-        self.letting.len()
+        self.releases.len()
     }
 
     /// Client connections.
--- a/crates/router/src/core/releases.rs
+++ b/crates/router/src/core/releases.rs
@@ -1,4 +1,4 @@
-//! Letting go of what is held for a request.
+//! Release go of what is held for a request.
 
 use chalkyard_api::engine;
 use chalkyard_policy::{Event, Micros, RequestId, WorkerId};
@@ -14,14 +14,14 @@
 /// time is held all the longer, and in a cut some calls meet nobody.
 const RELEASE_LEAST: Micros = Micros(1_000_000);
 
-/// One letting go: never given twice in a core's life.
+/// One release: never given twice in a core's life.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct ReleaseNo(u64);
 
 /// State that an engine is to let go of. Each goes within the told release time of its first call, so that there are no
 /// more than requests end in that time.
 #[derive(Debug)]
-pub(super) struct Letting {
+pub(super) struct Release {
     request: RequestId,
     /// When the first call was made.
     since: Micros,
@@ -44,7 +44,7 @@
     pub(super) fn release(&mut self, request: RequestId, worker: WorkerId, verdict: Option<(Event, Micros)>) {
         let no = self.next_release;
         self.next_release.0 += 1;
-        self.letting.insert(no, Letting { request, since: self.now, asked: Vec::new(), verdict });
+        self.releases.insert(no, Release { request, since: self.now, asked: Vec::new(), verdict });
         self.release_call(no, worker);
     }
 
@@ -54,15 +54,15 @@
         if self.config.dialect.is_none() {
             return;
         }
-        let earlier = self.letting.extract_if(.., |_, l| l.request == *id);
+        let earlier = self.releases.extract_if(.., |_, l| l.request == *id);
         let told = earlier.filter_map(|(_, l)| l.verdict).map(|(verdict, _)| verdict);
         self.events.extend(told);
     }
 
     fn release_call(&mut self, no: ReleaseNo, worker: WorkerId) {
-        let Some(letting) = self.letting.get_mut(&no) else { return };
-        letting.asked.push(worker.clone());
-        let (id, since) = (letting.request.clone(), letting.since);
+        let Some(release) = self.releases.get_mut(&no) else { return };
+        release.asked.push(worker.clone());
+        let (id, since) = (release.request.clone(), release.since);
         self.count(|t| t.releases += 1);
         let beside = self.config.dialect.is_some();
         let bytes = if let Some(dialect) = &self.config.dialect {
@@ -73,7 +73,7 @@
             let body = engine::naming(&id.0);
             encode::request("POST", engine::RELEASE, &self.host(&worker), &fields, &body)
         };
-        // Beyond the bound by a few, so that letting go is not held up by what fills the engine.
+        // Beyond the bound by a few, so that a release is not held up by what fills the engine.
         let conn = self.call(&worker, Task::Release(no), bytes, 8);
         if let Some(conn) = conn.filter(|c| self.links.get(c).is_some_and(|l| l.waiting.is_none())) {
             self.limit(conn);
@@ -92,25 +92,25 @@
 
     /// A call to let go has failed. In a dialect the next one is due as it is.
     pub(super) fn release_failed(&mut self, no: ReleaseNo) {
-        if let Some(since) = self.letting.get(&no).map(|l| l.since).filter(|_| self.config.dialect.is_none())
+        if let Some(since) = self.releases.get(&no).map(|l| l.since).filter(|_| self.config.dialect.is_none())
         {
             self.release_next(no, since);
         }
     }
 
     pub(super) fn release_due(&mut self, no: ReleaseNo) {
-        let Some(letting) = self.letting.get(&no) else { return };
+        let Some(release) = self.releases.get(&no) else { return };
         let least = if self.config.dialect.is_some() { RELEASE_LEAST } else { Micros(0) };
-        let late = self.now >= letting.since + self.config.policy.release.max(least);
-        let worker = self.next_asked(letting).filter(|w| !late && self.engines.contains_key(w));
-        if let Some(letting) = self.letting.get_mut(&no) {
-            let told = letting.verdict.take_if(|(_, by)| worker.is_none() || self.now >= *by);
+        let late = self.now >= release.since + self.config.policy.release.max(least);
+        let worker = self.next_asked(release).filter(|w| !late && self.engines.contains_key(w));
+        if let Some(release) = self.releases.get_mut(&no) {
+            let told = release.verdict.take_if(|(_, by)| worker.is_none() || self.now >= *by);
             self.events.extend(told.map(|(verdict, _)| verdict));
         }
         if let Some(worker) = worker {
             return self.release_call(no, worker);
         }
-        if let Some(Letting { request, asked, .. }) = self.letting.remove(&no) {
+        if let Some(Release { request, asked, .. }) = self.releases.remove(&no) {
             let last = asked.last().map_or("", |w| &*w.0);
             self.note("release", format!("{last} could not be told to let go of {}", request.0));
         }
@@ -118,14 +118,14 @@
 
     /// Where the next call to let go is made: where the state is, or in a dialect, where any worker takes it, at the one
     /// heard from last of those that were not asked, first in zones where none was: a cut leaves out whole zones.
-    fn next_asked(&self, letting: &Letting) -> Option<WorkerId> {
-        let last = letting.asked.last();
+    fn next_asked(&self, release: &Release) -> Option<WorkerId> {
+        let last = release.asked.last();
         if self.config.dialect.is_none() {
             return last.cloned();
         }
-        let others = self.engines.iter().filter(|(id, e)| e.listed && !letting.asked.contains(id));
+        let others = self.engines.iter().filter(|(id, e)| e.listed && !release.asked.contains(id));
         let zone = |w: &WorkerId| self.engines.get(w).map(|e| e.zone);
-        let zones: Vec<_> = letting.asked.iter().filter_map(zone).collect();
+        let zones: Vec<_> = release.asked.iter().filter_map(zone).collect();
         let other = others.max_by_key(|(_, e)| (!zones.contains(&e.zone), e.heard, e.idle.len()));
         let other = other.map(|(id, _)| id);
         other.or(last).cloned()
@@ -140,7 +140,7 @@
         let ok = matches!(head.start, Start::Response { status: 200..=299 });
         if let Task::Release(no) = std::mem::replace(&mut link.task, Task::Rest) {
             if ok {
-                let told = self.letting.remove(&no).and_then(|l| l.verdict);
+                let told = self.releases.remove(&no).and_then(|l| l.verdict);
                 self.events.extend(told.map(|(verdict, _)| verdict));
             } else {
                 self.release_failed(no);
