--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -28,7 +28,7 @@
 use crate::timers::Timers;
 use clients::Client;
 use job::Job;
-use pool::{Engine, Link, Rest, Task};
+use pool::{Engine, IdleTimeout, Link, Task};
 use record::Finished;
 use releases::{Release, ReleaseNo};
 use tally::Tally;
@@ -151,7 +151,7 @@
     /// Clients whose next request can be looked for.
     ready: VecDeque<ConnId>,
     links: BTreeMap<ConnId, Link>,
-    rest: Rest,
+    idle_timeout: IdleTimeout,
     engines: BTreeMap<p::WorkerId, Engine>,
     jobs: BTreeMap<p::RequestId, Job>,
     /// What is being let go of, until an engine has said so or its time is over.
@@ -202,7 +202,7 @@
             clients: BTreeMap::new(),
             ready: VecDeque::new(),
             links: BTreeMap::new(),
-            rest: Rest::default(),
+            idle_timeout: IdleTimeout::default(),
             engines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             releases: BTreeMap::new(),
--- a/crates/router/src/core/pool.rs
+++ b/crates/router/src/core/pool.rs
@@ -23,9 +23,9 @@
 /// How long a connection may rest and still be used again: as told, or as calls that were lost have taught. The told time
 /// is the latest at which engines give a connection up, and each loss may be one that must not be sent again.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Rest(Option<(Micros, Micros)>);
+pub(super) struct IdleTimeout(Option<(Micros, Micros)>);
 
-impl Rest {
+impl IdleTimeout {
     pub fn most(&self, now: Micros, told: Micros) -> Micros {
         let Some((most, learnt)) = self.0 else { return told };
         let doublings = ((now - learnt).0 / STALE_DOUBLES.0).min(30);
@@ -105,7 +105,7 @@
         spare: usize,
     ) -> Option<ConnId> {
         let most = self.config.bounds.engine_connections + spare;
-        let rest = self.rest.most(self.now, self.config.waits.engine_idle);
+        let rest = self.idle_timeout.most(self.now, self.config.waits.engine_idle);
         let engine = self.engines.get_mut(worker)?;
         while let Some(conn) = engine.idle.pop() {
             let Some(link) = self.links.get_mut(&conn) else { continue };
@@ -139,11 +139,11 @@
     }
 
     /// Learns from a call that was lost with nothing heard of it.
-    pub(super) fn learn_rest(&mut self, link: &Link) {
+    pub(super) fn learn_idle_timeout(&mut self, link: &Link) {
         let unheard = matches!(link.task, Task::Attempt(_, _, Reply::None) | Task::Release(..));
         if let Some((rested, used)) = link.rested.filter(|_| unheard && link.decoder.is_idle()) {
             let told = self.config.waits.engine_idle;
-            self.rest.lost(self.now, told, rested, self.now - used);
+            self.idle_timeout.lost(self.now, told, rested, self.now - used);
         }
     }
 
--- a/crates/router/src/core/replies.rs
+++ b/crates/router/src/core/replies.rs
@@ -70,7 +70,7 @@
     /// an attempt each.
     pub(super) fn link_lost(&mut self, conn: ConnId) {
         let Some(link) = self.forget_link(conn) else { return };
-        self.learn_rest(&link);
+        self.learn_idle_timeout(&link);
         if let Some(worker) = &link.worker {
             self.close_idle(worker);
         }
