--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 
 use chalkyard_platform::Started;
-use chalkyard_router::shell::{granularity, Clock, News, Place, Shell, Sink};
+use chalkyard_router::shell::{granularity, Clock, ListenAddress, News, Shell, Sink};
 use chalkyard_router::{Core, Ended, Finished, Input, Tally};
 use chalkyard_state::{Act, Event, Terms};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -118,8 +118,8 @@
     let mut config = started.config;
     config.policy.tick = config.policy.tick.max(granularity());
     let leave = if config.waits.leaving.is_some() { LEAVE_MOVING } else { LEAVE };
-    let place = Place::take(started.listen, false);
-    let place = place.map_err(|e| could_not(&format!("listening at {}", started.listen), e))?;
+    let address = ListenAddress::take(started.listen, false);
+    let address = address.map_err(|e| could_not(&format!("listening at {}", started.listen), e))?;
     let mut core = Core::new(config, started.seed.unwrap_or(clock.now().0), clock.now());
     let all = std::env::var_os(logs::LEVEL_NAME).is_some();
     if all {
@@ -127,7 +127,7 @@
     }
     let told = Told { log: logs::Log { list_file: None }, all, file, rereads: None };
     let terms = Terms { start: START, leave, drain: DRAIN, farewell: FAREWELL };
-    let mut shell = Shell::new(core, told, clock, place, terms).map_err(|e| could_not("starting", e))?;
+    let mut shell = Shell::new(core, told, clock, address, terms).map_err(|e| could_not("starting", e))?;
     shell.bound_lingering(started.lingering);
     let handle = shell.handle();
     std::thread::spawn(move || {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 
 use chalkyard_budget::Time;
-use chalkyard_router::shell::{granularity, Clock, Place, Shell};
+use chalkyard_router::shell::{granularity, Clock, ListenAddress, Shell};
 use chalkyard_router::Core;
 use chalkyard_state::{Event, Terms};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -64,15 +64,15 @@
     let mut config = settings.config;
     config.policy.tick = granularity();
     let mut before: Option<keeping::Before> = None;
-    let place = if take_over {
+    let address = if take_over {
         let none = || Trouble::BadInput(format!("{}: <router> names no `control`", file.display()));
         let taken = control::take_over(settings.control.as_ref().ok_or_else(none)?)?;
         before = taken.before.map(|b| Box::new(b) as keeping::Before);
-        Place::inherited(taken.listener, settings.shared_port)
+        ListenAddress::inherited(taken.listener, settings.shared_port)
     } else {
-        Place::take(settings.listen, settings.shared_port)
+        ListenAddress::take(settings.listen, settings.shared_port)
     };
-    let place = place.map_err(|e| could_not(&format!("listening at {}", settings.listen), e))?;
+    let address = address.map_err(|e| could_not(&format!("listening at {}", settings.listen), e))?;
     let started = Started { settings: config.policy.clone(), seed };
     let name = config.name.clone();
     let mut core = Core::new(config, seed, clock.now());
@@ -116,7 +116,7 @@
     };
     let drain = settings.drain_for.as_micros() as u64;
     let terms = Terms { start: START, leave: 0, drain, farewell: FAREWELL };
-    let mut shell = Shell::new(core, keeping, clock, place, terms).map_err(|e| could_not("starting", e))?;
+    let mut shell = Shell::new(core, keeping, clock, address, terms).map_err(|e| could_not("starting", e))?;
     let handle = shell.handle();
     let control = settings
         .control
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -259,7 +259,7 @@
     clock: Clock,
     life: Life,
     /// Where it listens, or will.
-    place: Place,
+    address: ListenAddress,
     listener: Option<TcpListener>,
     handle: Handle,
     socks: Slab<Sock>,
@@ -285,13 +285,13 @@
 
 /// An address that is taken, and not listened at yet.
 #[derive(Debug)]
-pub struct Place {
+pub struct ListenAddress {
     at: SocketAddr,
     shared: bool,
     bound: Option<socket2::Socket>,
 }
 
-impl Place {
+impl ListenAddress {
     /// Takes an address; with `shared`, several processes may listen on it (`SO_REUSEPORT`).
     pub fn take(address: SocketAddr, shared: bool) -> io::Result<Self> {
         let socket = bind(address, shared)?;
@@ -349,7 +349,7 @@
 
 impl<S: Sink> Shell<S> {
     /// A shell around a core, at the beginning of its life.
-    pub fn new(core: Core, sink: S, clock: Clock, place: Place, terms: Terms) -> io::Result<Self> {
+    pub fn new(core: Core, sink: S, clock: Clock, address: ListenAddress, terms: Terms) -> io::Result<Self> {
         let poll = Poll::new()?;
         let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
         Ok(Self {
@@ -358,7 +358,7 @@
             sink,
             clock,
             life: Life::new(terms, clock.now().0),
-            place,
+            address,
             listener: None,
             handle: Handle { waker, commands: Arc::default() },
             socks: Slab::new(),
@@ -532,17 +532,17 @@
             Act::Exit(stop) => self.ended = Some(stop),
             Act::SayReady | Act::SayReloading | Act::SayStopping => {}
         }
-        self.sink.say(act, Some(self.place.at()));
+        self.sink.say(act, Some(self.address.at()));
     }
 
     fn listen(&mut self) -> bool {
-        let listening = self.place.listen().and_then(|mut listener| {
+        let listening = self.address.listen().and_then(|mut listener| {
             self.poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
             Ok(listener)
         });
         match listening {
             Ok(listener) => self.listener = Some(listener),
-            Err(e) => self.sink.note("listen", &format!("can't listen at {}: {e}", self.place.at())),
+            Err(e) => self.sink.note("listen", &format!("can't listen at {}: {e}", self.address.at())),
         }
         self.listener.is_some()
     }
@@ -553,7 +553,7 @@
             Question::Status => serde_json::to_value(self.core.counts()).map(|mut counts| {
                 if let Some(object) = counts.as_object_mut() {
                     object.insert("phase".into(), serde_json::json!(self.life.phase()));
-                    object.insert("at".into(), serde_json::json!(self.place.at().to_string()));
+                    object.insert("at".into(), serde_json::json!(self.address.at().to_string()));
                     object.insert("sockets".into(), serde_json::json!(self.socks.len()));
                 }
                 counts
