--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -162,8 +162,10 @@
     register: Option<ConnId>,
     /// The newest version of the list, where a dialect reads it.
     version: Option<u64>,
-    /// When a dialect's source was last asked; its last call failed, or it has moved since.
+    /// When a dialect's source was last asked, and whether it may wait for news.
     asked: Micros,
+    waits: bool,
+    /// Its last call failed, or it has moved since.
     list_doubted: bool,
     /// When the list last changed.
     list_changed: Option<Micros>,
@@ -212,6 +214,7 @@
             register: None,
             version: None,
             asked: Micros(0),
+            waits: true,
             list_doubted: false,
             list_changed: None,
             bodies: 0,
@@ -245,7 +248,8 @@
             Some(dialect) => {
                 let list = dialect.list(text.as_bytes()).map_err(register::Wrong::Malformed);
                 list.map(|list| {
-                    self.version = Some(list.version);
+                    // What could not be read of it is asked for with the whole list.
+                    self.version = list.wrong.is_empty().then_some(list.version);
                     list.workers
                 })
             }
--- a/crates/router/src/core/sources.rs
+++ b/crates/router/src/core/sources.rs
@@ -97,8 +97,8 @@
     pub(super) fn watch_register(&mut self) {
         if let Some(dialect) = self.config.dialect.clone() {
             let Some(address) = self.config.register.filter(|_| self.register.is_none()) else { return };
-            let bytes = dialect.watch(self.version, !self.list_doubted, &address.to_string());
-            self.asked = self.now;
+            (self.asked, self.waits) = (self.now, !self.list_doubted);
+            let bytes = dialect.watch(self.version, self.waits, &address.to_string());
             self.count(|t| t.list_calls += 1);
             self.register = Some(self.connect(None, address, Task::Poll(Vec::new()), bytes));
             return;
@@ -186,10 +186,11 @@
                 return false;
             }
         }
-        // A source that has nothing new and does not wait is not asked in a hot loop.
-        if self.version == before && self.now < self.asked + ASK_PAUSE {
+        // A source that has nothing new and does not wait is not asked in a hot loop; it is there, though.
+        if self.version == before && self.waits && self.now < self.asked + ASK_PAUSE {
             self.abort_link(conn);
-            self.register_lost();
+            self.register = None;
+            self.timers.set(self.now + ASK_PAUSE, Due::Watch);
             return false;
         }
         // The next call follows at once: a gap would begin another watch.
@@ -201,7 +202,7 @@
         }
         let host = self.config.register.map(|a| a.to_string()).unwrap_or_default();
         let bytes = dialect.watch(self.version, true, &host);
-        self.asked = self.now;
+        (self.asked, self.waits) = (self.now, true);
         self.count(|t| t.list_calls += 1);
         self.out.push(Output::Write(conn, bytes));
         self.alive(conn);
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -29,6 +29,8 @@
 /// Events handled before what they cause is written: records of a group cost one write to the ledger, and no
 /// answer waits for more than these.
 const EVENTS_A_GROUP: usize = 16;
+/// Connections that may wait to be taken.
+const BACKLOG: usize = 1_024;
 /// Connections taken at once before others have their turn.
 const ACCEPTS_A_TURN: usize = 64;
 /// A connection that is closed has this long to close its side, and, while it takes something of what is left in each
@@ -317,7 +319,7 @@
             Some(socket) => socket,
             None => bind(self.at, self.shared)?,
         };
-        socket.listen(1_024)?;
+        socket.listen(BACKLOG as i32)?;
         Ok(TcpListener::from_std(socket.into()))
     }
 }
@@ -514,7 +516,11 @@
             Act::Leave => self.core.leave(self.clock.now()),
             Act::StopTaking { .. } => {
                 // Who has connected before is heard: a listening socket that goes resets those that wait at it.
-                while self.listener.is_some() && self.accept() {}
+                for _ in 0..=BACKLOG / ACCEPTS_A_TURN {
+                    if !self.accept() {
+                        break;
+                    }
+                }
                 self.listener = None;
                 self.accept_at = None;
                 self.core.drain(self.clock.now(), &mut self.outputs);
@@ -747,7 +753,7 @@
         if let Some(sock) = self.socks.get_mut(key) {
             let now = Instant::now();
             sock.state = State::Closing;
-            sock.closed = Some(now);
+            (sock.closed, sock.takes) = (Some(now), false);
             self.cuts.push_back((now + LINGER, key, id));
             sock.paused = false;
             self.lingering += 1;
@@ -909,11 +915,12 @@
             if self.by_id.get(&id) != Some(&key) {
                 continue;
             }
+            let told = self.socks.get(key).is_some_and(|s| s.shut);
             // The system tells of room only once there is much of it: a slow peer has taken something before.
             self.write(key);
             let Some(sock) = self.socks.get_mut(key).filter(|s| s.id == id) else { continue };
             let may = sock.closed.is_some_and(|at| now < at + LINGER_MOST);
-            if may && !sock.shut && std::mem::take(&mut sock.takes) {
+            if may && !told && std::mem::take(&mut sock.takes) {
                 self.cuts.push_back((now + LINGER, key, id));
             } else {
                 self.remove(key);
