--- a/crates/platform/tests/flow.rs
+++ b/crates/platform/tests/flow.rs
@@ -530,6 +530,29 @@
     assert_eq!(failed, 2, "both writers were tried");
 }
 
+/// A connection that stands once nobody wants it any more, its client gone or its wait over, carries nothing.
+#[test]
+fn a_connection_that_comes_up_too_late_is_not_used() {
+    for client_goes in [true, false] {
+        let mut y = yard();
+        // The first is discovery's, the next the read's.
+        let late = ConnId(3);
+        y.stuck.insert(late);
+        let client = ask(&mut y, "id-1", "once");
+        assert!(y.ports.contains_key(&late) && !has_call(&y));
+        if client_goes {
+            y.input(Input::Lost(client));
+        } else {
+            y.advance(ms(260));
+        }
+        assert!(y.closed.contains(&late), "client_goes: {client_goes}");
+        y.stuck.remove(&late);
+        y.input(Input::Connected(late));
+        assert!(y.calls.iter().all(|c| c.conn != late));
+        assert!(!client_goes || !has_call(&y), "sent on for nobody");
+    }
+}
+
 #[test]
 fn a_leaving_router_takes_what_still_comes_and_moves_its_streams_evenly() {
     let mut y = yard_with(true);
--- a/crates/router/tests/flow.rs
+++ b/crates/router/tests/flow.rs
@@ -497,6 +497,28 @@
     assert!(pull.port > 1);
 }
 
+/// What it asked last has gone with it, though some of its answers were taken meanwhile and there would be room.
+#[test]
+fn a_client_that_is_held_up_and_goes_has_nothing_more_begun_for_it() {
+    let mut y = yard();
+    let client = y.client();
+    y.stuck.insert(client);
+    let body = r#"{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"hello"}]}"#;
+    let good =
+        format!("POST /v1/messages HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let bad = "GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n";
+    while !y.paused.contains(&client) {
+        y.bytes(client, bad.as_bytes());
+    }
+    y.bytes(client, good.as_bytes());
+    assert!(!y.has_call());
+    y.input(Input::Wrote(client, 1_000));
+    assert!(y.paused.contains(&client), "not yet heard again");
+    y.input(Input::Eof(client));
+    assert!(!y.has_call(), "begun for nobody");
+    assert_eq!((y.core.open_requests(), y.core.open_clients()), (0, 0));
+}
+
 #[test]
 fn a_client_that_asks_on_and_takes_no_answer_is_held_up_and_then_cut() {
     let mut y = yard();
