--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -52,6 +52,8 @@
             came_back = r.came_back,
             tenant = r.tenant,
             identity = r.identity,
+            session = r.session,
+            prefix = r.prefix,
             ended = ended.trim_matches('"'),
             why = why.as_deref().map(|w| w.trim_matches('"')),
             phase = r.phase,
--- a/crates/router/src/core/answers.rs
+++ b/crates/router/src/core/answers.rs
@@ -182,6 +182,8 @@
             came_back: job.request.came_back,
             tenant: job.request.tenant.and_then(|t| name(t.0)),
             identity: job.identity.map(|(_, key)| key),
+            session: job.request.session.as_ref().map(|s| s.0.to_string()),
+            prefix: job.request.prefix.as_ref().map(|p| p.0.to_string()),
             ended,
             why: job.why,
             list_age_us: self.list_changed.map(|t| since(at, t)),
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -45,6 +45,7 @@
             conn: None,
             timer: None,
             report: None,
+            kept: 0,
             stream_timer: None,
             ended: None,
         };
@@ -167,11 +168,12 @@
         for key in attempt.timer.take().into_iter().chain(attempt.stream_timer.take()) {
             self.timers.cancel(key);
         }
-        let report = attempt.report.take();
+        let report = attempt.report;
         if outcome == (Outcome::Refused { no_state: true }) {
             job.held = None;
         }
         let kept = if outcome == Outcome::Served { job.usage.kept_tokens } else { kept };
+        attempt.kept = kept;
         if let (Outcome::Served, At::Pull, Some(kept)) = (outcome, at, job.kept_at_reader) {
             job.usage.kept_tokens = kept;
         }
--- a/crates/router/src/core/job.rs
+++ b/crates/router/src/core/job.rs
@@ -80,6 +80,8 @@
     pub(super) conn: Option<ConnId>,
     pub(super) timer: Option<Key>,
     pub(super) report: Option<p::Report>,
+    /// Prompt tokens that its worker found kept.
+    pub(super) kept: u64,
     /// The wait between events.
     pub(super) stream_timer: Option<Key>,
     pub(super) ended: Option<(Outcome, Micros)>,
@@ -225,6 +227,8 @@
             care: a.care,
             sent_us: since(a.sent, self.arrived),
             took_us: since(a.ended.map_or(now, |(_, end)| end), a.sent),
+            kept_tokens: a.kept,
+            report: a.report,
         };
         self.attempts.iter().map(told).collect()
     }
--- a/crates/router/src/core/record.rs
+++ b/crates/router/src/core/record.rs
@@ -45,6 +45,10 @@
     pub sent_us: u64,
     /// From its sending to its end, µs.
     pub took_us: u64,
+    /// Prompt tokens that the worker found in its cache; 0 where it did not say.
+    pub kept_tokens: u64,
+    /// The load that the worker reported with its answer.
+    pub report: Option<p::Report>,
 }
 
 /// One finished request.
@@ -60,6 +64,10 @@
     pub tenant: Option<String>,
     /// The client's identity for it.
     pub identity: Option<String>,
+    /// The conversation that it belongs to.
+    pub session: Option<String>,
+    /// The shared beginning of its prompt.
+    pub prefix: Option<String>,
     /// Who ended it.
     pub ended: Ended,
     /// The module's condition, where it ended it.
@@ -99,6 +107,8 @@
             came_back: false,
             tenant: None,
             identity: None,
+            session: None,
+            prefix: None,
             ended: Ended::Turned,
             why: None,
             phase: "unheard",
