A prefix is wider than a pair by its part of other requests, not by its own first

Each router sees about one request a second: its own first request of a prefix was 1 of 6, by the heat rule 8 to 14 of 57 readers wide, at all routers at once. Lines: hashed, hot / (asked + HOT_LEAST) counted the request itself. Change: the request's own occurrence is left out, which makes the part an unbiased estimate. The imagined others stay five. Test red without it (five readers at the first request).

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -57,7 +57,7 @@
 const FAR: f64 = 0.25;
 /// So many more of our requests at both of a hashed pair than at the least busy widen the pair.
 const WIDEN: u32 = 2;
-/// ... and so does a beginning by its part of what we are asked: to this multiple of that part of the
+/// ... and so does a beginning by its part of our other requests: to this multiple of that part of the
 /// readers, judged over about this span, with so many imagined others for a start.
 const HOT_WIDTH: f64 = 1.5;
 const HOT_SPAN: Micros = Micros(20_000_000);
@@ -687,9 +687,9 @@
         let load = |s: &Server| load(s).max(if self.is_cold(s) { sum / n.max(1) } else { 0 });
         let least = pool.iter().map(|s| load(s)).min().unwrap_or(0);
         // A shared beginning can be too hot for two, or one of them slow: the pair widens in the order of the
-        // hash, to its part of what we are asked or past those with too many of our reads out.
+        // hash, to its part of our other requests or past those with too many of our reads out.
         let hot = job.req.prefix.as_ref().and_then(|p| self.seen.beginnings.get(p));
-        let hot = hot.map_or(0.0, |r| r.fade(self.now, HOT_SPAN));
+        let hot = hot.map_or(0.0, |r| r.fade(self.now, HOT_SPAN) - 1.0).max(0.0);
         let part = hot / (self.seen.asked.fade(self.now, HOT_SPAN) + HOT_LEAST);
         let width = ((part * HOT_WIDTH * pool.len() as f64).ceil() as usize).max(2);
         let pair = ranked.iter().take(width).min_by_key(|s| (load(s), by_session(s)));
--- a/crates/policy/tests/many_routers.rs
+++ b/crates/policy/tests/many_routers.rs
@@ -326,6 +326,33 @@
     assert!(whole < 60, "a quarter of the servers, far slower: {whole} of 400");
 }
 
+/// Each router sees the prefix for the first time. Were one request of its own a sign of heat, all would spread it.
+#[test]
+fn a_prefix_that_each_router_sees_once_is_read_at_two_readers() {
+    for earlier in [0, 1, 10] {
+        let mut used = std::collections::BTreeSet::new();
+        for seed in 0..u64::from(ROUTERS) {
+            let mut rig = one(seed, many(), readers(20));
+            for i in 0..=earlier {
+                let id = format!("{seed}-{i}");
+                let mut request = rig.request(&id, &id, FREE, LONG);
+                let rare = i == earlier;
+                request.prefix = Some(if rare { "rare".into() } else { id.as_str().into() });
+                let reader = sent(&rig.feed(Event::Request(request))).unwrap().0;
+                if rare {
+                    used.insert(reader);
+                }
+                rig.wait(0.1);
+                rig.end(&id, 0, Outcome::Parsed, 0);
+                rig.stream(&id, 1);
+                rig.end(&id, 1, Outcome::Served, 0);
+                rig.wait(1.0);
+            }
+        }
+        assert_eq!(used.len(), 2, "after {earlier} other requests: {used:?}");
+    }
+}
+
 #[test]
 fn a_hot_beginning_is_as_wide_as_its_part_of_what_is_asked() {
     let workers = readers(12);
