A mixed server with far more room than any writer pulls a read state

Ruled out: local reads at writers (2 in 30 requests), slots. Lines: roomiest looked at mixed servers only where no writer was left. Change: mixed servers are candidates with a handicap of 0.6 of memory (twice a near cell's weight), with their own role's mean room where one has not reported. Tests: a_mixed_server_with_far_more_room... red without it; a little more room: not.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -55,6 +55,8 @@
 /// writers to spare, one of another zone weighs so much.
 const NEAR: f64 = 0.3;
 const FAR: f64 = 0.25;
+/// A mixed server pulls a state with so much more room than any writer: more than a near cell weighs.
+const SPARE: f64 = 2.0 * NEAR;
 /// So many more of our requests at both of a hashed pair than at the least busy widen the pair.
 const WIDEN: u32 = 2;
 /// ... and so does a beginning by its part of our other requests: to this multiple of that part of the
@@ -640,8 +642,8 @@
 
     /// Mixed servers take their share: as many of our requests out on each as on the others, more where
     /// the way over a reader takes longer to the first token. Guards against few or slow readers and a
-    /// jam of writers; harms where mixed servers answer early and write slowly, so it is bounded. With less
-    /// than one out a server a coin decides; one of many routers starts with fewer, fewest for slow ones.
+    /// jam of writers; harms where mixed servers answer early and write slowly, so it is bounded. A coin
+    /// decides on the fraction; one of many routers starts with fewer, fewest for slow ones.
     fn mixed_turn(&self, job: &Job, mixed: &[&Server]) -> bool {
         let split = |s: &&Server| s.info.lifecycle == Lifecycle::In && s.info.role != Role::Mixed;
         let out: u32 = self.servers.values().filter(split).map(|s| s.reads + s.streams).sum();
@@ -651,9 +653,6 @@
         let least = if self.seldom() { 1.0 / TILT } else { 1.0 };
         let ratio = split.zip(self.seen.mixed_s.0).map_or(least, |(s, m)| s / m.max(1e-6));
         let part = mixed.len() as f64 * ratio.clamp(least, TILT);
-        if here + out >= n + mixed.len() as u32 {
-            return f64::from(here * n) <= f64::from(out) * part;
-        }
         let due = f64::from(here + out + 1) * part / (part + f64::from(n)).max(1e-6);
         f64::from(here) < due.floor() + f64::from(u8::from(self.coin(&*job.req.id.0, "") < due.fract()))
     }
@@ -697,33 +696,36 @@
         pair.filter(open).or(ranked.iter().find(open)).map(|s| s.info.id.clone())
     }
 
+    /// The worker with most room. A mixed server pulls a state where no writer may be used, or where it reports
+    /// more room than any writer by `SPARE`: writers' memory can be full while their slots are not.
     fn roomiest(&self, job: &Job, from: Option<&WorkerId>) -> Option<WorkerId> {
-        let mut pools = [Role::Writer, Role::Mixed].into_iter().map(|role| self.pool(job, |r| r == role));
-        let pool = pools.find(|p| !p.is_empty())?;
-        let heard: Vec<f64> = pool.iter().filter_map(|s| s.told()).collect();
-        let mean = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
+        let [writers, mixed] = [Role::Writer, Role::Mixed].map(|role| self.pool(job, |r| r == role));
+        let (pool, others) = if writers.is_empty() { (mixed, writers) } else { (writers, mixed) };
+        let (mean, others_mean) = (mean_room(&pool), mean_room(&others).filter(|_| from.is_some()));
         // Without reports the unit is our streams; a difference under the root of others' tells nothing.
         let ours = pool.iter().map(|s| f64::from(s.streams)).sum::<f64>() / pool.len().max(1) as f64;
-        let others = ours * f64::from(self.set.routers.saturating_sub(1));
-        let unit = if heard.is_empty() { 1.0 + NEAR * ours + others.sqrt() } else { 1.0 };
+        let unknown = f64::from(self.set.routers.saturating_sub(1)) * ours;
+        let unit = if mean.is_none() { 1.0 + NEAR * ours + unknown.sqrt() } else { 1.0 };
         let at = from.and_then(|r| self.servers.get(r)).map(|s| &s.info);
         let cell = at.and_then(|r| self.cell_for(job, r, &pool));
         pool.iter()
-            .map(|s| {
+            .map(|s| (s, mean.unwrap_or_default(), 0.0))
+            .chain(others.iter().filter_map(|s| Some((s, mean.and(others_mean)?, SPARE))))
+            .map(|(s, mean_room, handicap)| {
                 let weight = if self.set.weighted { s.info.weight.max(0.01) } else { 1.0 };
-                let room = if heard.is_empty() {
+                let room = if mean.is_none() {
                     // One that has no first token yet tells of a queue there.
                     -(f64::from(s.streams) + f64::from(s.pending) * PENDING) / weight
                 } else {
                     // One that has just started is known to be empty.
-                    s.room(self.set.routers, if self.is_cold(s) { 1.0 } else { mean })
+                    s.room(self.set.routers, if self.is_cold(s) { 1.0 } else { mean_room })
                 };
                 let near = match at {
                     Some(_) if cell == Some(s.info.cell) => NEAR,
                     Some(r) if r.zone == s.info.zone => NEAR / 2.0,
                     _ => 0.0,
                 };
-                (room + near * unit, self.coin(&*job.req.id.0, &s.info.id.0), *s)
+                (room + near * unit - handicap, self.coin(&*job.req.id.0, &s.info.id.0), *s)
             })
             .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)))
             .map(|(_, _, s)| s.info.id.clone())
@@ -733,29 +735,22 @@
     /// Where it has more of the readers than of the writers, these can take only their part: a coin sends
     /// the rest to cells with writers to spare, those of the reader's zone first.
     fn cell_for(&self, job: &Job, at: &Worker, pool: &[&Server]) -> Option<CellId> {
-        let mut cells: BTreeMap<CellId, (f64, f64, bool)> = BTreeMap::new();
-        let readers = self.peers(Role::Reader);
         let reads = |s: &&Server| s.info.role == Role::Reader && s.info.lifecycle != Lifecycle::Out;
-        for s in self.servers.values().filter(reads) {
-            cells.entry(s.info.cell).or_default().1 += 1.0 / readers;
-        }
-        for s in pool {
-            let cell = cells.entry(s.info.cell).or_default();
-            *cell = (cell.0 + 1.0 / pool.len() as f64, cell.1, s.info.zone == at.zone);
-        }
-        let coin = self.coin(&*job.req.id.0, &at.id.0);
-        let (write, read, _) = cells.get(&at.cell).copied().unwrap_or_default();
-        let stay = write / read.max(1e-9);
-        if coin < stay {
+        // Readers of a cell for each of its writers, over those of all.
+        let burden = |cell: CellId| {
+            let readers = self.servers.values().filter(reads).filter(|s| s.info.cell == cell).count() as f64;
+            let writers = pool.iter().filter(|s| s.info.cell == cell).count() as f64;
+            readers / self.peers(Role::Reader) * pool.len() as f64 / writers.max(1e-9)
+        };
+        if self.coin(&*job.req.id.0, &at.id.0) * burden(at.cell) < 1.0 {
             return Some(at.cell);
         }
-        let spare = |c: &(f64, f64, bool)| (c.0 - c.1).max(0.0) * if c.2 { 1.0 } else { FAR };
-        let all: f64 = cells.values().map(spare).sum();
-        let mut left = (coin - stay) / (1.0 - stay).max(1e-9) * all;
-        cells.iter().filter(|(_, c)| spare(c) > 0.0).find_map(|(id, c)| {
-            left -= spare(c);
-            (left <= 0.0).then_some(*id)
-        })
+        let zone = |s: &Server| if s.info.zone == at.zone { 1.0 } else { FAR };
+        let spare = |s: &Server| (1.0 - burden(s.info.cell)).max(0.0) * zone(s);
+        // The largest of such powers of a coin falls to each as often as its exponent's inverse weighs.
+        let lot = |s: &Server| self.coin(&*job.req.id.0, &s.info.id.0).powf(1.0 / spare(s));
+        let spared = pool.iter().filter(|s| spare(s) > 0.0);
+        spared.max_by(|a, b| lot(a).total_cmp(&lot(b))).map(|s| s.info.cell)
     }
 
     fn coin(&self, what: impl AsRef<[u8]>, w: &str) -> f64 {
@@ -1153,6 +1148,12 @@
     }
 }
 
+/// What those of a pool that report have free in the mean; none where none reports.
+fn mean_room(pool: &[&Server]) -> Option<f64> {
+    let told: Vec<f64> = pool.iter().filter_map(|s| s.told()).collect();
+    (!told.is_empty()).then(|| told.iter().sum::<f64>() / told.len() as f64)
+}
+
 fn fading(age: Micros, span: Micros) -> f64 {
     (-(age.as_secs_f64() / span.as_secs_f64().max(1e-6))).exp()
 }
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -138,6 +138,43 @@
     assert!(writers.contains("w1"));
 }
 
+/// Where twenty read states are pulled, once writers and mixed servers have reported such parts of their memory held.
+fn pulls_with(writers_held: f64, mixed_held: f64) -> std::collections::BTreeSet<String> {
+    let mut workers = fleet();
+    workers.extend((0..2).map(|i| worker(&format!("m{i}"), Role::Mixed, i)));
+    let mut rig = Rig::new(settings(), workers);
+    let mut pulled = std::collections::BTreeSet::new();
+    for i in 0..60 {
+        let id = format!("{i}");
+        let mut at = sent(&rig.ask(&id, &id, FREE, LONG)).unwrap().0;
+        let reads = at.starts_with('r');
+        if reads {
+            at = sent(&rig.end(&id, 0, Outcome::Parsed, 0)).unwrap().0;
+        }
+        if reads && i >= 40 {
+            pulled.insert(at.clone());
+        }
+        let held = if at.starts_with('m') { mixed_held } else { writers_held };
+        let report = Report { kv_used: Some(held), ..Report::default() };
+        rig.stream(&id, u32::from(reads));
+        rig.end_with(&id, u32::from(reads), Outcome::Served, 0, Some(report));
+        rig.wait(0.5);
+    }
+    pulled
+}
+
+#[test]
+fn a_mixed_server_with_far_more_room_than_any_writer_pulls() {
+    let pulled = pulls_with(0.95, 0.1);
+    assert!(!pulled.is_empty() && pulled.iter().all(|w| w.starts_with('m')), "{pulled:?}");
+}
+
+#[test]
+fn a_mixed_server_with_a_little_more_room_than_the_writers_does_not_pull() {
+    let pulled = pulls_with(0.6, 0.1);
+    assert!(!pulled.is_empty() && pulled.iter().all(|w| w.starts_with('w')), "{pulled:?}");
+}
+
 #[test]
 fn without_reports_the_writer_with_fewest_of_our_streams_is_taken() {
     let mut rig = Rig::new(settings(), fleet());
