--- a/crates/daemon/tests/common/peers.rs
+++ b/crates/daemon/tests/common/peers.rs
@@ -12,7 +12,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -44,8 +44,16 @@
     SocketAddr::from((ip, 5000))
 }
 
-/// What the system's table of TCP sockets says of one: its state and the bytes that the other side has not taken.
-fn socket_state(local: SocketAddr, remote: SocketAddr) -> Option<(u8, u32)> {
+/// What the system's table of TCP sockets says of one.
+struct SocketRow {
+    state: u8,
+    /// Bytes that the other side has not taken.
+    unsent: u32,
+    /// Bytes that have come and were not read.
+    unread: u32,
+}
+
+fn socket_row(local: SocketAddr, remote: SocketAddr) -> Option<SocketRow> {
     let hex = |at: SocketAddr| match at.ip() {
         std::net::IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from(ip).swap_bytes(), at.port()),
         std::net::IpAddr::V6(_) => panic!("IPv4 alone"),
@@ -54,8 +62,15 @@
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
     let row = table.lines().map(|l| l.split_whitespace().collect::<Vec<_>>());
     let row = row.into_iter().find(|r| r.len() > 4 && r[1] == local && r[2] == remote)?;
-    let queue = row[4].split(':').next().unwrap();
-    Some((u8::from_str_radix(row[3], 16).unwrap(), u32::from_str_radix(queue, 16).unwrap()))
+    let (unsent, unread) = row[4].split_once(':').unwrap();
+    let number = |text: &str| u32::from_str_radix(text, 16).unwrap();
+    let state = u8::from_str_radix(row[3], 16).unwrap();
+    Some(SocketRow { state, unsent: number(unsent), unread: number(unread) })
+}
+
+/// A socket's state, and the bytes that the other side has not taken.
+fn socket_state(local: SocketAddr, remote: SocketAddr) -> Option<(u8, u32)> {
+    socket_row(local, remote).map(|row| (row.state, row.unsent))
 }
 
 /// Waits until all that was written to it is at the other machine's system.
@@ -66,6 +81,18 @@
     wait("bytes to arrive", || socket_state(local, remote).is_none_or(|(_, queue)| queue == 0).then_some(()));
 }
 
+/// Waits until the other process has read all that was written to it.
+pub fn taken(s: &TcpStream) {
+    arrived(s);
+    let (local, remote) = (s.local_addr().unwrap(), s.peer_addr().unwrap());
+    wait("bytes to be read", || (unread(remote, local) == Some(0)).then_some(()));
+}
+
+/// Bytes that wait at a socket to be read.
+fn unread(local: SocketAddr, remote: SocketAddr) -> Option<u32> {
+    socket_row(local, remote).map(|row| row.unread)
+}
+
 /// Closes our side, and waits until the other has been told.
 pub fn fin(s: &TcpStream) {
     let (local, remote) = (s.local_addr().unwrap(), s.peer_addr().unwrap());
@@ -196,6 +223,8 @@
     pub method: String,
     pub target: String,
     pub id: String,
+    /// The time that it is told the router will wait.
+    pub timeout: Option<Duration>,
 }
 
 impl Call {
@@ -235,7 +264,9 @@
                     let mut start = text.split(' ').map(str::to_owned);
                     let (method, target) = (start.next().unwrap(), start.next().unwrap());
                     let id = field("x-request-id").unwrap_or_default();
-                    return Some(Call { at: Instant::now(), method, target, id });
+                    let timeout = field("x-timeout")
+                        .map(|told| Duration::from_micros(told.strip_suffix('u').unwrap().parse().unwrap()));
+                    return Some(Call { at: Instant::now(), method, target, id, timeout });
                 }
             }
             match self.s.read(&mut buffer) {
@@ -428,19 +459,32 @@
         let folder = super::folder(name);
         let file = folder.join("config.json");
         std::fs::write(&file, config.to_string()).unwrap();
-        // At its true limit of descriptors.
+        let (child, log) = Self::spawn(&file, setting.sockets);
+        let mut router = Self { child, at, folder, config, log };
+        router.wait_log("\"ready\"");
+        router
+    }
+
+    /// At its true limit of descriptors.
+    fn spawn(config: &Path, sockets: u32) -> (Child, BufReader<std::process::ChildStderr>) {
         let mut child = Command::new("sh")
-            .args(["-c", &format!("ulimit -n {}; exec \"$0\" platform", setting.sockets), super::EXE])
-            .env("GW_CONFIG", &file)
+            .args(["-c", &format!("ulimit -n {sockets}; exec \"$0\" platform"), super::EXE])
+            .env("GW_CONFIG", config)
             .stderr(Stdio::piped())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
         let log = BufReader::new(child.stderr.take().unwrap());
-        let mut router = Self { child, at, folder, config, log };
-        router.wait_log("\"ready\"");
-        router
+        (child, log)
+    }
+
+    /// Kills the process, which can say nothing more, and starts the next at the same address.
+    pub fn kill_and_start_again(&mut self, setting: &Setting) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        (self.child, self.log) = Self::spawn(&self.folder.join("config.json"), setting.sockets);
+        self.wait_log("\"ready\"");
     }
 
     /// Log lines up to one that holds `what`.
@@ -538,6 +582,12 @@
     .into_bytes()
 }
 
+/// The same from a client that waits for so long.
+pub fn ask_within(id: &str, class: &str, timeout: Duration) -> Vec<u8> {
+    let call = String::from_utf8(ask(id, class, 20)).unwrap();
+    call.replace("X-Timeout: 4800m", &format!("X-Timeout: {}m", timeout.as_millis())).into_bytes()
+}
+
 /// All that comes until the router ends the connection, and whether it was reset.
 pub fn rest(s: &mut TcpStream) -> (String, bool) {
     let (mut all, mut buffer) = (Vec::new(), [0; 4096]);
