--- /dev/null
+++ b/crates/router/src/shell/connections.rs
@@ -0,0 +1,354 @@
+//! Connections of a shell: opened, read, written, closed with a bounded linger, and taken from the listening socket.
+
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::time::{Duration, Instant};
+
+use mio::net::TcpStream;
+use mio::{Interest, Token};
+
+use super::{Shell, Sink};
+use crate::{ConnId, Input};
+
+/// Bytes read at once, and so many such reads from one connection before others have their turn.
+pub(super) const READ_BYTES: usize = 16 * 1024;
+const READS_A_TURN: usize = 8;
+/// Written bytes at the front of a buffer that are dropped together.
+const COMPACT_BYTES: usize = 64 * 1024;
+/// Connections taken at once before others have their turn.
+pub(super) const ACCEPTS_A_TURN: usize = 64;
+/// A connection that is closed has this long to close its side, and, while it takes something of what is left in each
+/// such span, so long in all.
+const LINGER: Duration = Duration::from_secs(2);
+const LINGER_MOST: Duration = Duration::from_secs(10);
+/// Out of file descriptors, no connection is taken for this span.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum State {
+    Connecting,
+    Open,
+    /// To be closed once all is written.
+    Closing,
+}
+
+#[derive(Debug)]
+pub(super) struct Sock {
+    pub(super) id: ConnId,
+    pub(super) stream: TcpStream,
+    /// Bytes to write, of which the first `done` are written: what is said in one turn goes out at once.
+    pub(super) out: Vec<u8>,
+    pub(super) done: usize,
+    /// Nothing of what is to be written was yet.
+    pub(super) fresh: bool,
+    pub(super) state: State,
+    pub(super) paused: bool,
+    /// Readable since the last time that reading had to wait.
+    pub(super) readable: bool,
+    /// The peer has closed its side, or reset the connection; what it said before may not have been read yet.
+    pub(super) ended: bool,
+    pub(super) shut: bool,
+    /// Closing: when that began, and whether the peer has taken anything since it was last looked at.
+    pub(super) closed: Option<Instant>,
+    pub(super) takes: bool,
+}
+
+/// The token of a connection: its own number, so that an event meant for one that is gone meets no other.
+pub(super) fn token(id: ConnId) -> Token {
+    Token(usize::try_from(id.0).map_or(usize::MAX, |n| n.saturating_add(1)))
+}
+
+impl Sock {
+    /// Whether an engine's connection that is about to carry a call has closed, or brought what nobody asked for, since
+    /// it was last read: the call would be eaten, or answered by what is not its answer. Nothing of it is written yet.
+    pub(super) fn told_more(&self) -> bool {
+        let begins = self.fresh && self.state == State::Open;
+        begins && self.id.is_link() && self.stream.peek(&mut [0]).is_ok()
+    }
+}
+
+impl<S: Sink> Shell<S> {
+    pub(super) fn add(&mut self, id: ConnId, mut stream: TcpStream, state: State) -> io::Result<usize> {
+        let _ = stream.set_nodelay(true);
+        let entry = self.socks.vacant_entry();
+        let key = entry.key();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, token(id), both)?;
+        entry.insert(Sock {
+            id,
+            stream,
+            out: Vec::new(),
+            done: 0,
+            fresh: false,
+            state,
+            paused: false,
+            readable: false,
+            ended: false,
+            shut: false,
+            closed: None,
+            takes: false,
+        });
+        self.by_id.insert(id, key);
+        Ok(key)
+    }
+
+    pub(super) fn connect(&mut self, id: ConnId, address: SocketAddr) {
+        let added = TcpStream::connect(address).and_then(|s| self.add(id, s, State::Connecting));
+        if let Err(e) = added {
+            let refused = e.kind() == io::ErrorKind::ConnectionRefused;
+            let input = if refused { Input::Lost(id) } else { Input::Unconnected(id) };
+            self.core.handle(self.clock.now(), input, &mut self.outputs);
+        }
+    }
+
+    pub(super) fn remove(&mut self, key: usize) -> Option<ConnId> {
+        let mut sock = self.socks.try_remove(key)?;
+        let _ = self.poll.registry().deregister(&mut sock.stream);
+        self.dirty.remove(&key);
+        self.by_id.remove(&sock.id);
+        if sock.state == State::Closing {
+            self.lingering -= 1;
+        }
+        Some(sock.id)
+    }
+
+    /// The connection failed: the core hears of it unless it has closed it itself.
+    pub(super) fn lost(&mut self, key: usize) {
+        let closing = self.socks.get(key).is_some_and(|s| s.state == State::Closing);
+        if let Some(id) = self.remove(key) {
+            if !closing {
+                self.core.handle(self.clock.now(), Input::Lost(id), &mut self.outputs);
+            }
+        }
+    }
+
+    pub(super) fn close(&mut self, id: ConnId) {
+        let Some(key) = self.by_id.get(&id).copied() else { return };
+        // What still has something to be told stays, beyond the bound: its descriptor was a client's, and no other
+        // client is taken meanwhile.
+        self.bound_told(self.may_linger.saturating_sub(1));
+        if let Some(sock) = self.socks.get_mut(key) {
+            let now = Instant::now();
+            sock.state = State::Closing;
+            (sock.closed, sock.takes) = (Some(now), false);
+            self.cuts.push_back((now + LINGER, key, id));
+            sock.paused = false;
+            self.lingering += 1;
+            self.dirty.insert(key);
+            self.again.push_back(key);
+        }
+    }
+
+    /// Of more than so many that linger, those that were told all give way, the oldest first. True: no more are left.
+    pub(super) fn bound_told(&mut self, most: usize) -> bool {
+        let mut cuts = self.cuts.iter();
+        let mut told = Vec::new();
+        while self.lingering - told.len() > most {
+            let Some((_, key, id)) = cuts.next() else { break };
+            if self.socks.get(*key).is_some_and(|s| s.id == *id && s.shut) {
+                told.push(*key);
+            }
+        }
+        for key in told {
+            self.remove(key);
+        }
+        self.lingering <= most
+    }
+
+    pub(super) fn pause(&mut self, id: ConnId, paused: bool) {
+        let Some(key) = self.by_id.get(&id).copied() else { return };
+        let Some(sock) = self.socks.get_mut(key) else { return };
+        sock.paused = paused;
+        if !paused && sock.readable {
+            self.again.push_back(key);
+        }
+    }
+
+    pub(super) fn ready(&mut self, key: usize, readable: bool, writable: bool, ends: bool) {
+        let Some(sock) = self.socks.get_mut(key) else { return };
+        if sock.state == State::Connecting {
+            if !writable && !readable {
+                return;
+            }
+            let error = sock.stream.take_error();
+            match (error, sock.stream.peer_addr()) {
+                (Ok(None), Ok(_)) => {
+                    sock.state = State::Open;
+                    let id = sock.id;
+                    self.feed(Input::Connected(id));
+                }
+                (Ok(None), Err(e)) if e.kind() == io::ErrorKind::NotConnected => return,
+                _ => {
+                    self.lost(key);
+                    return self.settle();
+                }
+            }
+        } else if writable {
+            self.dirty.insert(key);
+            self.settle();
+        }
+        if readable {
+            if let Some(sock) = self.socks.get_mut(key) {
+                sock.readable = true;
+                sock.ended |= ends;
+            }
+            self.read(key, ends);
+        }
+    }
+
+    /// Reads what is there. A read that doesn't fill the buffer has emptied the socket, as epoll(7) says, and
+    /// saves the call that would only say so; unless the peer has closed too, which must be heard.
+    pub(super) fn read(&mut self, key: usize, to_the_end: bool) {
+        for _ in 0..READS_A_TURN {
+            let Some(sock) = self.socks.get_mut(key) else { return };
+            let (closing, id) = (sock.state == State::Closing, sock.id);
+            if sock.paused && sock.ended && !closing && !id.is_link() {
+                // A client that is not read has gone all the same, and what it said ahead with it.
+                sock.ended = false;
+                return match sock.stream.take_error() {
+                    Ok(None) => self.feed(Input::Eof(id)),
+                    _ => {
+                        self.lost(key);
+                        self.settle();
+                    }
+                };
+            }
+            if sock.paused || sock.state == State::Connecting {
+                return;
+            }
+            match sock.stream.read(&mut self.buffer) {
+                Ok(0) if closing => {
+                    if sock.out.is_empty() {
+                        self.remove(key);
+                    } else {
+                        sock.readable = false;
+                        sock.paused = true;
+                    }
+                    return;
+                }
+                Ok(0) => {
+                    sock.readable = false;
+                    sock.ended = false;
+                    // Nothing more can come; writing goes on.
+                    sock.paused = true;
+                    return self.feed(Input::Eof(id));
+                }
+                Ok(_) if closing => {}
+                Ok(n) => {
+                    let buffer = std::mem::take(&mut self.buffer);
+                    self.feed(Input::Bytes(id, buffer.get(..n).unwrap_or_default()));
+                    self.buffer = buffer;
+                    if n < READ_BYTES && !to_the_end {
+                        if let Some(sock) = self.socks.get_mut(key) {
+                            sock.readable = false;
+                        }
+                        return;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    sock.readable = false;
+                    return;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.lost(key);
+                    return self.settle();
+                }
+            }
+        }
+        self.again.push_back(key);
+    }
+
+    pub(super) fn write(&mut self, key: usize) {
+        let Some(sock) = self.socks.get_mut(key) else { return };
+        let (id, before) = (sock.id, sock.done);
+        let mut failed = sock.told_more();
+        while !failed && sock.done < sock.out.len() {
+            match sock.stream.write(sock.out.get(sock.done..).unwrap_or_default()) {
+                Ok(n) => sock.done += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    failed = true;
+                    break;
+                }
+            }
+        }
+        let wrote = sock.done - before;
+        sock.fresh &= wrote == 0;
+        sock.takes |= wrote > 0;
+        if sock.done >= sock.out.len() {
+            // An idle connection keeps no buffer.
+            sock.out = Vec::new();
+            sock.done = 0;
+        } else if sock.done > COMPACT_BYTES {
+            sock.out.drain(..sock.done);
+            sock.done = 0;
+        }
+        let (written, closing) = (sock.out.is_empty(), sock.state == State::Closing);
+        if written && closing && !sock.shut {
+            sock.shut = true;
+            let _ = sock.stream.shutdown(Shutdown::Write);
+            // The peer may have closed before: then nothing more will be told of it.
+            sock.paused = false;
+            self.again.push_back(key);
+        }
+        if wrote > 0 && !closing {
+            self.core.handle(self.clock.now(), Input::Wrote(id, wrote), &mut self.outputs);
+        }
+        if failed {
+            self.lost(key);
+        }
+    }
+
+    /// Cuts connections that linger past their time.
+    pub(super) fn sweep(&mut self) {
+        let now = Instant::now();
+        while let Some((_, key, id)) = self.cuts.pop_front_if(|(at, ..)| *at <= now) {
+            if self.by_id.get(&id) != Some(&key) {
+                continue;
+            }
+            let told = self.socks.get(key).is_some_and(|s| s.shut);
+            // The system tells of room only once there is much of it: a slow peer has taken something before.
+            self.write(key);
+            let Some(sock) = self.socks.get_mut(key).filter(|s| s.id == id) else { continue };
+            let may = sock.closed.is_some_and(|at| now < at + LINGER_MOST);
+            if may && !told && std::mem::take(&mut sock.takes) {
+                self.cuts.push_back((now + LINGER, key, id));
+            } else {
+                self.remove(key);
+            }
+        }
+    }
+
+    /// Takes connections that have come; true: there may be more.
+    pub(super) fn accept(&mut self) -> bool {
+        self.accept_at = None;
+        for _ in 0..ACCEPTS_A_TURN {
+            if !self.bound_told(self.may_linger) {
+                self.accept_at = Some(Instant::now() + ACCEPT_PAUSE);
+                return false;
+            }
+            let Some(listener) = &self.listener else { return false };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let id = ConnId(self.next_client);
+                    self.next_client += 2;
+                    if self.add(id, stream, State::Open).is_ok() {
+                        self.feed(Input::Accepted(id));
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    self.sink.note("accept", &format!("no connection can be taken for now: {e}"));
+                    self.accept_at = Some(Instant::now() + ACCEPT_PAUSE);
+                    return false;
+                }
+            }
+        }
+        self.accept_at = Some(Instant::now());
+        true
+    }
+}
--- /dev/null
+++ b/crates/router/src/shell/life.rs
@@ -0,0 +1,124 @@
+//! The router's life at the shell: signals and wishes reach it, and what it says is done to sockets and core.
+
+use std::os::fd::AsFd;
+use std::sync::mpsc::SyncSender;
+
+use chalkyard_state::{Act, Event as LifeEvent, Phase};
+use mio::Interest;
+
+use super::connections::ACCEPTS_A_TURN;
+use super::listen::BACKLOG;
+use super::{Heritage, Question, Shell, Sink, LISTENER};
+
+impl<S: Sink> Shell<S> {
+    /// What the loop itself can tell the router's life.
+    pub(super) fn watch_life(&mut self) {
+        match self.life.phase() {
+            Phase::Starting if self.core.has_list() => self.live(LifeEvent::Listed),
+            Phase::Ending | Phase::Farewell => {
+                let open = self.core.open_requests() + self.core.open_clients() + self.core.open_releases();
+                if open == 0 && self.lingering == 0 {
+                    self.live(LifeEvent::Idle);
+                }
+            }
+            _ => {}
+        }
+        self.live(LifeEvent::Tick);
+    }
+
+    /// Connections that were not taken yet wait in the socket for the successor: none is refused or reset.
+    pub(super) fn succeed(&mut self, answer: &SyncSender<Heritage>) {
+        let ready = matches!(self.life.phase(), Phase::Ready);
+        let Some(listener) = self.listener.as_ref().filter(|_| ready) else { return };
+        match listener.as_fd().try_clone_to_owned() {
+            Ok(listener) => {
+                // All that was taken until now is in the ledger before it is given up.
+                self.live(LifeEvent::Succeeded);
+                self.finish();
+                let settled = self.sink.give_up_ledger();
+                let _ = answer.try_send(Heritage { listener, settled });
+            }
+            Err(e) => self.sink.note("succession", &format!("the listening socket can't be given: {e}")),
+        }
+    }
+
+    pub(super) fn live(&mut self, event: LifeEvent) {
+        let mut acts = Vec::new();
+        self.life.handle(self.clock.now().0, event, &mut acts);
+        for act in acts {
+            self.act(act);
+        }
+    }
+
+    pub(super) fn act(&mut self, act: Act) {
+        match act {
+            Act::Listen => {
+                let event = if self.listen() { LifeEvent::Listening } else { LifeEvent::ListenFailed };
+                self.live(event);
+            }
+            Act::Leave => self.core.leave(self.clock.now()),
+            Act::StopTaking { .. } => {
+                // Who has connected before is heard: a listening socket that goes resets those that wait at it.
+                for _ in 0..=BACKLOG / ACCEPTS_A_TURN {
+                    if !self.accept() {
+                        break;
+                    }
+                }
+                self.listener = None;
+                self.accept_at = None;
+                self.core.drain(self.clock.now(), &mut self.outputs);
+            }
+            Act::TakeAgain => {
+                if self.listen() {
+                    self.core.undrain();
+                } else {
+                    // As it was: the operator is told, and may try again.
+                    self.live(LifeEvent::Drain);
+                }
+            }
+            Act::Reload => self.sink.reload(),
+            Act::AnswerAll => self.core.answer_all(self.clock.now(), &mut self.outputs),
+            Act::Exit(stop) => self.ended = Some(stop),
+            Act::SayReady | Act::SayReloading | Act::SayStopping => {}
+        }
+        self.sink.say(act, Some(self.address.at()));
+    }
+
+    pub(super) fn listen(&mut self) -> bool {
+        let listening = self.address.listen().and_then(|mut listener| {
+            self.poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+            Ok(listener)
+        });
+        match listening {
+            Ok(listener) => self.listener = Some(listener),
+            Err(e) => self.sink.note("listen", &format!("can't listen at {}: {e}", self.address.at())),
+        }
+        self.listener.is_some()
+    }
+
+    /// Answers as one JSON object.
+    pub(super) fn answer(&self, question: &Question) -> String {
+        let json = match question {
+            Question::Status => serde_json::to_value(self.core.counts()).map(|mut counts| {
+                if let Some(object) = counts.as_object_mut() {
+                    object.insert("phase".into(), serde_json::json!(self.life.phase()));
+                    object.insert("at".into(), serde_json::json!(self.address.at().to_string()));
+                    object.insert("sockets".into(), serde_json::json!(self.socks.len()));
+                }
+                counts
+            }),
+            Question::Engines => serde_json::to_value(self.core.engine_view()),
+            Question::Requests => serde_json::to_value(self.core.open_view()),
+            Question::Trace(id) => match self.core.open_one(id) {
+                Some(open) => serde_json::to_value(open),
+                None => match self.sink.recent(id) {
+                    Some(ended) => return ended,
+                    None => {
+                        Ok(serde_json::json!({"error": format!("no request {id} is open or ended lately")}))
+                    }
+                },
+            },
+        };
+        json.map_or_else(|e| serde_json::json!({"error": e.to_string()}).to_string(), |j| j.to_string())
+    }
+}
--- /dev/null
+++ b/crates/router/src/shell/mod.rs
@@ -0,0 +1,314 @@
+//! The thin shell: sockets and time for a [`Core`], on mio, one thread.
+
+mod clock;
+mod connections;
+mod handle;
+mod life;
+mod listen;
+mod sink;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use chalkyard_state::{Life, Stop, Terms};
+use mio::event::Event;
+use mio::net::TcpListener;
+use mio::{Events, Poll, Token, Waker};
+use slab::Slab;
+
+pub use self::clock::{granularity, Clock};
+use self::connections::{Sock, State, READ_BYTES};
+use self::handle::Command;
+pub use self::handle::{Handle, Question};
+pub use self::listen::ListenAddress;
+pub use self::sink::{Heritage, News, Sink};
+use crate::{ConnId, Core, Input, Output};
+
+const LISTENER: Token = Token(0);
+const WAKER: Token = Token(1);
+/// Events handled before what they cause is written: records of a group cost one write to the ledger, and no
+/// answer waits for more than these.
+const EVENTS_A_GROUP: usize = 16;
+/// So many at most may linger, if not told otherwise: those that have been told all give way first, and while more have
+/// something to be told no connection is taken.
+const LINGERING: usize = 1_024;
+/// Budget figures are told so often.
+const FIGURES: Duration = Duration::from_secs(60);
+/// A wait that ends so much too late, or a turn of the loop that takes so long, is told: streams stood still as long.
+const STALL: Duration = Duration::from_millis(300);
+
+/// Sockets and time for one core.
+pub struct Shell<S> {
+    poll: Poll,
+    core: Core,
+    sink: S,
+    clock: Clock,
+    life: Life,
+    /// Where it listens, or will.
+    address: ListenAddress,
+    listener: Option<TcpListener>,
+    handle: Handle,
+    socks: Slab<Sock>,
+    by_id: BTreeMap<ConnId, usize>,
+    /// Connections with bytes to write, and with bytes to read on.
+    dirty: BTreeSet<usize>,
+    again: VecDeque<usize>,
+    lingering: usize,
+    may_linger: usize,
+    /// When lingering ones are cut, in order: all linger for the same span.
+    cuts: VecDeque<(Instant, usize, ConnId)>,
+    accept_at: Option<Instant>,
+    next_client: u64,
+    ended: Option<Stop>,
+    outputs: Vec<Output>,
+    buffer: Vec<u8>,
+    /// Records wait for the ledger, and whether it could be written last.
+    unflushed: bool,
+    is_writable: bool,
+    housekeep_at: Instant,
+    figures_at: Instant,
+}
+
+/// Whether the loop stood still, and where: in its own work, or in a wait that the machine ended too late.
+fn stalled(worked: Duration, wait: Option<Duration>, waited: Duration) -> Option<String> {
+    let late = wait.map_or(Duration::ZERO, |wait| waited.saturating_sub(wait));
+    (worked >= STALL || late >= STALL).then(|| {
+        format!("the loop worked for {} ms, then woke {} ms late", worked.as_millis(), late.as_millis())
+    })
+}
+
+/// Whether the peer has closed its side, or the connection is lost.
+fn ends(event: &Event) -> bool {
+    event.is_read_closed() || event.is_error()
+}
+
+impl<S: Sink> Shell<S> {
+    /// A shell around a core, at the beginning of its life.
+    pub fn new(core: Core, sink: S, clock: Clock, address: ListenAddress, terms: Terms) -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
+        Ok(Self {
+            poll,
+            core,
+            sink,
+            clock,
+            life: Life::new(terms, clock.now().0),
+            address,
+            listener: None,
+            handle: Handle { waker, commands: Arc::default() },
+            socks: Slab::new(),
+            by_id: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            again: VecDeque::new(),
+            lingering: 0,
+            may_linger: LINGERING,
+            cuts: VecDeque::new(),
+            accept_at: None,
+            next_client: 2,
+            ended: None,
+            outputs: Vec::new(),
+            buffer: vec![0; READ_BYTES],
+            unflushed: false,
+            is_writable: true,
+            housekeep_at: Instant::now(),
+            figures_at: Instant::now() + FIGURES,
+        })
+    }
+
+    /// Bounds the connections that linger.
+    pub fn bound_lingering(&mut self, most: usize) {
+        self.may_linger = most;
+    }
+
+    /// A handle to speak to the loop.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Runs until the router's life is over. Tells why, and how many requests were still open.
+    pub fn run(&mut self, last_list: Option<&str>) -> io::Result<(Stop, usize)> {
+        let mut events = Events::with_capacity(1_024);
+        self.core.start(self.clock.now(), last_list, &mut self.outputs);
+        self.finish();
+        let mut woke = Instant::now();
+        loop {
+            let (waits, wait) = (Instant::now(), self.wait());
+            let polled = self.poll.poll(&mut events, wait);
+            let worked = waits.saturating_duration_since(std::mem::replace(&mut woke, Instant::now()));
+            if let Some(text) = stalled(worked, wait, woke.saturating_duration_since(waits)) {
+                self.sink.note("stall", &text);
+            }
+            match polled {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                other => other?,
+            }
+            // Clients that have gone are heard first: nothing that this turn brings is sent for them.
+            let (gone, others): (Vec<&Event>, Vec<&Event>) =
+                events.iter().partition(|e| ends(e) && self.is_client(e.token()));
+            for (n, event) in gone.into_iter().chain(others).enumerate() {
+                if n % EVENTS_A_GROUP == EVENTS_A_GROUP - 1 {
+                    self.finish();
+                }
+                match event.token() {
+                    LISTENER => self.accept_at = Some(Instant::now()),
+                    WAKER => {}
+                    token => {
+                        if let Some(key) = self.key_of(token) {
+                            let ends = ends(event);
+                            self.ready(key, event.is_readable() || ends, event.is_writable(), ends);
+                        }
+                    }
+                }
+            }
+            if self.accept_at.is_some_and(|at| at <= Instant::now()) {
+                self.accept();
+            }
+            for _ in 0..self.again.len() {
+                if let Some(key) = self.again.pop_front() {
+                    self.read(key, true);
+                }
+            }
+            self.feed(Input::Tick);
+            for command in self.handle.take() {
+                match command {
+                    Command::Life(event) => self.live(event),
+                    // Nobody may be waiting any more.
+                    Command::Ask(question, answer) => drop(answer.try_send(self.answer(&question))),
+                    Command::Succeed(answer, decided) => {
+                        if !decided.swap(true, Ordering::SeqCst) {
+                            self.succeed(&answer);
+                        }
+                    }
+                }
+            }
+            self.housekeep();
+            self.finish();
+            self.sweep();
+            self.watch_life();
+            self.finish();
+            if let Some(stop) = self.ended {
+                return Ok((stop, self.core.open_requests()));
+            }
+        }
+    }
+
+    fn key_of(&self, token: Token) -> Option<usize> {
+        let id = ConnId(u64::try_from(token.0.checked_sub(1)?).ok()?);
+        self.by_id.get(&id).copied()
+    }
+
+    fn is_client(&self, token: Token) -> bool {
+        self.key_of(token).and_then(|key| self.socks.get(key)).is_some_and(|s| !s.id.is_link())
+    }
+
+    fn wait(&self) -> Option<Duration> {
+        if !self.again.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let now = self.clock.now();
+        // Rounded up to the millisecond that the system waits in: waking too early would spin.
+        let core = self.core.next_due().map(|at| Duration::from_micros((at - now).0.max(1)));
+        let from = Instant::now();
+        let accept = self.accept_at.map(|at| at.saturating_duration_since(from));
+        let linger = (self.lingering > 0).then_some(Duration::from_millis(100));
+        let life = self.life.due().map(|at| Duration::from_micros(at.saturating_sub(now.0).max(1)));
+        let house = self.sink.period().map(|_| self.housekeep_at.saturating_duration_since(from));
+        [core, accept, linger, life, house].into_iter().flatten().min()
+    }
+
+    fn feed(&mut self, input: Input<'_>) {
+        let now = self.clock.now();
+        self.core.handle(now, input, &mut self.outputs);
+        self.settle();
+    }
+
+    fn writable(&mut self, now: bool) {
+        if std::mem::replace(&mut self.is_writable, now) != now {
+            self.core.handle(self.clock.now(), Input::Writable(now), &mut self.outputs);
+        }
+    }
+
+    fn housekeep(&mut self) {
+        let Some(period) = self.sink.period().filter(|_| self.housekeep_at <= Instant::now()) else { return };
+        self.housekeep_at = Instant::now() + period;
+        for news in self.sink.housekeep() {
+            match news {
+                Input::Writable(now) => self.writable(now),
+                other => self.feed(other),
+            }
+        }
+        if self.figures_at <= Instant::now() {
+            self.figures_at = Instant::now() + FIGURES;
+            self.sink.figures(&self.core.budget_figures());
+        }
+        self.settle();
+    }
+
+    /// Carries out outputs; bytes wait for the group's end.
+    fn settle(&mut self) {
+        while !self.outputs.is_empty() {
+            for output in std::mem::take(&mut self.outputs) {
+                self.carry_out(output);
+            }
+        }
+    }
+
+    /// Ends a group of events: all its records are given to the ledger in one write, then its bytes to sockets,
+    /// until nothing is left that writing causes.
+    fn finish(&mut self) {
+        loop {
+            self.settle();
+            if std::mem::take(&mut self.unflushed) {
+                let written = self.sink.flush();
+                self.writable(written);
+                continue;
+            }
+            let Some(key) = self.dirty.pop_first() else { return };
+            self.write(key);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Connect(id, address) => self.connect(id, address),
+            Output::Write(id, bytes) => {
+                if let Some(key) = self.by_id.get(&id).copied() {
+                    if let Some(sock) = self.socks.get_mut(key) {
+                        if sock.out.is_empty() {
+                            sock.fresh = true;
+                            sock.out = bytes;
+                        } else {
+                            sock.out.extend_from_slice(&bytes);
+                        }
+                        if sock.state != State::Connecting {
+                            self.dirty.insert(key);
+                        }
+                    }
+                }
+            }
+            Output::Close(id) => self.close(id),
+            Output::Abort(id) => {
+                if let Some(key) = self.by_id.get(&id).copied() {
+                    self.remove(key);
+                }
+            }
+            Output::Pause(id) => self.pause(id, true),
+            Output::Resume(id) => self.pause(id, false),
+            Output::KeepList(text) => self.sink.keep_list(&text),
+            Output::Record(number, record) => {
+                self.sink.record(number, &record);
+                self.unflushed = true;
+            }
+            Output::Finished(line) => self.sink.finished(line.0),
+            Output::Tally(tally) => self.sink.tally(&tally),
+            Output::Note(what, text) => self.sink.note(what, &text),
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "../shell_test.rs"]
+mod tests;
