Core's clients split: a request's checks and the answers written move to files of their own

Need: one file of 596 lines with three jobs. Change: moves alone (requests.rs, client_answers.rs); what another file needs is visible within the core.

--- /dev/null
+++ b/crates/router/src/core/client_answers.rs
@@ -0,0 +1,104 @@
+//! What is written to a client: errors, whole answers, streams of our own events and streams passed on.
+
+use chalkyard_api::client::{self, ErrorBody, ErrorKind};
+use chalkyard_policy as p;
+use chalkyard_proto::encode;
+
+use super::clients::Phase;
+use super::{ConnId, Core};
+
+/// The content type of all answers that are not streams.
+pub(super) const JSON: (&str, &str) = ("content-type", "application/json");
+
+impl Core {
+    pub(super) fn keeps(&self, conn: ConnId) -> bool {
+        self.clients.get(&conn).is_some_and(|c| !c.last && c.wrong.is_none()) && !self.draining
+    }
+
+    pub(super) fn answer_error(&mut self, conn: ConnId, status: u16, body: &ErrorBody) {
+        let keep = self.keeps(conn);
+        // Decimal seconds where a dialect knows them, else whole ones.
+        let decimal = self.config.dialect.is_some();
+        let after =
+            body.retry_after.map(|s| if decimal { format!("{s:.3}") } else { format!("{}", s.ceil()) });
+        // Only what may be tried again without harm is worded so.
+        let refused = body.kind == ErrorKind::Refused || !decimal;
+        let status = if refused || !matches!(status, 429 | 503) { status } else { 500 };
+        let mut fields = vec![JSON];
+        if let Some(after) = &after {
+            fields.push(("retry-after", after));
+        }
+        self.write_client(conn, encode::response(status, &fields, &body.json(), keep));
+        self.answered(conn);
+    }
+
+    /// The present request has its answer: on to the next, or to the end.
+    pub(super) fn answered(&mut self, conn: ConnId) {
+        let keep = self.keeps(conn);
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        client.phase = Phase::Head;
+        client.used = true;
+        client.since = self.now;
+        if !keep && client.wrong.is_none() {
+            return self.close_client(conn);
+        }
+        let wait = if client.decoder.is_idle() { self.config.waits.idle } else { self.config.waits.head };
+        self.arm_client(conn, wait);
+        self.ready.push_back(conn);
+    }
+
+    /// Writes the head of a stream and its first event.
+    pub(super) fn open_stream(&mut self, conn: ConnId, id: &p::RequestId, model: &str) {
+        let fields =
+            [("content-type", "text/event-stream"), ("cache-control", "no-store"), ("x-request-id", &*id.0)];
+        let keep = self.keeps(conn);
+        let mut bytes = encode::chunked_head(200, &fields, keep);
+        push_event(&mut bytes, &client::Event::Opened { id: &id.0, model });
+        self.write_client(conn, bytes);
+    }
+
+    pub(super) fn stream_event(&mut self, conn: ConnId, event: &client::Event<'_>) {
+        let mut bytes = Vec::with_capacity(128);
+        push_event(&mut bytes, event);
+        self.write_client(conn, bytes);
+    }
+
+    /// The last event and the end of the response.
+    pub(super) fn end_stream(&mut self, conn: ConnId, event: &client::Event<'_>) {
+        let mut bytes = Vec::with_capacity(256);
+        push_event(&mut bytes, event);
+        bytes.extend_from_slice(encode::LAST_CHUNK);
+        self.write_client(conn, bytes);
+        self.answered(conn);
+    }
+
+    /// Bytes of a stream as they came, after a head if it begins.
+    pub(super) fn pass_on(&mut self, conn: ConnId, first: bool, data: &[u8]) {
+        let mut bytes = Vec::with_capacity(data.len() + 192);
+        if first {
+            let fields = [("content-type", "text/event-stream"), ("cache-control", "no-store")];
+            bytes = encode::chunked_head(200, &fields, self.keeps(conn));
+        }
+        encode::chunk(&mut bytes, data);
+        self.write_client(conn, bytes);
+    }
+
+    /// The stream that was passed on has ended well.
+    pub(super) fn end_passing(&mut self, conn: ConnId) {
+        self.write_client(conn, encode::LAST_CHUNK.to_vec());
+        self.answered(conn);
+    }
+
+    pub(super) fn whole_answer(&mut self, conn: ConnId, id: &p::RequestId, answer: &client::WholeAnswer<'_>) {
+        let body = serde_json::to_vec(answer).unwrap_or_default();
+        let keep = self.keeps(conn);
+        self.write_client(conn, encode::response(200, &[JSON, ("x-request-id", &*id.0)], &body, keep));
+        self.answered(conn);
+    }
+}
+
+fn push_event(bytes: &mut Vec<u8>, event: &client::Event<'_>) {
+    let mut text = Vec::with_capacity(128);
+    chalkyard_proto::sse::write(&mut text, event.name(), None, &event.json());
+    encode::chunk(bytes, &text);
+}
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -1,19 +1,18 @@
 //! Conversations with clients: requests taken, answers given, leaving noticed.
 
-use chalkyard_api::client::{self, ErrorBody, ErrorKind, MessagesRequest, Refusal};
+use chalkyard_api::client::ErrorKind;
 use chalkyard_policy as p;
-use chalkyard_policy::{Event, Micros};
-use chalkyard_proto::{encode, Decoder, Head, Part, Side, Start};
+use chalkyard_policy::Micros;
+use chalkyard_proto::{encode, Decoder, Head, Part, Side};
 
-use super::job::{Call, Job};
-use super::record::{Ended, Finished};
-use super::{ConnId, Core, Due, FinishedLine, Output};
-use crate::dialect::Heard;
-use crate::identity::{Identity, Repeat};
+use super::client_answers::JSON;
+use super::record::Ended;
+use super::requests::error;
+use super::{ConnId, Core, Due, Output};
 use crate::timers::Key;
 
 #[derive(Debug)]
-enum Phase {
+pub(super) enum Phase {
     /// Between requests, or within a head.
     Head,
     Body(Box<Head>, Vec<u8>),
@@ -23,22 +22,22 @@
 /// A client's connection.
 #[derive(Debug)]
 pub(super) struct Client {
-    decoder: Decoder,
-    phase: Phase,
-    timer: Option<Key>,
+    pub(super) decoder: Decoder,
+    pub(super) phase: Phase,
+    pub(super) timer: Option<Key>,
     /// Bytes given to the shell and not yet taken by the system, and since when none was.
     pending: u64,
     stuck_since: Micros,
     /// Closed after the answer being given: by its wish, or since what follows can't be trusted.
-    last: bool,
+    pub(super) last: bool,
     /// The connection's own error, answered after the present request.
-    wrong: Option<chalkyard_proto::Error>,
+    pub(super) wrong: Option<chalkyard_proto::Error>,
     /// So much waits for it that nothing more is read from it.
     held_up: bool,
     /// It has had an answer: it may be closed between two requests, as it knows.
-    used: bool,
+    pub(super) used: bool,
     /// When it came, its last request ended, or its present one began.
-    since: Micros,
+    pub(super) since: Micros,
 }
 
 impl Client {
@@ -52,10 +51,6 @@
     }
 }
 
-fn error(kind: ErrorKind, reason: impl Into<String>) -> ErrorBody {
-    ErrorBody { kind, reason: reason.into(), field: None, may_have_run: false, retry_after: None }
-}
-
 impl Core {
     pub(super) fn accepted(&mut self, conn: ConnId) {
         let full = self.clients.len() >= self.config.bounds.clients && !self.evict_client();
@@ -112,7 +107,7 @@
         }
     }
 
-    fn arm_client(&mut self, conn: ConnId, wait: Micros) {
+    pub(super) fn arm_client(&mut self, conn: ConnId, wait: Micros) {
         let Some(client) = self.clients.get_mut(&conn) else { return };
         if let Some(key) = client.timer.take() {
             self.timers.cancel(key);
@@ -131,7 +126,7 @@
         Some(client)
     }
 
-    fn write_client(&mut self, conn: ConnId, bytes: Vec<u8>) {
+    pub(super) fn write_client(&mut self, conn: ConnId, bytes: Vec<u8>) {
         if let Some(client) = self.clients.get_mut(&conn) {
             if client.pending == 0 {
                 client.stuck_since = self.now;
@@ -231,272 +226,6 @@
         }
     }
 
-    /// Takes a whole request, or refuses it before anything has run.
-    fn begin(&mut self, conn: ConnId, head: &Head, body: Vec<u8>) {
-        self.bodies = self.bodies.saturating_sub(body.len() as u64);
-        let checked = match self.config.dialect.clone() {
-            Some(dialect) => {
-                let arrived = self.clients.get(&conn).map_or(self.now, |c| c.since);
-                let heard = dialect.hear(arrived, head, body);
-                self.check_heard(conn, heard)
-            }
-            None => self.check(conn, head, &body),
-        };
-        let (status, body) = match checked {
-            Ok(job) => return self.take(conn, job),
-            Err((status, body)) => (status, body),
-        };
-        if status == 200 {
-            let keep = self.keeps(conn);
-            self.write_client(conn, encode::response(200, &[], b"ok\n", keep));
-            return self.answered(conn);
-        }
-        let id = head.header(chalkyard_api::engine::REQUEST_ID).unwrap_or_default().to_owned();
-        let turned = Finished::turned(id, self.now, body.reason.clone());
-        self.out.push(Output::Finished(Box::new(FinishedLine(turned))));
-        self.answer_error(conn, status, &body);
-    }
-
-    fn take(&mut self, conn: ConnId, mut job: Job) {
-        let id = job.request.id.clone();
-        let request = job.request.clone();
-        if let Some(client) = self.clients.get_mut(&conn) {
-            client.phase = Phase::Serving(id.clone());
-            if let Some(key) = client.timer.take() {
-                self.timers.cancel(key);
-            }
-        }
-        self.bodies += job.body_bytes();
-        let last_call = job.request.deadline + self.config.policy.answer_slack;
-        job.backstop = Some(self.timers.set(last_call, Due::Overdue(id.clone())));
-        self.jobs.insert(id, job);
-        self.events.push_back(Event::Request(request));
-    }
-
-    /// What a dialect heard, and what only the core knows: ids that are open, and bounds.
-    fn check_heard(&mut self, conn: ConnId, heard: Heard) -> Result<Job, (u16, ErrorBody)> {
-        let (mut request, passed) = match heard {
-            Heard::Ready if self.draining || self.left.is_some() => {
-                return Err((503, error(ErrorKind::Refused, "this router is stopping")))
-            }
-            Heard::Ready => return Err((200, error(ErrorKind::Invalid, ""))),
-            Heard::Wrong(status, why) => return Err((status, error(ErrorKind::Invalid, why))),
-            Heard::Call(request, passed) => (*request, passed),
-        };
-        // What a leaving router takes has its answer before the process ends.
-        if let Some((left, (_, until))) = self.left.zip(self.config.waits.leaving) {
-            request.deadline = request.deadline.min(left + until);
-        }
-        if self.jobs.contains_key(&request.id) {
-            return Err((409, error(ErrorKind::Duplicate, "a request under this id is open here")));
-        }
-        if self.jobs.len() >= self.config.bounds.open {
-            return Err((503, error(ErrorKind::Refused, "too many open requests")));
-        }
-        Ok(Job::new(conn, request, Call::Passed(passed), None, self.now))
-    }
-
-    /// Checks a request; an error names the field and the reason. Status 200 answers a health call.
-    fn check(&mut self, conn: ConnId, head: &Head, body: &[u8]) -> Result<Job, (u16, ErrorBody)> {
-        let no = |status: u16, kind: ErrorKind, why: &str| Err((status, error(kind, why)));
-        let Start::Request { method, target } = &head.start else {
-            return no(400, ErrorKind::Invalid, "not a request");
-        };
-        match (method.as_str(), target.as_str()) {
-            ("POST", "/v1/messages") => {}
-            ("GET", "/health") => return no(200, ErrorKind::Invalid, ""),
-            (_, "/v1/messages") => return no(405, ErrorKind::Invalid, "only POST"),
-            _ => return no(404, ErrorKind::Invalid, "no such call; try POST /v1/messages"),
-        }
-        let tenant = self.tenant(head)?;
-        let json = head.header("content-type").unwrap_or("application/json");
-        if !json.split(';').next().is_some_and(|t| t.trim().eq_ignore_ascii_case("application/json")) {
-            return no(415, ErrorKind::Invalid, "content-type must be application/json");
-        }
-        let invalid = |r: Refusal| {
-            (r.status, ErrorBody { field: Some(r.field), ..error(ErrorKind::Invalid, r.reason) })
-        };
-        let call = MessagesRequest::parse(body, &self.config.bounds.call).map_err(invalid)?;
-        let class = self.class(&call, tenant).map_err(invalid)?;
-        if head.count("idempotency-key") > 1 {
-            return Err(invalid(Refusal::new("Idempotency-Key", "more than one")));
-        }
-        let identity = head.header("idempotency-key").map(client::identity).transpose().map_err(invalid)?;
-        if self.draining {
-            return no(503, ErrorKind::Refused, "this router is draining");
-        }
-        if self.jobs.len() >= self.config.bounds.open {
-            return no(503, ErrorKind::Refused, "too many open requests");
-        }
-        let identity: Option<Identity> = identity.map(|key| (tenant, key));
-        if let Some(i) = &identity {
-            self.identities.begin(self.now, i).map_err(|repeat| match repeat {
-                Repeat::Open => {
-                    let why = "a request under this Idempotency-Key is open here; wait for its answer";
-                    (409, ErrorBody { may_have_run: true, ..error(ErrorKind::Duplicate, why) })
-                }
-                Repeat::Ran => {
-                    let why = "a request under this Idempotency-Key may have run; look it up";
-                    (409, ErrorBody { may_have_run: true, ..error(ErrorKind::Duplicate, why) })
-                }
-                Repeat::Full => (503, error(ErrorKind::Refused, "too many identities are remembered")),
-            })?;
-        }
-        let mut job = self.job(conn, call, class, tenant, identity.clone());
-        if let Err(refusal) = self.reserve(&mut job) {
-            // Nothing ran: the identity may come again.
-            if let Some(i) = &identity {
-                self.identities.end(i, None);
-            }
-            return Err(refusal);
-        }
-        Ok(job)
-    }
-
-    fn tenant(&self, head: &Head) -> Result<Option<usize>, (u16, ErrorBody)> {
-        if self.config.tenants.is_empty() {
-            return Ok(None);
-        }
-        let bearer = head.header("authorization").and_then(|a| a.split_once(' '));
-        let bearer =
-            bearer.filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer")).map(|(_, key)| key.trim());
-        let key = bearer.or(head.header("x-api-key"));
-        let missing = (401, error(ErrorKind::Unauthorized, "no API key: send `Authorization: Bearer KEY`"));
-        let owner = self.config.keys.owner(key.ok_or(missing)?);
-        owner.map(Some).ok_or((401, error(ErrorKind::Unauthorized, "unknown API key")))
-    }
-
-    fn class(&self, call: &MessagesRequest, tenant: Option<usize>) -> Result<usize, Refusal> {
-        let class = match &call.class {
-            None => self.config.default_class,
-            Some(name) => {
-                let found = self.config.classes.iter().position(|c| c.name == *name);
-                found.ok_or_else(|| Refusal::new("metadata.class", format!("unknown class `{name}`")))?
-            }
-        };
-        let allowed = tenant.and_then(|t| self.config.tenants.get(t)).and_then(|t| t.classes.as_ref());
-        if allowed.is_some_and(|a| !a.contains(&class)) {
-            let reason = "this key does not allow the class";
-            return Err(Refusal { status: 403, field: "metadata.class".into(), reason: reason.into() });
-        }
-        Ok(class)
-    }
-
-    fn job(
-        &mut self,
-        conn: ConnId,
-        call: MessagesRequest,
-        class: usize,
-        tenant: Option<usize>,
-        identity: Option<Identity>,
-    ) -> Job {
-        // The start time keeps ids apart over lives, the name over routers.
-        let id = format!("{}-{:x}-{:x}", self.config.name, self.now.0, self.next_request);
-        self.next_request += 1;
-        let told = self.config.policy.classes.get(class).map(|c| c.deadline).unwrap_or_default();
-        let asked = call.deadline_ms.map_or(told, |ms| Micros(ms.saturating_mul(1_000)).min(told));
-        let request = p::Request {
-            id: id.as_str().into(),
-            class: p::ClassId(class),
-            tenant: tenant.map(p::TenantId),
-            session: call.session.as_ref().map(|s| {
-                let owner = tenant.map_or(String::new(), |t| t.to_string());
-                p::SessionId(format!("{owner}/{s}").into())
-            }),
-            prefix: call.prefix.as_ref().map(|(hash, _)| hash.as_str().into()),
-            prompt_tokens: call.prompt_tokens,
-            max_output: call.max_tokens,
-            deadline: self.now + (asked - self.config.waits.reply_margin.min(asked.mul_f64(0.5))),
-            came_back: call.came_back,
-        };
-        Job::new(conn, request, Call::Messages(Box::new(call)), identity, self.now)
-    }
-
-    fn keeps(&self, conn: ConnId) -> bool {
-        self.clients.get(&conn).is_some_and(|c| !c.last && c.wrong.is_none()) && !self.draining
-    }
-
-    pub(super) fn answer_error(&mut self, conn: ConnId, status: u16, body: &ErrorBody) {
-        let keep = self.keeps(conn);
-        // Decimal seconds where a dialect knows them, else whole ones.
-        let decimal = self.config.dialect.is_some();
-        let after =
-            body.retry_after.map(|s| if decimal { format!("{s:.3}") } else { format!("{}", s.ceil()) });
-        // Only what may be tried again without harm is worded so.
-        let refused = body.kind == ErrorKind::Refused || !decimal;
-        let status = if refused || !matches!(status, 429 | 503) { status } else { 500 };
-        let mut fields = vec![JSON];
-        if let Some(after) = &after {
-            fields.push(("retry-after", after));
-        }
-        self.write_client(conn, encode::response(status, &fields, &body.json(), keep));
-        self.answered(conn);
-    }
-
-    /// The present request has its answer: on to the next, or to the end.
-    pub(super) fn answered(&mut self, conn: ConnId) {
-        let keep = self.keeps(conn);
-        let Some(client) = self.clients.get_mut(&conn) else { return };
-        client.phase = Phase::Head;
-        client.used = true;
-        client.since = self.now;
-        if !keep && client.wrong.is_none() {
-            return self.close_client(conn);
-        }
-        let wait = if client.decoder.is_idle() { self.config.waits.idle } else { self.config.waits.head };
-        self.arm_client(conn, wait);
-        self.ready.push_back(conn);
-    }
-
-    /// Writes the head of a stream and its first event.
-    pub(super) fn open_stream(&mut self, conn: ConnId, id: &p::RequestId, model: &str) {
-        let fields =
-            [("content-type", "text/event-stream"), ("cache-control", "no-store"), ("x-request-id", &*id.0)];
-        let keep = self.keeps(conn);
-        let mut bytes = encode::chunked_head(200, &fields, keep);
-        push_event(&mut bytes, &client::Event::Opened { id: &id.0, model });
-        self.write_client(conn, bytes);
-    }
-
-    pub(super) fn stream_event(&mut self, conn: ConnId, event: &client::Event<'_>) {
-        let mut bytes = Vec::with_capacity(128);
-        push_event(&mut bytes, event);
-        self.write_client(conn, bytes);
-    }
-
-    /// The last event and the end of the response.
-    pub(super) fn end_stream(&mut self, conn: ConnId, event: &client::Event<'_>) {
-        let mut bytes = Vec::with_capacity(256);
-        push_event(&mut bytes, event);
-        bytes.extend_from_slice(encode::LAST_CHUNK);
-        self.write_client(conn, bytes);
-        self.answered(conn);
-    }
-
-    /// Bytes of a stream as they came, after a head if it begins.
-    pub(super) fn pass_on(&mut self, conn: ConnId, first: bool, data: &[u8]) {
-        let mut bytes = Vec::with_capacity(data.len() + 192);
-        if first {
-            let fields = [("content-type", "text/event-stream"), ("cache-control", "no-store")];
-            bytes = encode::chunked_head(200, &fields, self.keeps(conn));
-        }
-        encode::chunk(&mut bytes, data);
-        self.write_client(conn, bytes);
-    }
-
-    /// The stream that was passed on has ended well.
-    pub(super) fn end_passing(&mut self, conn: ConnId) {
-        self.write_client(conn, encode::LAST_CHUNK.to_vec());
-        self.answered(conn);
-    }
-
-    pub(super) fn whole_answer(&mut self, conn: ConnId, id: &p::RequestId, answer: &client::WholeAnswer<'_>) {
-        let body = serde_json::to_vec(answer).unwrap_or_default();
-        let keep = self.keeps(conn);
-        self.write_client(conn, encode::response(200, &[JSON, ("x-request-id", &*id.0)], &body, keep));
-        self.answered(conn);
-    }
-
     /// Whether so much waits for this client that its engine should not be read.
     pub(super) fn is_full(&self, conn: ConnId) -> bool {
         self.clients.get(&conn).is_some_and(|c| c.pending > self.config.bounds.client_buffer as u64)
@@ -585,12 +314,3 @@
         }
     }
 }
-
-/// The content type of all answers that are not streams.
-const JSON: (&str, &str) = ("content-type", "application/json");
-
-fn push_event(bytes: &mut Vec<u8>, event: &client::Event<'_>) {
-    let mut text = Vec::with_capacity(128);
-    chalkyard_proto::sse::write(&mut text, event.name(), None, &event.json());
-    encode::chunk(bytes, &text);
-}
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod attempts;
 mod budgets;
+mod client_answers;
 mod clients;
 mod job;
 mod moves;
@@ -10,6 +11,7 @@
 pub(crate) mod record;
 mod releases;
 mod replies;
+mod requests;
 mod sources;
 pub(crate) mod tally;
 pub(crate) mod view;
