On the platform a client's Idempotency-Key goes with each attempt

Ruled out: the class's other headers (none new), the body. Lines: Platform::attempt wrote three headers and not this one, so that engines could not tell repeats. Change: the key is read (one, one word of at most 128 characters, else 400) and written with each attempt of any class. Tests: an_idempotency_key_goes_with_each_attempt... red without it; three cases of bad keys.

--- a/crates/platform/src/head.rs
+++ b/crates/platform/src/head.rs
@@ -5,7 +5,9 @@
 use chalkyard_policy::Micros;
 use chalkyard_proto::Head;
 
-/// Longest id, session or prefix that is taken.
+/// The header that names a client's request over its repeats, with the name that the IETF gives it.
+pub(crate) const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
+/// Longest id, session, prefix or idempotency key that is taken.
 const NAME_BYTES: usize = 128;
 /// Longest wait that a client may name; the settings' deadlines are far under it.
 const WAIT_MOST: Micros = Micros(3_600_000_000);
@@ -82,6 +84,12 @@
 /// Characters of a token, as the platform counts.
 const TOKEN_BYTES: u64 = 4;
 
+/// The key by which engines know repeats of a guarded request: passed on as it came.
+pub(crate) fn idempotency_key(head: &Head) -> Result<Option<String>, Wrong> {
+    let key = one(head, IDEMPOTENCY_KEY)?;
+    key.map(|key| word(IDEMPOTENCY_KEY, key).map(str::to_owned)).transpose()
+}
+
 /// A request from its head, whose first byte came at `arrived`; `body_bytes` stand for its length where it names none.
 pub(crate) fn request(
     names: &Names,
--- a/crates/platform/src/speak.rs
+++ b/crates/platform/src/speak.rs
@@ -43,10 +43,11 @@
             (_, "/up" | "/v1/chat/completions") => return Heard::Wrong(405, "no such method here".into()),
             _ => return Heard::Wrong(404, "no such call".into()),
         }
-        match head::request(&self.names, arrived, head, body.len() as u64) {
-            Ok(request) => {
-                let passed = Passed { method: method.clone(), target: target.clone(), body };
-                Heard::Call(Box::new(request), passed)
+        let request = head::request(&self.names, arrived, head, body.len() as u64);
+        match request.and_then(|request| Ok((request, head::idempotency_key(head)?))) {
+            Ok((request, idempotency_key)) => {
+                let (method, target) = (method.clone(), target.clone());
+                Heard::Call(Box::new(request), Passed { method, target, idempotency_key, body })
             }
             Err(why) => Heard::Wrong(400, why),
         }
@@ -54,8 +55,12 @@
 
     fn attempt(&self, request: &p::Request, passed: &Passed, host: &str, wait: Micros) -> Vec<u8> {
         let wait = format!("{}u", wait.0);
-        let fields =
-            [("content-type", "application/json"), ("X-Request-ID", &*request.id.0), ("X-Timeout", &wait)];
+        let mut fields = vec![
+            ("content-type", "application/json"),
+            ("X-Request-ID", &*request.id.0),
+            ("X-Timeout", wait.as_str()),
+        ];
+        fields.extend(passed.idempotency_key.as_deref().map(|key| (head::IDEMPOTENCY_KEY, key)));
         encode::request(&passed.method, &passed.target, host, &fields, &passed.body)
     }
 
--- a/crates/platform/tests/flow.rs
+++ b/crates/platform/tests/flow.rs
@@ -139,6 +139,31 @@
     text.split(' ').nth(1).map(|s| s.parse().unwrap())
 }
 
+/// Engines discard repeats of a guarded class by it: without it every attempt is one that no client sent.
+#[test]
+fn an_idempotency_key_goes_with_each_attempt_as_it_came() {
+    for class in ["chat", "once"] {
+        let mut y = yard();
+        let mut with_key = fields("id-1", class);
+        with_key.push(("Idempotency-Key", "\"a96a4718-Zz\""));
+        let client = y.client();
+        y.bytes(client, &request(&with_key));
+        let read = call(&mut y);
+        reply(&mut y, read.conn, 202, &[], r#"{"cached_tokens":0}"#);
+        let first = call(&mut y);
+        reply(&mut y, first.conn, 503, &[("X-Not-Processed", "1")], "");
+        let second = call(&mut y);
+        for attempt in [read, first, second] {
+            assert_eq!(attempt.header("idempotency-key"), "\"a96a4718-Zz\"", "{class}: {}", attempt.port);
+        }
+    }
+    // None is made up.
+    let mut y = yard();
+    ask(&mut y, "id-2", "chat");
+    let read = call(&mut y);
+    assert!(read.headers.iter().all(|(name, _)| name != "idempotency-key"));
+}
+
 #[test]
 fn a_request_and_its_stream_pass_unchanged() {
     let mut y = yard();
@@ -287,6 +312,9 @@
         (400, but("X-Timeout", Some("-5m"))),
         (400, but("X-Timeout", None)),
         (400, but("X-Attrs", Some("prompt_len=-4"))),
+        (400, but("Idempotency-Key", Some(""))),
+        (400, but("Idempotency-Key", Some("two words"))),
+        (400, but("Idempotency-Key", Some("a".repeat(129).leak()))),
         (413, raw("content-length: 60000000\r\n")),
         (400, raw("content-length: -1\r\n")),
         (400, raw("content-length: 99999999999999999999\r\n")),
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -17,6 +17,8 @@
     pub method: String,
     /// Path and query.
     pub target: String,
+    /// The client's idempotency key, by which engines discard repeats of a guarded class.
+    pub idempotency_key: Option<String>,
     /// Body, byte for byte. Dropped once nothing can be sent any more.
     pub body: Vec<u8>,
 }
