A kept count beyond any prompt is no overflow; tests of contradictory lengths and settings

Seen: a kept count of 2^63 or more from a worker overflowed where it is compared with the prediction (a panic in a build that checks, a wrong comparison in a release). Change: it saturates. Tests: kept counts beyond the prompt (red without it), newer settings fields absent or absurd, a prefix said to be longer than its prompt, a prompt beyond the bound.

--- a/crates/platform/tests/reading.rs
+++ b/crates/platform/tests/reading.rs
@@ -116,3 +116,42 @@
         prop_assert_eq!(list.workers.len() + list.wrong.len(), 1);
     }
 }
+
+/// What the decisions don't use is not judged, so that newer fields, absent or absurd, keep no router from starting.
+#[test]
+fn newer_fields_of_the_settings_that_are_absent_or_absurd_change_nothing() {
+    let usual = with(|_| {}).unwrap();
+    for absurd in [json!(0), json!(-1), json!(1e300), json!("many"), json!(null), json!([1, 2])] {
+        let started = with(|v| {
+            let info = json!({"block": absurd, "chunk": absurd, "max_context": absurd});
+            v["settings"]["family_info"] = info;
+            v["settings"]["max_context"] = absurd.clone();
+        });
+        let started = started.unwrap_or_else(|why| panic!("{absurd}: {why}"));
+        assert_eq!(started.config.policy, usual.config.policy, "{absurd}");
+    }
+}
+
+/// A shared beginning that is said to be longer than its prompt, and a prompt longer than any memory.
+#[test]
+fn lengths_that_contradict_each_other_are_taken_and_lengths_beyond_bounds_are_refused() {
+    let class = json!({"name": "chat", "goal_time_s": 1.0, "deadline_s": 5.0, "repeat": "free", "group": "all", "stream": true});
+    let started = with(|v| v["settings"]["categories"] = json!([class])).unwrap();
+    let dialect = started.config.dialect.unwrap();
+    let heard = |attrs: &str| {
+        let fields =
+            [("X-Request-ID", "a"), ("X-Priority-Class", "chat"), ("X-Timeout", "900m"), ("X-Attrs", attrs)];
+        let bytes = chalkyard_proto::encode::request("POST", "/v1/chat/completions", "a", &fields, b"{}");
+        let mut decoder = Decoder::new(Side::Request, Default::default());
+        decoder.push(&bytes);
+        let Some(Part::Head(head)) = decoder.next_part().unwrap() else { panic!("no head") };
+        dialect.hear(Micros(5), &head, b"{}".to_vec())
+    };
+    let Heard::Call(request, _) = heard("prefix=5c0f,prompt_len=10,prefix_len=9000,max_out=8") else {
+        panic!("not taken")
+    };
+    assert_eq!(request.prompt_tokens, 10);
+    let Heard::Call(request, _) = heard("prompt_len=4294967296,max_out=8") else { panic!("not taken") };
+    assert_eq!(request.prompt_tokens, 1 << 32);
+    assert!(matches!(heard("prompt_len=4294967297,max_out=8"), Heard::Wrong(400, _)));
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -893,7 +893,7 @@
             }
             // The count corrects the note: far less kept than was told voids older notes there.
             let told = t.predicted.unwrap_or(0);
-            if outcome == Outcome::Served && kept * 2 < told {
+            if outcome == Outcome::Served && kept.saturating_mul(2) < told {
                 s.void_before = s.void_before.max(t.sent);
             }
             if let (Outcome::Served, Some(session)) = (outcome, &job.req.session) {
--- a/crates/policy/tests/bounds.rs
+++ b/crates/policy/tests/bounds.rs
@@ -341,3 +341,22 @@
         rig.fire(&asked);
     }
 }
+
+/// Counts that no worker can mean: more kept than the prompt has, and more than can be doubled.
+#[test]
+fn kept_counts_beyond_the_prompt_are_taken_for_the_whole_prompt() {
+    for kept in [LONG + 1, u64::MAX / 2 + 1, u64::MAX] {
+        let mut rig = Rig::new(settings(), fleet());
+        rig.wait(0.1);
+        rig.ask("a", "s", FREE, LONG);
+        let writer = sent(&rig.end("a", 0, Outcome::Parsed, kept)).unwrap().0;
+        rig.stream("a", 1);
+        rig.end("a", 1, Outcome::Served, kept);
+        // The next turn adds little, and is read at home, whose count is again beyond the prompt.
+        let next = LONG + 100;
+        assert_eq!(sent(&rig.ask("b", "s", FREE, next)).unwrap().0, writer);
+        rig.stream("b", 0);
+        rig.end("b", 0, Outcome::Served, kept);
+        assert_eq!(sent(&rig.ask("c", "s", FREE, next + 100)).unwrap().0, writer, "{kept}");
+    }
+}
