--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -696,7 +696,7 @@
         pair.filter(open).or(ranked.iter().find(open)).map(|s| s.info.id.clone())
     }
 
-    /// The worker with most room. A mixed server pulls a state where no writer may be used, or where it reports
+    /// The worker with most room. A mixed server pulls a state where no writer may be used, or where it has
     /// more room than any writer by `SPARE`: writers' memory can be full while their slots are not.
     fn roomiest(&self, job: &Job, from: Option<&WorkerId>) -> Option<WorkerId> {
         let [writers, mixed] = [Role::Writer, Role::Mixed].map(|role| self.pool(job, |r| r == role));
