--- a/crates/daemon/tests/common/peers.rs
+++ b/crates/daemon/tests/common/peers.rs
@@ -10,16 +10,22 @@
     missing_docs
 )]
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+#[path = "platform_router.rs"]
+mod platform_router;
+#[path = "sockets.rs"]
+mod sockets;
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
 
+pub use self::platform_router::*;
+pub use self::sockets::*;
+
 /// Every wait for a condition has this bound.
 pub const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -35,85 +41,6 @@
     }
 }
 
-/// A loopback address of this test's own, so that no outgoing connection can have taken its port.
-fn own_address() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let pid = std::process::id();
-    let ip =
-        Ipv4Addr::new(127, 10 + (pid % 200) as u8, (pid / 200) as u8, NEXT.fetch_add(1, Ordering::SeqCst));
-    SocketAddr::from((ip, 5000))
-}
-
-/// What the system's table of TCP sockets says of one.
-struct SocketRow {
-    state: u8,
-    /// Bytes that the other side has not taken.
-    unsent: u32,
-    /// Bytes that have come and were not read.
-    unread: u32,
-}
-
-/// The system's table of TCP sockets.
-fn socket_table() -> String {
-    std::fs::read_to_string("/proc/net/tcp").unwrap()
-}
-
-fn socket_row(table: &str, local: SocketAddr, remote: SocketAddr) -> Option<SocketRow> {
-    let hex = |at: SocketAddr| match at.ip() {
-        std::net::IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from(ip).swap_bytes(), at.port()),
-        std::net::IpAddr::V6(_) => panic!("IPv4 alone"),
-    };
-    let pair = format!(" {} {} ", hex(local), hex(remote));
-    let row: Vec<&str> = table.lines().find(|l| l.contains(&pair))?.split_whitespace().collect();
-    let (unsent, unread) = row[4].split_once(':').unwrap();
-    let number = |text: &str| u32::from_str_radix(text, 16).unwrap();
-    let state = u8::from_str_radix(row[3], 16).unwrap();
-    Some(SocketRow { state, unsent: number(unsent), unread: number(unread) })
-}
-
-/// A socket's state, and the bytes that the other side has not taken.
-fn socket_state(local: SocketAddr, remote: SocketAddr) -> Option<(u8, u32)> {
-    socket_row(&socket_table(), local, remote).map(|row| (row.state, row.unsent))
-}
-
-/// Waits until all that was written to it is at the other machine's system.
-pub fn arrived(s: &TcpStream) {
-    // Ended by the other side meanwhile: nothing waits.
-    let (Ok(local), Ok(remote)) = (s.local_addr(), s.peer_addr()) else { return };
-    // No row: the connection has ended, and nothing waits any more.
-    wait("bytes to arrive", || socket_state(local, remote).is_none_or(|(_, queue)| queue == 0).then_some(()));
-}
-
-/// Waits until the other process has read all that was written to it.
-pub fn taken(s: &TcpStream) {
-    let (local, remote) = (s.local_addr().unwrap(), s.peer_addr().unwrap());
-    wait("bytes to be read", || {
-        let table = socket_table();
-        let sent = socket_row(&table, local, remote).is_some_and(|row| row.unsent == 0);
-        let read = socket_row(&table, remote, local).is_some_and(|row| row.unread == 0);
-        (sent && read).then_some(())
-    });
-}
-
-/// Closes our side, and waits until the other has been told.
-pub fn fin(s: &TcpStream) {
-    let (local, remote) = (s.local_addr().unwrap(), s.peer_addr().unwrap());
-    s.shutdown(Shutdown::Write).unwrap();
-    // FIN_WAIT2: the end was acknowledged; CLOSE, TIME_WAIT or no row: both sides have ended.
-    wait("an end to arrive", || match socket_state(local, remote) {
-        Some((5..=7, _)) | None => Some(()),
-        Some(_) => None,
-    });
-}
-
-/// Resets the connection, and waits until the other side has been told.
-pub fn reset(s: TcpStream) {
-    let (local, remote) = (s.local_addr().unwrap(), s.peer_addr().unwrap());
-    socket2::SockRef::from(&s).set_linger(Some(Duration::ZERO)).unwrap();
-    drop(s);
-    wait("a reset to arrive", || socket_state(remote, local).is_none().then_some(()));
-}
-
 /// Discovery's agent, which a test turns silent, moves or feeds.
 pub struct Agent {
     pub at: SocketAddr,
@@ -411,167 +338,6 @@
     }
 }
 
-/// What a test's router is told.
-pub struct Setting {
-    pub sockets: u32,
-    pub resume: bool,
-    pub release_s: f64,
-    pub connect_s: f64,
-    pub max_attempts: u32,
-}
-
-impl Default for Setting {
-    fn default() -> Self {
-        Self { sockets: 256, resume: false, release_s: 1.0, connect_s: 0.25, max_attempts: 4 }
-    }
-}
-
-/// A router process on the platform.
-pub struct Router {
-    pub child: Child,
-    pub at: SocketAddr,
-    folder: PathBuf,
-    config: serde_json::Value,
-    log: BufReader<std::process::ChildStderr>,
-}
-
-impl Router {
-    pub fn start(name: &str, agent: &Agent, setting: &Setting) -> Self {
-        let at = own_address();
-        let class = |name: &str, repeat: &str| json!({"name": name, "goal_time_s": 1.0, "deadline_s": 5.0, "repeat": repeat, "group": "all", "stream": true});
-        let whole = agent.told.lock().unwrap().whole.clone();
-        let members: serde_json::Value = serde_json::from_str(&whole).unwrap();
-        let config = json!({
-            "name": "n1", "listen": at.to_string(), "discovery": agent.at.to_string(), "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": setting.sockets},
-            "known": {"revision": 41, "complete": true, "members": members},
-            "settings": {
-                "balancers": 1, "categories": [class("chat", "free"), class("once", "single_shot")], "dcs": ["hall"],
-                "discovery": "push", "kinds": ["reads", "writes", "both"],
-                "reporting": {"how": "inline", "fields": ["load_share"]},
-                "family_info": {"kv_tokens": [1e5, 1e5, 1e5], "release_s": setting.release_s, "resume": setting.resume,
-                                "self_prefill": false, "role_by_kind": ["read", "write", "both"]},
-                "limits": {"cancel": true, "max_attempts": setting.max_attempts, "retry_after": true,
-                           "max_retry_after_s": 1.0, "conn_idle_s": 30.0, "connect_timeout_s": setting.connect_s},
-                "rules": {"answer_slack_s": 0.05, "cold_from": 0.3, "cold_s": 8.0, "fall_multiple": 3.0, "fall_s": 2.0,
-                          "must_ask_in_s": 10.0},
-                "tenants": [{"name": "acme", "allowance_per_s": 1000.0}], "tick_s": 0.002, "weights": "off",
-            },
-        });
-        let folder = super::folder(name);
-        let file = folder.join("config.json");
-        std::fs::write(&file, config.to_string()).unwrap();
-        let (child, log) = Self::spawn(&file, setting.sockets);
-        let mut router = Self { child, at, folder, config, log };
-        router.wait_log("\"ready\"");
-        router
-    }
-
-    /// At its true limit of descriptors.
-    fn spawn(config: &Path, sockets: u32) -> (Child, BufReader<std::process::ChildStderr>) {
-        let mut child = Command::new("sh")
-            .args(["-c", &format!("ulimit -n {sockets}; exec \"$0\" platform"), super::EXE])
-            .env("GW_CONFIG", config)
-            .stderr(Stdio::piped())
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        let log = BufReader::new(child.stderr.take().unwrap());
-        (child, log)
-    }
-
-    /// Kills the process, which can say nothing more, and starts the next at the same address.
-    pub fn kill_and_start_again(&mut self, setting: &Setting) {
-        self.child.kill().unwrap();
-        self.child.wait().unwrap();
-        (self.child, self.log) = Self::spawn(&self.folder.join("config.json"), setting.sockets);
-        self.wait_log("\"ready\"");
-    }
-
-    /// Log lines up to one that holds `what`.
-    pub fn wait_log(&mut self, what: &str) -> String {
-        let mut line = String::new();
-        while self.log.read_line(&mut line).unwrap() > 0 {
-            if line.contains(what) {
-                return line;
-            }
-            line.clear();
-        }
-        panic!("the log ended without {what}");
-    }
-
-    fn kill(&self, signal: &str) {
-        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
-        assert!(status.success());
-    }
-
-    /// Stands still from its return on.
-    pub fn stop(&self) {
-        self.kill("-STOP");
-        let stat = format!("/proc/{}/stat", self.child.id());
-        wait("a stopped process", || {
-            let text = std::fs::read_to_string(&stat).ok()?;
-            text.rsplit_once(')')?.1.trim_start().starts_with('T').then_some(())
-        });
-    }
-
-    pub fn go_on(&self) {
-        self.kill("-CONT");
-    }
-
-    pub fn terminate(&self) {
-        self.kill("-TERM");
-    }
-
-    pub fn hang_up(&self) {
-        self.kill("-HUP");
-    }
-
-    /// Another configuration: as text, or with another address of discovery.
-    pub fn write_config(&self, text: &str) {
-        std::fs::write(self.folder.join("config.json"), text).unwrap();
-    }
-
-    pub fn config_at(&self, discovery: SocketAddr) -> String {
-        let mut config = self.config.clone();
-        config["discovery"] = json!(discovery.to_string());
-        config.to_string()
-    }
-
-    pub fn wait_end(&mut self) -> std::process::ExitStatus {
-        let child = &mut self.child;
-        wait("the process's end", || child.try_wait().unwrap())
-    }
-
-    pub fn is_running(&mut self) -> bool {
-        self.child.try_wait().unwrap().is_none()
-    }
-
-    pub fn connect(&self) -> TcpStream {
-        let s = TcpStream::connect(self.at).unwrap();
-        s.set_nodelay(true).unwrap();
-        s.set_read_timeout(Some(PATIENCE)).unwrap();
-        s
-    }
-
-    /// A client with one answered request behind it: one that the router knows, and may close.
-    pub fn known_client(&self) -> TcpStream {
-        let mut s = self.connect();
-        s.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
-        assert!(super::read_until(&mut s, "ok\n").starts_with("HTTP/1.1 200"));
-        s
-    }
-}
-
-impl Drop for Router {
-    fn drop(&mut self) {
-        // Only the process that this test has started; SIGKILL ends a stopped one too.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// A client's call of 20 tokens, or of as many as told.
 pub fn ask(id: &str, class: &str, tokens: u64) -> Vec<u8> {
     let body = r#"{"model":"chat","stream":true,"max_tokens":800,"messages":[]}"#;
@@ -602,19 +368,3 @@
         }
     }
 }
-
-/// Whether any connection to this address has been asked for and does not stand.
-pub fn connecting_to(at: SocketAddr) -> bool {
-    let port = format!(":{:04X}", at.port());
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    // SYN_SENT
-    table
-        .lines()
-        .map(|l| l.split_whitespace().collect::<Vec<_>>())
-        .any(|r| r.len() > 4 && r[2].ends_with(&port) && r[3] == "02")
-}
-
-/// Bytes that one machine's system holds for the other of a connection.
-pub fn unsent(local: SocketAddr, remote: SocketAddr) -> u32 {
-    socket_state(local, remote).expect("an open connection").1
-}
