--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod client_answers;
 mod clients;
 mod job;
+mod messages;
 mod moves;
 mod pool;
 pub(crate) mod record;
@@ -17,10 +18,9 @@
 pub(crate) mod view;
 
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use chalkyard_budget::{Grant, Keeper, Plan, Record, Settled};
+use chalkyard_budget::Keeper;
 use chalkyard_policy as p;
 use chalkyard_policy::{Action, Event, Micros};
 
@@ -30,96 +30,11 @@
 use crate::timers::Timers;
 use clients::Client;
 use job::Job;
+pub use messages::{ConnId, FinishedLine, Input, Output};
 use pool::{Engine, IdleTimeout, Link, Task};
-use record::Finished;
 use releases::{Release, ReleaseNo};
 use tally::Tally;
 
-/// A connection. Never given twice in a core's life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ConnId(pub u64);
-
-impl ConnId {
-    /// Whether the core chose it, for a connection of its own.
-    pub(crate) fn is_link(self) -> bool {
-        self.0 % 2 == 1
-    }
-}
-
-/// What a core hears.
-#[derive(Debug)]
-pub enum Input<'a> {
-    /// A client has connected; the shell chooses an even number.
-    Accepted(ConnId),
-    /// A connection that was asked for stands.
-    Connected(ConnId),
-    /// It does not, or is lost: nothing can be read or written any more.
-    Lost(ConnId),
-    /// It could not even be begun, for want of something here: its engine is not to blame.
-    Unconnected(ConnId),
-    /// Bytes came.
-    Bytes(ConnId, &'a [u8]),
-    /// The peer has closed its side.
-    Eof(ConnId),
-    /// So many bytes were taken by the system to be sent.
-    Wrote(ConnId, usize),
-    /// Time has passed.
-    Tick,
-    /// A lease of the budgets; its signature was checked.
-    Granted(Box<Grant>),
-    /// The ledger can, or can't, be written from now on.
-    Writable(bool),
-    /// The ledger wants all state, for the head of a new segment.
-    Checkpoint,
-    /// Other budgets, rates and prices.
-    Replan(Box<Plan>),
-    /// Other keys, bounds and waits.
-    Retune(Box<Tuned>),
-    /// The life before has ended a request that it had taken.
-    Inherited(Box<Settled>),
-    /// The list of workers comes from there from now on.
-    Register(SocketAddr),
-    /// The life before is over.
-    InheritedAll,
-}
-
-/// What a core wants done, in order.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Output {
-    /// Connect to an engine or the register.
-    Connect(ConnId, SocketAddr),
-    /// Write bytes.
-    Write(ConnId, Vec<u8>),
-    /// Close once all is written.
-    Close(ConnId),
-    /// Close now; what is not written is dropped.
-    Abort(ConnId),
-    /// Read no more from it for now.
-    Pause(ConnId),
-    /// Read it again.
-    Resume(ConnId),
-    /// Keep this list for the next start.
-    KeepList(String),
-    /// Keep this in the ledger, under this number: before anything that follows it leaves the router.
-    Record(u64, Box<Record>),
-    /// A request is over.
-    Finished(Box<FinishedLine>),
-    /// What was done in one second.
-    Tally(Box<Tally>),
-    /// Something to tell an operator.
-    Note(&'static str, String),
-}
-
-/// A record with its own comparison, so that outputs can be compared in tests.
-#[derive(Debug, Clone)]
-pub struct FinishedLine(pub Finished);
-
-impl PartialEq for FinishedLine {
-    fn eq(&self, other: &Self) -> bool {
-        self.0.id == other.0.id
-    }
-}
-
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Due {
     Module(p::TimerId),
