The preferred cell counts readers and writers once a choice, not once a writer

Seen on reading the change again: cell_for, as rewritten for room, walked all servers anew for each writer and each comparison: work that grows with writers times servers on each pull of a crowded cell. Lines: the closures burden and lot of cell_for. Change: readers and writers of each cell are counted once into a table, each lot is drawn once; the chances are the same. The saved time was not measured.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -736,21 +736,21 @@
     /// the rest to cells with writers to spare, those of the reader's zone first.
     fn cell_for(&self, job: &Job, at: &Worker, pool: &[&Server]) -> Option<CellId> {
         let reads = |s: &&Server| s.info.role == Role::Reader && s.info.lifecycle != Lifecycle::Out;
+        let mut cells: BTreeMap<CellId, (f64, f64)> = BTreeMap::new();
+        self.servers.values().filter(reads).for_each(|s| cells.entry(s.info.cell).or_default().0 += 1.0);
+        pool.iter().for_each(|s| cells.entry(s.info.cell).or_default().1 += 1.0);
         // Readers of a cell for each of its writers, over those of all.
-        let burden = |cell: CellId| {
-            let readers = self.servers.values().filter(reads).filter(|s| s.info.cell == cell).count() as f64;
-            let writers = pool.iter().filter(|s| s.info.cell == cell).count() as f64;
-            readers / self.peers(Role::Reader) * pool.len() as f64 / writers.max(1e-9)
-        };
-        if self.coin(&*job.req.id.0, &at.id.0) * burden(at.cell) < 1.0 {
+        let usual = self.peers(Role::Reader) / pool.len().max(1) as f64;
+        let burden = |at: &CellId| cells.get(at).map_or(0.0, |(r, w)| r / w.max(1e-9) / usual);
+        if self.coin(&*job.req.id.0, &at.id.0) * burden(&at.cell) < 1.0 {
             return Some(at.cell);
         }
         let zone = |s: &Server| if s.info.zone == at.zone { 1.0 } else { FAR };
-        let spare = |s: &Server| (1.0 - burden(s.info.cell)).max(0.0) * zone(s);
+        let spare = |s: &Server| (1.0 - burden(&s.info.cell)).max(0.0) * zone(s);
         // The largest of such powers of a coin falls to each as often as its exponent's inverse weighs.
         let lot = |s: &Server| self.coin(&*job.req.id.0, &s.info.id.0).powf(1.0 / spare(s));
-        let spared = pool.iter().filter(|s| spare(s) > 0.0);
-        spared.max_by(|a, b| lot(a).total_cmp(&lot(b))).map(|s| s.info.cell)
+        let lots = pool.iter().filter(|s| spare(s) > 0.0).map(|s| (lot(s), s.info.cell));
+        lots.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, cell)| cell)
     }
 
     fn coin(&self, what: impl AsRef<[u8]>, w: &str) -> f64 {
