--- a/crates/daemon/tests/common/platform_router.rs
+++ b/crates/daemon/tests/common/platform_router.rs
@@ -1,12 +1,4 @@
 //! A router process on the platform: its settings, its signals, its log, its clients' connections.
-#![allow(
-    dead_code,
-    clippy::unwrap_used,
-    clippy::expect_used,
-    clippy::panic,
-    clippy::indexing_slicing,
-    missing_docs
-)]
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
--- a/crates/daemon/tests/common/sockets.rs
+++ b/crates/daemon/tests/common/sockets.rs
@@ -1,12 +1,4 @@
 //! What the system's table says of sockets, and ends and resets that have surely arrived.
-#![allow(
-    dead_code,
-    clippy::unwrap_used,
-    clippy::expect_used,
-    clippy::panic,
-    clippy::indexing_slicing,
-    missing_docs
-)]
 
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
