Scale tests of our own; settings read in time of their length; signals before settings

Need: how the program bears 340 routers, 880 workers and 39,000 tenants. Causes of two faults on the way: read() copied all names known so far for each tenant (settings.rs), budgets, engines and a reload's places searched lists; run, platform and settle took up signals after their settings, so that SIGHUP ended a process that still read.

--- a/crates/daemon/src/bill.rs
+++ b/crates/daemon/src/bill.rs
@@ -9,9 +9,9 @@
 use chalkyard_budget::{Record, Span};
 use chalkyard_ledger::{read, segment_number, Folder, Volume};
 
-use crate::budget_settings::Budgets;
 use crate::settle::{Adjustments, Change};
 use crate::{Format, Trouble};
+use chalkyard_settings::Budgets;
 
 /// Longest line of an engine's record.
 const LINE_BYTES: usize = 64 * 1024;
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -6,12 +6,12 @@
 use chalkyard_budget::{AccountKey, Kind};
 use clap::{Args, Subcommand, ValueEnum};
 
-use crate::budget_settings::{Budgets, Settlement};
 use crate::keeping::now;
 use crate::settle::{
     add_adjustment, adjusted, parts, settler, Adjustment, Adjustments, Change, Journal, Sums,
 };
 use crate::{Format, Trouble};
+use chalkyard_settings::{Budgets, Settlement};
 
 #[derive(Debug, Clone, Copy, ValueEnum)]
 pub enum Period {
--- a/crates/daemon/src/fuzz_test.rs
+++ b/crates/daemon/src/fuzz_test.rs
@@ -3,7 +3,6 @@
 use proptest::prelude::*;
 
 use crate::control::Call;
-use crate::settings;
 
 const EXAMPLES: [&str; 2] =
     [include_str!("../../../deploy/example.xml"), include_str!("../../../deploy/budgets.xml")];
@@ -29,7 +28,7 @@
 ];
 
 fn check(text: &str) -> Result<(), TestCaseError> {
-    if let Err(wrong) = settings::read(text) {
+    if let Err(wrong) = chalkyard_settings::read(text) {
         prop_assert!(!wrong.is_empty());
         let lines = text.matches('\n').count() as u32 + 1;
         for w in wrong {
--- a/crates/daemon/src/keeping.rs
+++ b/crates/daemon/src/keeping.rs
@@ -15,10 +15,10 @@
 use chalkyard_state::Act;
 use tracing::{info, warn};
 
-use crate::budget_settings::Budgets;
 use crate::logs::Log;
 use crate::reload::Reloader;
 use crate::{notify, Trouble};
+use chalkyard_settings::Budgets;
 
 /// A grant is looked for so often.
 const LOOK: Duration = Duration::from_millis(50);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,6 @@
 //! 5 a router was told twice to end.
 
 mod bill;
-mod budget_settings;
 mod budgets;
 mod control;
 #[cfg(test)]
@@ -20,9 +19,7 @@
 mod reload;
 mod replay;
 mod run;
-mod settings;
 mod settle;
-mod xml;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -229,18 +226,18 @@
     std::fs::read_to_string(file).map_err(|e| Trouble::BadInput(format!("{}: {e}", file.display())))
 }
 
-fn load(file: &PathBuf) -> Result<settings::Settings, Trouble> {
+fn load(file: &PathBuf) -> Result<chalkyard_settings::Settings, Trouble> {
     load_text(file, &read(file)?)
 }
 
-fn load_text(file: &Path, text: &str) -> Result<settings::Settings, Trouble> {
-    settings::read(text).map_err(|errors| {
+fn load_text(file: &Path, text: &str) -> Result<chalkyard_settings::Settings, Trouble> {
+    chalkyard_settings::read(text).map_err(|errors| {
         let lines: Vec<String> = errors.iter().map(|e| format!("{}:{e}", file.display())).collect();
         Trouble::BadInput(lines.join("\n"))
     })
 }
 
-fn with_budgets(file: &PathBuf) -> Result<budget_settings::Budgets, Trouble> {
+fn with_budgets(file: &PathBuf) -> Result<chalkyard_settings::Budgets, Trouble> {
     load(file)?.budgets.ok_or_else(|| Trouble::BadInput(format!("{}: no <budgets>", file.display())))
 }
 
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -108,12 +108,12 @@
 /// Runs a router. SIGTERM or SIGINT ends it once all that is open has ended; SIGHUP has the configuration read again.
 pub fn platform(file: Option<PathBuf>) -> Result<ExitCode, Trouble> {
     logs::start("info,request=off");
+    let could_not = |what: &str, e: std::io::Error| Trouble::CouldNotRun(format!("{what}: {e}"));
+    // Before anything slow: until then a signal ends the process. What comes before the loop runs waits for it.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| could_not("signals", e))?;
     let none = || Trouble::BadInput(format!("{FILE} names no configuration; give its file"));
     let file = file.or_else(|| std::env::var_os(FILE).map(PathBuf::from)).ok_or_else(none)?;
     let started = read(&file).map_err(Trouble::BadInput)?;
-    let could_not = |what: &str, e: std::io::Error| Trouble::CouldNotRun(format!("{what}: {e}"));
-    // Before anything else, so that no signal ends the process by default.
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| could_not("signals", e))?;
     let clock = Clock::new();
     let mut config = started.config;
     config.policy.tick = config.policy.tick.max(granularity());
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -10,13 +10,12 @@
 
 use chalkyard_router::shell::News;
 use chalkyard_router::Tuned;
+use chalkyard_settings::xml::parse;
+use chalkyard_settings::Settings;
 use roxmltree::Node;
 use serde::Serialize;
 use tracing::{info, warn};
 
-use crate::settings::{self, Settings};
-use crate::xml::parse;
-
 /// Bytes of a settings file that are read.
 const FILE_BYTES: u64 = 64 * 1024 * 1024;
 
@@ -153,13 +152,30 @@
         let name = self.file.display();
         let bytes = crate::keeping::read_some(&self.file, FILE_BYTES).map_err(|e| format!("{name}: {e}"))?;
         let text = String::from_utf8(bytes).map_err(|_| format!("{name}: not UTF-8"))?;
-        let fresh = settings::read(&text).map_err(|wrong| {
+        let fresh = chalkyard_settings::read(&text).map_err(|wrong| {
             let lines: Vec<String> = wrong.iter().map(|w| format!("{name}:{w}")).collect();
             lines.join("; ")
         })?;
         Ok((differences(held, &text)?, fresh, text))
     }
 
+    /// What the loop is told: tenants are those of the start, in their order, as the fresh settings have them.
+    fn tuned(&self, fresh: &Settings) -> Tuned {
+        let names = fresh.config.tenants.iter().enumerate().map(|(place, t)| (t.name.as_str(), place));
+        let fresh_places: BTreeMap<&str, usize> = names.collect();
+        let places: Vec<Option<usize>> =
+            self.tenants.iter().map(|name| fresh_places.get(name.as_str()).copied()).collect();
+        let placed = places.iter().enumerate().filter_map(|(own, fresh)| fresh.map(|fresh| (fresh, own)));
+        let own_places: BTreeMap<usize, usize> = placed.collect();
+        let classes = |place: &Option<usize>| fresh.config.tenants.get((*place)?)?.classes.clone();
+        Tuned {
+            keys: fresh.config.keys.owned_by(|owner| own_places.get(&owner).copied()),
+            classes: places.iter().map(classes).collect(),
+            bounds: fresh.config.bounds,
+            waits: fresh.config.waits,
+        }
+    }
+
     /// Reloads: all that changed, or nothing. One after the other: the last one's file is the one that holds.
     pub fn reload(&self) {
         let Ok(mut held) = self.text.lock() else { return };
@@ -178,17 +194,7 @@
         if !late.is_empty() {
             return;
         }
-        let fresh_place = |name: &String| fresh.config.tenants.iter().position(|t| t.name == *name);
-        let places: Vec<Option<usize>> = self.tenants.iter().map(fresh_place).collect();
-        let of_fresh = |owner: usize| places.iter().position(|p| *p == Some(owner));
-        let may =
-            |p: &Option<usize>| p.and_then(|p| fresh.config.tenants.get(p)).and_then(|t| t.classes.clone());
-        let tuned = Tuned {
-            keys: fresh.config.keys.owned_by(of_fresh),
-            classes: places.iter().map(may).collect(),
-            bounds: fresh.config.bounds,
-            waits: fresh.config.waits,
-        };
+        let tuned = self.tuned(&fresh);
         let mut news = vec![News::Retune(Box::new(tuned))];
         news.extend(fresh.budgets.map(|b| News::Replan(Box::new(b.plan))));
         for one in news {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -55,10 +55,12 @@
 ) -> Result<ExitCode, Trouble> {
     logs::start("info");
     let began = std::time::Instant::now();
+    let could_not = |what: &str, e: std::io::Error| Trouble::CouldNotRun(format!("{what}: {e}"));
+    // Before anything slow: until then a signal ends the process. What comes before the loop runs waits for it.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| could_not("signals", e))?;
     let text = crate::read(file)?;
     let settings = crate::load_text(file, &text)?;
     let tenants = settings.config.tenants.iter().map(|t| t.name.clone()).collect();
-    let could_not = |what: &str, e: std::io::Error| Trouble::CouldNotRun(format!("{what}: {e}"));
     let clock = Clock::new();
     let seed = seed.unwrap_or(clock.now().0);
     let mut config = settings.config;
@@ -122,7 +124,6 @@
         .control
         .map(|path| control::serve(&path, handle.clone(), reloader.clone(), take_over))
         .transpose()?;
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| could_not("signals", e))?;
     std::thread::spawn(move || {
         for signal in signals.forever() {
             let event = if signal == SIGHUP { Event::Reload } else { Event::Terminate };
--- a/crates/daemon/src/settle.rs
+++ b/crates/daemon/src/settle.rs
@@ -12,9 +12,9 @@
 use signal_hook::iterator::Signals;
 use tracing::{info, warn};
 
-use crate::budget_settings::{Budgets, Settlement};
 use crate::keeping::{deliver, is_checkpoint, now, read_key, read_some};
 use crate::{logs, Trouble};
+use chalkyard_settings::{Budgets, Settlement};
 
 /// Rounds kept in the journal, for whoever wants to look.
 const KEPT: u64 = 64;
@@ -272,6 +272,9 @@
 /// Runs rounds until it is told to stop; SIGHUP reads the settings again.
 pub fn settle(file: &PathBuf, rounds: Option<u64>) -> Result<ExitCode, Trouble> {
     logs::start("info");
+    // Before anything slow: until then a signal ends the process.
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| Trouble::CouldNotRun(e.to_string()))?;
     let none = || Trouble::BadInput(format!("{}: no <budgets>", file.display()));
     let mut budgets = crate::load(file)?.budgets.ok_or_else(none)?;
     let (settlement, key) = parts(&budgets)?;
@@ -281,8 +284,6 @@
     let mut settler = settler(&budgets.plan, &settlement, &journal)?;
     let mut by_hand = Adjustments::new(&settlement);
     let mut sums = Sums::new(&settlement);
-    let mut signals =
-        Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| Trouble::CouldNotRun(e.to_string()))?;
     info!(target: "settle", routers = settlement.routers.len(), "ready");
     let epoch = Duration::from_micros(settlement.terms.epoch);
     let (mut next, mut done) = (Instant::now(), 0);
--- a/crates/load/src/budgets.rs
+++ b/crates/load/src/budgets.rs
@@ -18,6 +18,11 @@
 const NOW: Time = Time(1_796_100_000_000_000);
 
 fn plan(tenants: usize) -> Plan {
+    plan_for(tenants, 16, 1_000_000)
+}
+
+/// Two budgets and a rate for each of so many tenants, shared by leases.
+pub fn plan_for(tenants: usize, routers: u32, epoch: u64) -> Plan {
     let (mut limits, mut rates) = (BTreeMap::new(), BTreeMap::new());
     for i in 0..tenants {
         let tenant: Box<str> = format!("tenant-{i:05}").into();
@@ -42,7 +47,7 @@
         limits,
         rates,
         margin: 100,
-        mode: Mode::Leases { epoch: 1_000_000, routers: 16 },
+        mode: Mode::Leases { epoch, routers },
         prices: Vec::new(),
     }
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -8,6 +8,7 @@
 mod canned;
 mod clients;
 mod relay;
+mod scale;
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -54,6 +55,11 @@
         #[arg(long, default_value_t = 10_000_000, value_parser = clap::value_parser!(u64).range(1_000..=50_000_000))]
         records: u64,
     },
+    /// Measure each role of a large fleet at parts of its size: slopes, and the part at which each budget breaks.
+    Scale(scale::Arguments),
+    /// One part of it at one size, in this process.
+    #[command(hide = true)]
+    ScaleOne(scale::OneArguments),
     /// Measure: requests and events a second, added time to first token, memory of open streams.
     Compare {
         /// The `chalkyard` program.
@@ -73,6 +79,10 @@
 
 type Error = Box<dyn std::error::Error>;
 
+/// Counts what is allocated: memory of a state is told in bytes that are the same every time.
+#[global_allocator]
+static ALLOCATOR: cap::Cap<std::alloc::System> = cap::Cap::new(std::alloc::System, usize::MAX);
+
 /// A process on one core, ended with its owner.
 struct Pinned(Child);
 
@@ -229,6 +239,8 @@
         Task::Budgets { router, seconds, connections, records } => {
             budgets::run(&router, seconds, connections, records)
         }
+        Task::Scale(arguments) => scale::run(&arguments),
+        Task::ScaleOne(arguments) => scale::one(&arguments),
         Task::Compare { router, seconds, connections, streams } => {
             compare(&router, seconds, connections, streams)
         }
--- a/crates/daemon/src/budget_settings.rs
+++ b/crates/settings/src/budgets.rs
@@ -1,6 +1,6 @@
-//! The `<budgets>` part of the settings.
+//! `<budgets>`: token budgets, the ledger, the settlement job.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 };
 use chalkyard_policy as p;
 
-use crate::settings::{Name, Span, Text};
+use crate::values::{Name, Span, Text, UniqueNames};
 use crate::xml::{Element, Errors, Value};
 
 /// What `<budgets>` says.
@@ -122,7 +122,7 @@
 
 /// What the rest of the file knows.
 pub struct Known<'a> {
-    pub tenants: Vec<&'a str>,
+    pub tenants: BTreeSet<&'a str>,
     pub classes: Vec<(&'a str, &'a p::Class)>,
     pub routers: u32,
 }
@@ -168,7 +168,7 @@
 
 fn tenant(e: &mut Element<'_, '_>, known: &Known<'_>, errors: &mut Errors) -> Box<str> {
     let name = e.must("tenant", Name("-".into()), errors).0;
-    if !known.tenants.contains(&name.as_str()) {
+    if !known.tenants.contains(name.as_str()) {
         e.wrong(Some("tenant"), format!("no <tenant name=\"{name}\">"), errors);
     }
     name.into()
@@ -233,12 +233,10 @@
     if terms.lease < terms.epoch.saturating_mul(3) {
         e.wrong(Some("lease"), "must be at least three epochs, so that a late round does no harm", errors);
     }
-    let mut routers: Vec<(String, PathBuf)> = Vec::new();
+    let (mut routers, mut names): (Vec<(String, PathBuf)>, _) = (Vec::new(), UniqueNames::default());
     for mut r in e.children(&["ledger"], errors) {
         let name = r.must("router", Name("-".into()), errors).0;
-        if routers.iter().any(|(n, _)| *n == name) {
-            r.wrong(Some("router"), format!("`{name}` is there twice"), errors);
-        }
+        names.add(&name, &r, "router", errors);
         routers.push((name, r.must("folder", Text(String::new()), errors).0.into()));
         r.done(errors);
     }
--- /dev/null
+++ b/crates/settings/src/classes.rs
@@ -0,0 +1,76 @@
+//! `<classes>`: what requests may be of, and how far each may be repeated.
+
+use chalkyard_policy as p;
+use chalkyard_policy::Micros;
+use chalkyard_router::ClassEntry;
+
+use crate::values::{EffectKind, EffectWord, GroupWord, Name, Span, UniqueNames};
+use crate::xml::{Element, Errors};
+
+/// The classes by position, for the router and for the decision module.
+#[derive(Debug, Default)]
+pub struct Classes {
+    pub entries: Vec<ClassEntry>,
+    pub policies: Vec<p::Class>,
+    /// The class of requests that name none.
+    pub default: Option<usize>,
+}
+
+impl Classes {
+    /// The position of a class.
+    pub fn position(&self, name: &str) -> Option<usize> {
+        self.entries.iter().position(|c| c.name == name)
+    }
+}
+
+/// Reads `<classes>`.
+pub fn classes(list: &mut Element<'_, '_>, errors: &mut Errors) -> Classes {
+    let (mut classes, mut names) = (Classes::default(), UniqueNames::default());
+    for mut element in list.children(&["class"], errors) {
+        let (name, class) = class(&mut element, errors);
+        names.add(&name, &element, "name", errors);
+        classes.entries.push(ClassEntry { name });
+        classes.policies.push(class);
+    }
+    if classes.entries.is_empty() {
+        list.wrong(None, "<classes> needs at least one <class>", errors);
+    }
+    let name = list.must("default", Name("-".into()), errors).0;
+    classes.default = classes.position(&name);
+    if classes.default.is_none() {
+        list.wrong(Some("default"), format!("no <class name=\"{name}\">"), errors);
+    }
+    list.done(errors);
+    classes
+}
+
+fn class(e: &mut Element<'_, '_>, errors: &mut Errors) -> (String, p::Class) {
+    let name = e.must("name", Name("-".into()), errors).0;
+    let deadline = e.must("deadline", Span(Micros(10_000_000)), errors).0;
+    let aim = e.must("aim", Span(Micros(1_000_000)), errors).0;
+    if aim >= deadline {
+        e.wrong(Some("aim"), "the aim must be under the deadline", errors);
+    }
+    let effect = e.must("effect", EffectWord(EffectKind::SingleShot), errors).0;
+    let group = e.maybe::<GroupWord>("group", errors).map(|g| g.0);
+    let window = e.maybe::<Span>("dedup-window", errors).map(|s| s.0);
+    if effect == EffectKind::Guarded && (group.is_none() || window.is_none()) {
+        e.wrong(None, "a guarded class needs `group` and `dedup-window`", errors);
+    }
+    if effect != EffectKind::Guarded && (group.is_some() || window.is_some()) {
+        e.wrong(None, "`group` and `dedup-window` are for guarded classes", errors);
+    }
+    let class = p::Class {
+        aim,
+        aim_per_1000_tokens: e.or("aim-per-1000-tokens", Span(Micros(0)), errors).0,
+        deadline,
+        effect: match effect {
+            EffectKind::Free => p::Effect::Free,
+            EffectKind::Guarded => p::Effect::Guarded(group.unwrap_or(p::Group::Cell)),
+            EffectKind::SingleShot => p::Effect::SingleShot,
+        },
+        dedup_window: window.unwrap_or_default(),
+    };
+    e.done(errors);
+    (name, class)
+}
--- /dev/null
+++ b/crates/settings/src/document.rs
@@ -0,0 +1,162 @@
+//! The whole document: its parts in the order in which they refer to each other.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use chalkyard_policy as p;
+use chalkyard_policy::Micros;
+use chalkyard_router::{Bounds, Config, Waits};
+
+use crate::budgets::{self, Budgets};
+use crate::classes::{classes, Classes};
+use crate::fleet::{engines, kinds, zones, Kinds, Zones};
+use crate::limits::{bounds, waits};
+use crate::rules::policy;
+use crate::tenants::{tenants, Tenants};
+use crate::values::{Name, Span, Text};
+use crate::xml::{parse, Element, Errors, Wrong};
+
+/// The namespace of settings of this version.
+pub const NAMESPACE: &str = "urn:chalkyard:settings:1";
+
+/// The parts of a document, each there once at most.
+const PARTS: [&str; 10] =
+    ["router", "rules", "bounds", "waits", "zones", "kinds", "classes", "tenants", "budgets", "engines"];
+/// Those without which there is no router.
+const NEEDED: [&str; 3] = ["router", "kinds", "classes"];
+
+/// A checked settings file.
+#[derive(Debug)]
+pub struct Settings {
+    /// What the router is told.
+    pub config: Config,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Several routers may listen there.
+    pub shared_port: bool,
+    /// Where the list of workers is kept for the next start.
+    pub list_file: Option<PathBuf>,
+    /// Engines that the file itself names, as a list for the router's start.
+    pub engines: Option<String>,
+    /// How long a drain waits for open requests.
+    pub drain_for: Duration,
+    /// The control socket.
+    pub control: Option<PathBuf>,
+    /// Token budgets, a ledger and bills.
+    pub budgets: Option<Budgets>,
+}
+
+type Parts<'a, 'i> = BTreeMap<&'a str, Element<'a, 'i>>;
+
+/// The parts of the document by their tags.
+fn parts<'a, 'i>(root: &Element<'a, 'i>, errors: &mut Errors) -> Parts<'a, 'i> {
+    root.done(errors);
+    let mut parts = Parts::new();
+    for child in root.children(&PARTS, errors) {
+        if let Some(second) = parts.insert(child.tag(), child) {
+            second.wrong(None, format!("<{}> is there twice", second.tag()), errors);
+        }
+    }
+    for needed in NEEDED {
+        if !parts.contains_key(needed) {
+            root.wrong(None, format!("<chalkyard> needs <{needed}>"), errors);
+        }
+    }
+    parts
+}
+
+/// What the parts say besides `<router>`.
+struct Shared {
+    policy: p::Settings,
+    zones: Zones,
+    kinds: Kinds,
+    classes: Classes,
+    tenants: Tenants,
+    budgets: Option<Budgets>,
+    engines: Option<String>,
+    bounds: Bounds,
+    waits: Waits,
+}
+
+fn shared(parts: &mut Parts<'_, '_>, router: &mut Element<'_, '_>, errors: &mut Errors) -> Shared {
+    let mut policy = policy(router, &mut parts.remove("rules"), errors);
+    let zones = parts.remove("zones").map(|list| zones(&list, errors)).unwrap_or_default();
+    let kinds = parts.remove("kinds").map(|list| kinds(&list, errors)).unwrap_or_default();
+    let mut classes = parts.remove("classes").map(|mut list| classes(&mut list, errors)).unwrap_or_default();
+    policy.classes = std::mem::take(&mut classes.policies);
+    let tenants = parts.remove("tenants").map(|mut list| tenants(&mut list, &classes, errors));
+    let mut tenants = tenants.unwrap_or_default();
+    policy.tenants = std::mem::take(&mut tenants.policies);
+    let budgets = parts.remove("budgets").map(|mut part| {
+        let known = budgets::Known {
+            tenants: tenants.entries.iter().map(|t| t.name.as_str()).collect(),
+            classes: classes.entries.iter().map(|c| c.name.as_str()).zip(&policy.classes).collect(),
+            routers: policy.routers,
+        };
+        budgets::read(&mut part, &known, errors)
+    });
+    let engines = parts.remove("engines").map(|list| engines(&list, &zones, &kinds, errors));
+    let bounds = parts.remove("bounds").map_or_else(Bounds::default, |mut part| bounds(&mut part, errors));
+    let waits = parts.remove("waits").map_or_else(Waits::default, |mut part| waits(&mut part, errors));
+    Shared { policy, zones, kinds, classes, tenants, budgets, engines, bounds, waits }
+}
+
+fn settings(router: &mut Element<'_, '_>, shared: Shared, errors: &mut Errors) -> Settings {
+    let register = router.maybe::<SocketAddr>("register", errors);
+    if register.is_none() && shared.engines.is_none() {
+        router.wrong(None, "engines must come from somewhere: `register` of <router>, or <engines>", errors);
+    }
+    let drain = router.or("drain", Span(Micros(20_000_000)), errors).0;
+    let settings = Settings {
+        listen: router.must("listen", SocketAddr::from(([127, 0, 0, 1], 0)), errors),
+        shared_port: router.or("shared-port", false, errors),
+        list_file: router.maybe::<Text>("list-file", errors).map(|t| t.0.into()),
+        control: router.maybe::<Text>("control", errors).map(|t| t.0.into()),
+        drain_for: Duration::from_micros(drain.0),
+        engines: shared.engines,
+        budgets: shared.budgets,
+        config: Config {
+            name: router.must("name", Name("-".into()), errors).0,
+            policy: shared.policy,
+            classes: shared.classes.entries,
+            default_class: shared.classes.default.unwrap_or(0),
+            tenants: shared.tenants.entries,
+            keys: shared.tenants.keys,
+            zones: shared.zones,
+            kinds: shared.kinds,
+            register,
+            bounds: shared.bounds,
+            waits: shared.waits,
+            dialect: None,
+        },
+    };
+    router.done(errors);
+    settings
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// All that is wrong with it, in the order of the file.
+pub fn read(text: &str) -> Result<Settings, Vec<Wrong>> {
+    let document = parse(text).map_err(|w| vec![w])?;
+    let mut errors = Errors::default();
+    let root = Element::new(document.root_element());
+    let named = document.root_element().tag_name();
+    if named.name() != "chalkyard" || named.namespace() != Some(NAMESPACE) {
+        root.wrong(None, format!("the root must be <chalkyard xmlns=\"{NAMESPACE}\">"), &mut errors);
+        return Err(errors.0);
+    }
+    let mut parts = parts(&root, &mut errors);
+    let Some(mut router) = parts.remove("router") else { return Err(errors.0) };
+    let shared = shared(&mut parts, &mut router, &mut errors);
+    let settings = settings(&mut router, shared, &mut errors);
+    if errors.0.is_empty() {
+        Ok(settings)
+    } else {
+        errors.0.sort_by_key(|w| (w.line, w.column));
+        Err(errors.0)
+    }
+}
--- /dev/null
+++ b/crates/settings/src/fleet.rs
@@ -0,0 +1,79 @@
+//! `<zones>`, `<kinds>` and `<engines>`: what there is to route to.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use chalkyard_policy as p;
+use chalkyard_router::KindEntry;
+
+use crate::values::{Name, Positive, RoleWord, UniqueNames};
+use crate::xml::{Element, Errors};
+
+/// Zones by name.
+pub type Zones = BTreeMap<String, p::ZoneId>;
+/// Kinds of engines by name.
+pub type Kinds = BTreeMap<String, KindEntry>;
+
+/// Reads `<zones>`.
+pub fn zones(list: &Element<'_, '_>, errors: &mut Errors) -> Zones {
+    let (mut zones, mut names) = (Zones::new(), UniqueNames::default());
+    for (position, mut zone) in list.children(&["zone"], errors).into_iter().enumerate() {
+        let name = zone.must("name", Name("-".into()), errors).0;
+        names.add(&name, &zone, "name", errors);
+        zone.done(errors);
+        zones.insert(name, p::ZoneId(position));
+    }
+    list.done(errors);
+    zones
+}
+
+/// Reads `<kinds>`.
+pub fn kinds(list: &Element<'_, '_>, errors: &mut Errors) -> Kinds {
+    let (mut kinds, mut names) = (Kinds::new(), UniqueNames::default());
+    for mut kind in list.children(&["kind"], errors) {
+        let name = kind.must("name", Name("-".into()), errors).0;
+        let role = kind.must("role", RoleWord(p::Role::Mixed), errors).0;
+        let kv_tokens = kind.maybe::<u64>("kv-tokens", errors);
+        kind.done(errors);
+        names.add(&name, &kind, "name", errors);
+        kinds.insert(name, KindEntry { role, kv_tokens });
+    }
+    list.done(errors);
+    kinds
+}
+
+/// Reads `<engines>`: a list of workers as the register would tell it.
+pub fn engines(list: &Element<'_, '_>, zones: &Zones, kinds: &Kinds, errors: &mut Errors) -> String {
+    let (mut workers, mut ids) = (Vec::new(), UniqueNames::default());
+    for mut engine in list.children(&["engine"], errors) {
+        let id = engine.must("id", Name("-".into()), errors).0;
+        ids.add(&id, &engine, "id", errors);
+        workers.push(worker(&mut engine, id, zones, kinds, errors));
+        engine.done(errors);
+    }
+    list.done(errors);
+    serde_json::json!({ "version": 0, "workers": workers }).to_string()
+}
+
+fn worker(
+    engine: &mut Element<'_, '_>,
+    id: String,
+    zones: &Zones,
+    kinds: &Kinds,
+    errors: &mut Errors,
+) -> serde_json::Value {
+    let kind = engine.must("kind", Name("-".into()), errors).0;
+    if !kinds.contains_key(&kind) {
+        engine.wrong(Some("kind"), format!("no <kind name=\"{kind}\">"), errors);
+    }
+    let zone = engine.maybe::<Name>("zone", errors).map(|z| z.0);
+    if zone.as_ref().is_some_and(|z| !zones.contains_key(z)) {
+        engine.wrong(Some("zone"), "no such <zone>", errors);
+    }
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+    serde_json::json!({
+        "worker": id, "kind": kind, "zone": zone, "state": "in",
+        "address": engine.must("address", nowhere, errors).to_string(),
+        "cell": engine.or("cell", 0_u64, errors), "weight": engine.or("weight", Positive(1.0), errors).0,
+    })
+}
--- a/crates/daemon/src/xml.rs
+++ b/crates/settings/src/xml.rs
@@ -39,6 +39,7 @@
 }
 
 impl<'a, 'i> Element<'a, 'i> {
+    /// Around a node, with nothing read.
     pub fn new(node: Node<'a, 'i>) -> Self {
         Self { node, read: BTreeSet::new() }
     }
@@ -103,6 +104,7 @@
         out
     }
 
+    /// Its tag.
     pub fn tag(&self) -> &'a str {
         self.node.tag_name().name()
     }
--- /dev/null
+++ b/crates/settings/tests/names.rs
@@ -0,0 +1,41 @@
+//! Names that are there twice are told where the second one stands.
+#![allow(clippy::unwrap_used, clippy::expect_used, missing_docs)]
+
+fn settings() -> String {
+    let zeros = "0".repeat(64);
+    format!(
+        r#"<chalkyard xmlns="urn:chalkyard:settings:1">
+  <router name="r1" listen="127.0.0.1:1"/>
+  <zones><zone name="east"/>
+    <zone name="west"/></zones>
+  <kinds><kind name="mixed" role="mixed"/>
+    <kind name="reads" role="reader"/></kinds>
+  <classes default="help">
+    <class name="help" aim="1s" deadline="5s" effect="free"/>
+    <class name="report" aim="1s" deadline="5s" effect="free"/>
+  </classes>
+  <tenants salt="{zeros}"><tenant name="north"/>
+    <tenant name="south"/></tenants>
+  <engines><engine id="e1" kind="mixed" address="127.0.0.1:2"/>
+    <engine id="e2" kind="mixed" address="127.0.0.1:3"/></engines>
+</chalkyard>"#
+    )
+}
+
+#[test]
+fn a_name_that_is_there_twice_is_told_where_the_second_one_stands() {
+    assert!(chalkyard_settings::read(&settings()).is_ok());
+    for (first, second) in
+        [("east", "west"), ("mixed", "reads"), ("help", "report"), ("north", "south"), ("e1", "e2")]
+    {
+        let place =
+            settings().lines().position(|l| l.contains(&format!("\"{second}\""))).expect("the second") + 1;
+        let doubled = settings().replace(&format!("\"{second}\""), &format!("\"{first}\""));
+        let wrong = chalkyard_settings::read(&doubled).expect_err("a name twice");
+        let told = wrong.iter().find(|w| w.what.contains("there twice")).expect("told so");
+        assert_eq!(
+            (told.line as usize, told.what.as_str()),
+            (place, format!("`{first}` is there twice").as_str())
+        );
+    }
+}
