Numbered revisions of the configuration: decided by a quorum, spread, followed; in fed time

Need: the scale tests show configuration to break first, at any size: no process carries a change, a file is edited and a signal sent 340 times. Change: package control, sans-IO: votes of control machines on each number, old disks borne by quorums that share two machines, entries with a digest that costs what changes, sealed messages, routers' links, last known good; a model in fed time on the same code; docs/configuration.md weighs the options. No command reaches it yet: sockets, disks, the router's loop are not built.

--- /dev/null
+++ b/crates/control/src/history.rs
@@ -0,0 +1,128 @@
+//! The configuration as it stands, and the last revisions that led to it.
+
+use std::collections::VecDeque;
+
+use crate::digest::Digest;
+use crate::document::{Change, Document, NotApplied};
+use crate::revision::{Number, Revision};
+
+/// How much of the past is kept: who is further behind gets the whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Retention {
+    /// Revisions.
+    pub revisions: usize,
+    /// Bytes of their changes.
+    pub bytes: usize,
+}
+
+impl Default for Retention {
+    /// A few hours of an ordinary day, a megabyte at most.
+    fn default() -> Self {
+        Self { revisions: 512, bytes: 1024 * 1024 }
+    }
+}
+
+/// What brings a follower up to date.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CatchUp {
+    /// It has all there is.
+    Current,
+    /// These, in order.
+    Revisions(Vec<Revision>),
+    /// The whole: it is further behind than is kept.
+    Whole,
+    /// Nothing: what it holds under its number is not what was decided.
+    OtherHistory,
+}
+
+/// Why a revision is not taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NotTaken {
+    /// It is not the next number.
+    NotNext(Number),
+    /// It follows another configuration than this one: two histories.
+    OtherHistory,
+    /// It can't be applied.
+    NotApplied(NotApplied),
+}
+
+/// All of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct History {
+    document: Document,
+    number: Number,
+    past: VecDeque<Revision>,
+    past_bytes: usize,
+    retention: Retention,
+}
+
+fn bytes(revision: &Revision) -> usize {
+    let of = |change: &Change| match change {
+        Change::Set(entry) => entry.key.len() + entry.value.len(),
+        Change::Remove(key) => key.len(),
+    };
+    revision.delta.0.iter().map(of).sum()
+}
+
+impl History {
+    /// One that begins with a whole.
+    pub fn new(number: Number, document: Document, retention: Retention) -> Self {
+        Self { document, number, past: VecDeque::new(), past_bytes: 0, retention }
+    }
+
+    /// The newest number.
+    pub fn number(&self) -> Number {
+        self.number
+    }
+
+    /// The configuration.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// Takes the next revision, whole or not at all. Costs what the revision does.
+    ///
+    /// # Errors
+    /// Says why it is not taken.
+    pub fn take(&mut self, revision: Revision) -> Result<(), NotTaken> {
+        if revision.number != self.number.next() {
+            return Err(NotTaken::NotNext(self.number));
+        }
+        if revision.before != self.document.digest() {
+            return Err(NotTaken::OtherHistory);
+        }
+        self.document.apply(&revision.delta, revision.after).map_err(NotTaken::NotApplied)?;
+        self.number = revision.number;
+        self.past_bytes += bytes(&revision);
+        self.past.push_back(revision);
+        while self.past.len() > self.retention.revisions || self.past_bytes > self.retention.bytes {
+            let Some(oldest) = self.past.pop_front() else { break };
+            self.past_bytes -= bytes(&oldest);
+        }
+        Ok(())
+    }
+
+    /// A revision that is kept.
+    pub fn revision(&self, number: Number) -> Option<&Revision> {
+        let first = self.past.front()?.number;
+        let place = usize::try_from(number.0.checked_sub(first.0)?).ok()?;
+        self.past.get(place)
+    }
+
+    /// What brings one up to date that holds this.
+    pub fn since(&self, number: Number, digest: Digest) -> CatchUp {
+        if number == self.number && digest == self.document.digest() {
+            return CatchUp::Current;
+        }
+        match self.revision(number.next()) {
+            Some(next) if next.before == digest => {
+                CatchUp::Revisions(self.past.iter().filter(|r| r.number > number).cloned().collect())
+            }
+            // Number 0 is nothing at all, which anything follows.
+            Some(_) if number == Number::default() => CatchUp::Whole,
+            Some(_) => CatchUp::OtherHistory,
+            None if number == self.number && number > Number::default() => CatchUp::OtherHistory,
+            None => CatchUp::Whole,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,33 @@
+//! Numbered revisions of the configuration, decided by a quorum of control machines and followed by routers.
+//!
+//! Sans-IO: machines and followers are state machines that take messages and give messages. Nothing here knows of
+//! sockets, of the settings' meaning or of routing; `docs/configuration.md` weighs the design.
+
+mod acceptor;
+mod digest;
+mod document;
+mod follower;
+mod history;
+mod known_good;
+mod machine;
+mod messages;
+pub mod model;
+mod proposer;
+mod revision;
+mod seal;
+mod station;
+mod subscriber;
+
+pub use acceptor::{Acceptor, Ballot, Vote};
+pub use digest::Digest;
+pub use document::{Change, Delta, Document, Entry, NotApplied};
+pub use follower::{Follower, Taken};
+pub use history::{CatchUp, History, Retention};
+pub use known_good::{KnownGood, Unreadable};
+pub use machine::{Check, Machine, MachineId, Outcome, Output, Quorum};
+pub use messages::{Malformed, Message, MESSAGE_BYTES};
+pub use proposer::Proposer;
+pub use revision::{Number, Revision, RevisionId};
+pub use seal::{NotGenuine, SiteKey};
+pub use station::{RouterId, Seen, Station, ROUTERS};
+pub use subscriber::{Action, Apply, Input, Subscriber, Time};
--- /dev/null
+++ b/crates/control/tests/common/mod.rs
@@ -0,0 +1,212 @@
+//! Control machines and the messages between them, moved by hand.
+#![allow(
+    dead_code,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::indexing_slicing,
+    missing_docs
+)]
+
+use std::collections::BTreeMap;
+
+use chalkyard_control::*;
+
+pub const MACHINES: u8 = 4;
+
+pub fn entry(key: &str, value: &str) -> Entry {
+    Entry { key: key.into(), value: value.into() }
+}
+
+/// Refuses entries of one name.
+#[derive(Debug, Clone, Copy)]
+pub struct NothingBad;
+
+impl Check for NothingBad {
+    fn check(&self, document: &Document) -> Result<(), String> {
+        match document.get("bad") {
+            Some(_) => Err("`bad` is not known; take another name".into()),
+            None => Ok(()),
+        }
+    }
+}
+
+/// What a machine has on its disk.
+#[derive(Debug, Clone)]
+pub struct Disk {
+    pub history: History,
+    pub votes: Option<Acceptor>,
+}
+
+/// All machines, their disks, and the messages on their way.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    pub machines: Vec<Machine>,
+    pub disks: Vec<Disk>,
+    /// As each disk was a while ago.
+    old_disks: Vec<Disk>,
+    on_their_way: Vec<(MachineId, MachineId, Message)>,
+    /// The first half of the machines does not hear the second.
+    pub cut: bool,
+    /// One machine is out of reach.
+    pub away: Option<usize>,
+    pub outcomes: Vec<Outcome>,
+    pub diverged: u64,
+    /// What was decided, by any machine's word.
+    decided: BTreeMap<Number, RevisionId>,
+    conflict: Option<Number>,
+    published: u64,
+}
+
+impl Fleet {
+    pub fn new(machines: u8) -> Self {
+        let machines: Vec<Machine> = (0..machines).map(|n| Machine::fresh(MachineId(n), machines)).collect();
+        let disk = Disk { history: machines[0].history().clone(), votes: None };
+        let disks = vec![disk; machines.len()];
+        Self {
+            machines,
+            old_disks: disks.clone(),
+            disks,
+            on_their_way: Vec::new(),
+            cut: false,
+            away: None,
+            outcomes: Vec::new(),
+            diverged: 0,
+            decided: BTreeMap::new(),
+            conflict: None,
+            published: 0,
+        }
+    }
+
+    pub fn on_their_way(&self) -> usize {
+        self.on_their_way.len()
+    }
+
+    pub fn newest(&self) -> u64 {
+        self.machines.iter().map(|m| m.number().0).max().unwrap_or(0)
+    }
+
+    /// A change of an entry of the machine's own, another one each time.
+    pub fn publish(&mut self, machine: usize) {
+        let n = self.published;
+        self.published += 1;
+        self.publish_change(
+            machine,
+            Change::Set(entry(&format!("m{machine}-{}", n % 5), &format!("value {n}"))),
+        );
+    }
+
+    pub fn publish_change(&mut self, machine: usize, change: Change) {
+        let mut out = Vec::new();
+        self.machines[machine].publish(
+            Delta(vec![change]),
+            &format!("operator {machine}"),
+            &NothingBad,
+            &mut out,
+        );
+        self.carry_out(machine, out);
+    }
+
+    pub fn retry(&mut self, machine: usize) {
+        let mut out = Vec::new();
+        self.machines[machine].retry(&NothingBad, &mut out);
+        self.carry_out(machine, out);
+    }
+
+    pub fn greet(&mut self, from: usize, to: usize) {
+        let message = self.machines[from].greeting();
+        self.on_their_way.push((id(from), id(to), message));
+    }
+
+    fn carry_out(&mut self, machine: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Send(to, message) => self.on_their_way.push((id(machine), to, message)),
+                Output::Persist(votes) => {
+                    self.old_disks[machine] = self.disks[machine].clone();
+                    self.disks[machine].votes = Some(votes);
+                }
+                Output::Keep(revision) => {
+                    let known = self.decided.insert(revision.number, revision.id());
+                    if known.is_some_and(|known| known != revision.id()) {
+                        self.conflict = Some(revision.number);
+                    }
+                    let number = revision.number;
+                    let kept = self.disks[machine].history.take(revision);
+                    assert!(kept.is_ok(), "machine {machine} keeps {number}: {kept:?}");
+                }
+                Output::KeepWhole(_) => {
+                    self.disks[machine].history = self.machines[machine].history().clone()
+                }
+                Output::Done(outcome) => self.outcomes.push(outcome),
+                Output::Diverged(..) => self.diverged += 1,
+            }
+        }
+    }
+
+    fn reaches(&self, from: MachineId, to: MachineId) -> bool {
+        let half = self.machines.len() / 2;
+        let side = |m: MachineId| usize::from(m.0) < half;
+        let away = |m: MachineId| self.away == Some(usize::from(m.0));
+        !(self.cut && side(from) != side(to)) && !away(from) && !away(to)
+    }
+
+    pub fn deliver(&mut self, place: usize) {
+        if place >= self.on_their_way.len() {
+            return;
+        }
+        let (from, to, message) = self.on_their_way.remove(place);
+        if !self.reaches(from, to) {
+            return;
+        }
+        let mut out = Vec::new();
+        self.machines[usize::from(to.0)].take(from, message, &mut out);
+        self.carry_out(usize::from(to.0), out);
+    }
+
+    pub fn deliver_all(&mut self) {
+        let mut most = 1_000_000;
+        while !self.on_their_way.is_empty() && most > 0 {
+            self.deliver(0);
+            most -= 1;
+        }
+        assert!(most > 0, "messages go round in a circle");
+    }
+
+    pub fn lose(&mut self, place: usize) {
+        if place < self.on_their_way.len() {
+            self.on_their_way.remove(place);
+        }
+    }
+
+    pub fn repeat(&mut self, place: usize) {
+        if let Some(message) = self.on_their_way.get(place).cloned() {
+            self.on_their_way.push(message);
+        }
+    }
+
+    /// The process ends and comes back with its disk, or with one that is a vote behind.
+    pub fn restart(&mut self, machine: usize, old_disk: bool) {
+        let disk = if old_disk { self.old_disks[machine].clone() } else { self.disks[machine].clone() };
+        let machines = self.machines.len() as u8;
+        self.machines[machine] =
+            Machine::new(id(machine), machines, disk.history.clone(), disk.votes.clone());
+        self.disks[machine] = disk;
+    }
+
+    /// No number has two contents, and machines that hold the same number hold the same whole.
+    pub fn check(&self) {
+        assert_eq!(self.conflict, None, "a number was decided twice");
+        let mut digests: BTreeMap<Number, Digest> = BTreeMap::new();
+        for machine in &self.machines {
+            let digest = machine.history().document().digest();
+            let known = *digests.entry(machine.number()).or_insert(digest);
+            assert_eq!(known, digest, "two contents under {}", machine.number());
+        }
+        assert_eq!(self.diverged, 0);
+    }
+}
+
+pub fn id(machine: usize) -> MachineId {
+    MachineId(machine as u8)
+}
--- a/crates/load/src/scale/figure.rs
+++ b/crates/load/src/scale/figure.rs
@@ -21,6 +21,8 @@
     Configuration,
     /// Restarts, of real processes.
     Restart,
+    /// Configuration as numbered revisions, in fed time.
+    Revisions,
     /// Membership, as designed: sums.
     Membership,
 }
@@ -124,6 +126,12 @@
     OutOfReach: Configuration, Sum, "routers at which a change has to be made by hand", "", Some(0.0);
     RestartTime: Restart, Measured, "from exec to ready, median", "ms", Some(10_000.0);
     RestartMemory: Restart, Measured, "resident memory when ready", "MB", Some(192.0);
+    RevisionBytes: Revisions, Measured, "a router's bytes in a burst of a change a second, most", "B/s", Some(budget::BYTES_PER_S);
+    RevisionCore: Revisions, Measured, "of a core at a router in that burst, most", "core", Some(budget::CORE);
+    RevisionMemory: Revisions, Measured, "the configuration held by a router, allocated", "MB", Some(budget::MEMORY / 1e6);
+    RevisionInForce: Revisions, Measured, "from publishing to in force, 99 in 100", "s", Some(budget::IN_FORCE_S);
+    RevisionControlBytes: Revisions, Measured, "a control machine's bytes in that burst", "B/s", None;
+    WholeBytes: Revisions, Measured, "a whole, for a router with nothing", "MB", None;
     MembershipBytes: Membership, NotBuilt, "heartbeats of 340 members, by gossip of 3 a second", "B/s", Some(budget::BYTES_PER_S);
     MembershipState: Membership, NotBuilt, "a member's table", "MB", Some(budget::MEMORY / 1e6);
 }
--- a/crates/load/src/scale/mod.rs
+++ b/crates/load/src/scale/mod.rs
@@ -7,6 +7,7 @@
 mod hollow;
 mod leases;
 mod parts;
+mod revisions;
 mod size;
 
 use std::collections::BTreeMap;
--- a/crates/load/src/scale/parts.rs
+++ b/crates/load/src/scale/parts.rs
@@ -11,7 +11,7 @@
 use super::figure::{Figure, Part, Value};
 use super::hollow::{configuration, list_text, members, Events, HollowRouter, EVENT_TOKENS};
 use super::size::{Size, ANSWER_TOKENS, REQUESTS_PER_S};
-use super::{configuration as files, leases};
+use super::{configuration as files, leases, revisions};
 use crate::{Error, ALLOCATOR};
 
 /// Long enough for the first answers to have ended: streams open are as many as ever.
@@ -28,6 +28,7 @@
         Part::Leases => leases::measure(size, seed),
         Part::Configuration => files::measure(size),
         Part::Restart => restart(size, program),
+        Part::Revisions => revisions::measure(size, seed),
         Part::Membership => Ok(membership(size)),
     }
 }
--- a/crates/load/src/scale/size.rs
+++ b/crates/load/src/scale/size.rs
@@ -40,6 +40,8 @@
     pub const CORE: f64 = 0.043;
     /// Bytes of memory.
     pub const MEMORY: f64 = 64e6;
+    /// Until a change is in force everywhere, seconds.
+    pub const IN_FORCE_S: f64 = 12.0;
 }
 
 const SECONDS_A_DAY: f64 = 86_400.0;
