--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use acceptor::{Acceptor, Ballot, Vote};
 pub use digest::Digest;
-pub use document::{Change, Delta, Document, Entry, NotApplied};
+pub use document::{Change, Delta, Document, Entry, NotApplied, CHANGES, DOCUMENT_BYTES, ENTRY_BYTES};
 pub use follower::{Follower, Taken};
 pub use history::{CatchUp, History, Retention};
 pub use known_good::{KnownGood, Unreadable};
--- a/crates/control/src/model.rs
+++ b/crates/control/src/model/mod.rs
@@ -1,10 +1,14 @@
 //! Control machines and routers in fed time, with a network that can be cut: the same code that sockets would drive, the
 //! same result for the same seed. Messages are encoded, sealed and read as on a wire.
 
+mod nodes;
+mod routers;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use std::time::Instant;
 
+use self::nodes::{ControlNode, Disk};
+pub use self::nodes::{InForce, RouterNode};
 use crate::acceptor::Acceptor;
 use crate::document::{Delta, Document};
 use crate::history::{History, Retention};
@@ -13,7 +17,7 @@
 use crate::revision::Number;
 use crate::seal::SiteKey;
 use crate::station::{RouterId, Station};
-use crate::subscriber::{Action, Apply, Input, Subscriber, Time};
+use crate::subscriber::{Input, Subscriber, Time};
 
 /// A second of the model's time.
 pub const SECOND: Time = 1_000_000;
@@ -30,60 +34,6 @@
 /// Bytes of a frame before its message.
 const FRAME_BYTES: u64 = 4;
 
-/// A router that puts all in force and counts it.
-#[derive(Debug, Clone, Default)]
-pub struct InForce {
-    /// Numbers that this router can't put in force.
-    pub refuses: BTreeSet<Number>,
-}
-
-impl Apply for InForce {
-    fn apply(&mut self, number: Number, _delta: &Delta) -> Result<(), String> {
-        match self.refuses.contains(&number) {
-            true => Err("this router can't".into()),
-            false => Ok(()),
-        }
-    }
-
-    fn apply_whole(&mut self, _number: Number, _document: &Document) -> Result<(), String> {
-        Ok(())
-    }
-}
-
-#[derive(Debug, Clone)]
-struct Disk {
-    history: History,
-    votes: Option<Acceptor>,
-}
-
-#[derive(Debug)]
-struct ControlNode {
-    machine: Machine,
-    station: Station,
-    disk: Disk,
-    up: bool,
-    /// The publication under way: when it was asked for, and what it changes.
-    asked: Option<(Time, Delta)>,
-}
-
-/// A router of the model.
-#[derive(Debug)]
-pub struct RouterNode {
-    /// Its link.
-    pub subscriber: Subscriber,
-    /// What it puts in force.
-    pub in_force: InForce,
-    connection: Option<(MachineId, RouterId)>,
-    /// Bytes that it got and sent.
-    pub bytes: u64,
-    /// Time that its own work took, ns of the real clock.
-    pub work_ns: u64,
-    /// The newest number in force, and those that went back.
-    pub newest: Number,
-    /// How often an older number was put in force: never.
-    pub went_back: u64,
-}
-
 /// What happens later.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -244,24 +194,6 @@
         machines.chain(routers).collect()
     }
 
-    /// A router's process ends and comes back with what it kept, or with nothing.
-    pub fn restart_router(&mut self, n: usize, keeps: bool, seed: u64) {
-        let machines = self.controls.len() as u8;
-        let Some(router) = self.routers.get_mut(n) else { return };
-        if let Some((machine, connection)) = router.connection.take() {
-            self.by_connection.remove(&connection);
-            if let Some(control) = self.controls.get_mut(usize::from(machine.0)) {
-                control.station.lost(connection);
-            }
-        }
-        let (number, document) = match keeps {
-            true => (router.subscriber.number(), router.subscriber.document().clone()),
-            false => (Number(0), Document::default()),
-        };
-        router.subscriber = Subscriber::new(number, document, machines, seed);
-        router.newest = number;
-    }
-
     /// Goes on for a span.
     pub fn run(&mut self, span: Time) {
         let end = self.now + span;
@@ -448,99 +380,4 @@
         self.send_routers(machine, told);
         self.station_ticks();
     }
-
-    fn at_router(&mut self, n: usize, bytes: &[u8]) {
-        let Some(router) = self.routers.get_mut(n) else { return };
-        router.bytes += bytes.len() as u64 + FRAME_BYTES;
-        let start = Instant::now();
-        let message = Message::decode(&self.key, bytes);
-        router.work_ns += start.elapsed().as_nanos() as u64;
-        if let Ok(message) = message {
-            self.router_input(n, Input::Message(Box::new(message)));
-        }
-    }
-
-    fn stands(&mut self, n: usize, machine: MachineId) {
-        let now = self.now;
-        let waits = self.routers.get(n).is_some_and(|r| r.subscriber.machine() == (machine, false));
-        if !waits {
-            return;
-        }
-        let connection = RouterId(self.next_connection);
-        self.next_connection += 1;
-        let control = self.controls.get_mut(usize::from(machine.0)).filter(|c| c.up);
-        if !control.is_some_and(|c| c.station.connected(connection, now)) {
-            return self.router_input(n, Input::Lost);
-        }
-        if let Some(router) = self.routers.get_mut(n) {
-            router.connection = Some((machine, connection));
-        }
-        self.by_connection.insert(connection, n);
-        self.router_input(n, Input::Connected);
-    }
-
-    fn router_input(&mut self, n: usize, input: Input) {
-        let now = self.now;
-        let Some(router) = self.routers.get_mut(n) else { return };
-        if input == Input::Lost {
-            if let Some((machine, connection)) = router.connection.take() {
-                self.by_connection.remove(&connection);
-                if let Some(control) = self.controls.get_mut(usize::from(machine.0)) {
-                    control.station.lost(connection);
-                }
-            }
-        }
-        let mut actions = Vec::new();
-        let start = Instant::now();
-        router.subscriber.handle(now, input, &mut router.in_force, &mut actions);
-        router.work_ns += start.elapsed().as_nanos() as u64;
-        for action in actions {
-            self.act(n, action);
-        }
-    }
-
-    fn act(&mut self, n: usize, action: Action) {
-        let now = self.now;
-        match action {
-            Action::Connect(machine) => {
-                let up = self.controls.get(usize::from(machine.0)).is_some_and(|c| c.up);
-                match (self.way(n % 2, self.region(machine)), up) {
-                    (Some(way), true) => self.later(2 * way, Event::Stands(n, machine)),
-                    (Some(way), false) => self.later(2 * way, Event::Fails(n, machine)),
-                    // Nothing is said in a cut.
-                    (None, _) => {}
-                }
-            }
-            Action::Send(message) => self.send_from_router(n, &message),
-            Action::Close => {
-                let Some(router) = self.routers.get_mut(n) else { return };
-                if let Some((machine, connection)) = router.connection.take() {
-                    self.by_connection.remove(&connection);
-                    if let Some(control) = self.controls.get_mut(usize::from(machine.0)) {
-                        control.station.lost(connection);
-                    }
-                }
-            }
-            Action::InForce(number) => {
-                let asked = self.asked.get(&number).copied();
-                if let Some(router) = self.routers.get_mut(n) {
-                    router.went_back += u64::from(number <= router.newest);
-                    router.newest = number;
-                }
-                self.spread.extend(asked.map(|at| now - at));
-            }
-            Action::HeldBack(..) => {}
-            Action::OtherHistory(..) => self.diverged += 1,
-        }
-    }
-
-    fn send_from_router(&mut self, n: usize, message: &Message) {
-        let bytes = message.encode(&self.key);
-        let Some(router) = self.routers.get_mut(n) else { return };
-        router.bytes += bytes.len() as u64 + FRAME_BYTES;
-        let Some((machine, connection)) = router.connection else { return };
-        let Some(way) = self.way(n % 2, self.region(machine)) else { return };
-        self.control_bytes += bytes.len() as u64 + FRAME_BYTES;
-        self.later(way, Event::FromRouter(machine, connection, bytes));
-    }
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -148,7 +148,8 @@
         let half = self.machines.len() / 2;
         let side = |m: MachineId| usize::from(m.0) < half;
         let away = |m: MachineId| self.away == Some(usize::from(m.0));
-        !(self.cut && side(from) != side(to)) && !away(from) && !away(to)
+        let apart = self.cut && side(from) != side(to);
+        !(apart || away(from) || away(to))
     }
 
     pub fn deliver(&mut self, place: usize) {
--- a/crates/load/src/scale/hollow.rs
+++ b/crates/load/src/scale/hollow.rs
@@ -12,14 +12,13 @@
 use chalkyard_router::{ConnId, Core, Input, Output};
 use hdrhistogram::Histogram;
 
+use super::fixture::{configuration, list_text, member, members, DISCOVERY_PORT, FIRST_WORKER_PORT};
 use super::size::{Size, ANSWER_TOKENS, REQUESTS_PER_S, TOKEN_US};
+use super::tally::{AtWorker, Times};
 use crate::Error;
 
 /// Any time will do, as long as it is always the same.
 const START: Micros = Micros(1_700_000_000_000_000);
-const DISCOVERY_PORT: u16 = 9;
-/// Worker `n` listens on this port and `n` more.
-const FIRST_WORKER_PORT: u16 = 10_000;
 /// To connect, to read a prompt, from the call to the first token.
 const CONNECT: Micros = Micros(300);
 const READ: Micros = Micros(300_000);
@@ -60,35 +59,6 @@
     NoNews(ConnId),
 }
 
-/// What a router did to one worker.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct AtWorker {
-    /// Connections that are open now.
-    pub open: u64,
-    /// Connections begun.
-    pub connects: u64,
-    /// Attempts.
-    pub calls: u64,
-    /// Releases.
-    pub releases: u64,
-    /// When the router last had a report of it.
-    reported: Option<Micros>,
-}
-
-/// Times of the core's work by what it was, ns.
-#[derive(Debug)]
-pub struct Times {
-    /// A client's request: read, decided, placed.
-    pub request: Histogram<u64>,
-    /// An event of a stream, passed on.
-    pub event: Histogram<u64>,
-    /// A read's end: the writer is chosen.
-    pub parsed: Histogram<u64>,
-    /// A change of the list, and a whole list.
-    pub change: Histogram<u64>,
-    pub whole_list: Histogram<u64>,
-}
-
 /// One hollow router.
 pub struct HollowRouter {
     core: Core,
@@ -116,49 +86,6 @@
     pub served: u64,
 }
 
-fn member(n: usize, readers: usize, phase: &str) -> serde_json::Value {
-    serde_json::json!({
-        "id": format!("s-{n:08x}"), "host_port": format!("127.0.0.1:{}", usize::from(FIRST_WORKER_PORT) + n),
-        "locality": format!("z{}", n % 4), "flavor": if n < readers { "reads" } else { "writes" }, "cell": n / 16,
-        "phase": phase, "size": 1.0, "up_since_ms": 0,
-    })
-}
-
-/// The bytes of a list as discovery tells it.
-pub fn list_text(revision: u64, complete: bool, members: &[serde_json::Value]) -> String {
-    serde_json::json!({"revision": revision, "complete": complete, "members": members}).to_string()
-}
-
-/// All workers of a size.
-pub fn members(size: &Size) -> Vec<serde_json::Value> {
-    (0..size.workers).map(|n| member(n, size.readers(), "up")).collect()
-}
-
-/// The configuration of a router of a size.
-pub fn configuration(size: &Size, listen: SocketAddr, discovery: SocketAddr) -> serde_json::Value {
-    let tenants: Vec<_> = (0..size.tenants)
-        .map(|n| serde_json::json!({"name": format!("t{n:06}"), "allowance_per_s": 10.0}))
-        .collect();
-    let class = |name: &str, repeat: &str| serde_json::json!({"name": name, "goal_time_s": 1.8, "deadline_s": 5.0, "repeat": repeat, "group": "all", "stream": true});
-    serde_json::json!({
-        "name": "n1", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": {"revision": 1, "complete": true, "members": members(size)},
-        "settings": {
-            "balancers": size.routers, "categories": [class("chat", "free"), class("once", "single_shot")],
-            "dcs": ["z0", "z1", "z2", "z3"], "discovery": "push", "kinds": ["reads", "writes"],
-            "reporting": {"how": "inline", "fields": ["load_share"]},
-            "family_info": {"kv_tokens": [664_000.0, 456_000.0], "release_s": 1.0, "resume": false, "self_prefill": true,
-                            "role_by_kind": ["read", "write"]},
-            "limits": {"cancel": true, "max_attempts": 4, "retry_after": true, "max_retry_after_s": 1.0,
-                       "conn_idle_s": 30.0, "connect_timeout_s": 0.25},
-            "rules": {"answer_slack_s": 0.05, "cold_from": 0.3, "cold_s": 8.0, "fall_multiple": 3.0, "fall_s": 2.0,
-                      "must_ask_in_s": 10.0},
-            "tenants": tenants, "tick_s": 0.002, "weights": "off",
-        },
-    })
-}
-
 impl HollowRouter {
     /// Router `name` of a fleet of this size.
     pub fn new(size: &Size, name: u64, seed: u64, events: Events) -> Result<Self, Error> {
--- a/crates/load/src/scale/mod.rs
+++ b/crates/load/src/scale/mod.rs
@@ -4,11 +4,13 @@
 mod configuration;
 mod figure;
 mod fit;
+mod fixture;
 mod hollow;
 mod leases;
 mod parts;
 mod revisions;
 mod size;
+mod tally;
 
 use std::collections::BTreeMap;
 use std::io::Read;
--- a/crates/load/src/scale/parts.rs
+++ b/crates/load/src/scale/parts.rs
@@ -9,7 +9,8 @@
 use hdrhistogram::Histogram;
 
 use super::figure::{Figure, Part, Value};
-use super::hollow::{configuration, list_text, members, Events, HollowRouter, EVENT_TOKENS};
+use super::fixture::{configuration, list_text, members};
+use super::hollow::{Events, HollowRouter, EVENT_TOKENS};
 use super::size::{Size, ANSWER_TOKENS, REQUESTS_PER_S};
 use super::{configuration as files, leases, revisions};
 use crate::{Error, ALLOCATOR};
