The loop's queue has one entry a socket; an answer ahead of its call is not cut off

Cause, found on reading the change again: ReadyQueue took an entry for each event told, while a turn of 10 ms may handle one: with work longer than turns it grew without bound. Core::connect_due, armed by write_within, closed a connection whose answer had begun before the system took the call's last byte, and told the module that it had never run. Change: entries by token, merged, dropped with their socket; a connection that answers is left to its attempt's own time-outs. No check was loosened.

--- a/crates/platform/tests/terms.rs
+++ b/crates/platform/tests/terms.rs
@@ -73,6 +73,29 @@
     assert_eq!(y.outcomes(), [Outcome::Parsed]);
 }
 
+/// An answer that has begun before its call was taken whole is not cut off for that: the call has run.
+#[test]
+fn a_stream_that_begins_ahead_of_the_calls_last_byte_goes_on() {
+    let mut y = yard();
+    let client = y.client();
+    let read = ask_and_read(&mut y, client);
+    let early = ConnId(read.conn.0 + 2);
+    y.stuck.insert(early);
+    reply(&mut y, read.conn, 202, &[], r#"{"cached_tokens":0}"#);
+    y.input(Input::Connected(early));
+    y.input(Input::Wrote(early, 100));
+    y.begin_stream(early);
+    chunk(&mut y, early, FIRST);
+    y.advance(ms(300));
+    assert!(!y.closed.contains(&early) && !y.closed.contains(&client));
+    assert_eq!(y.outcomes(), [Outcome::Parsed]);
+}
+
+fn ask_and_read(y: &mut Yard, client: ConnId) -> Call {
+    y.bytes(client, &request(&fields("id-1", "once")));
+    call(y)
+}
+
 /// An answer that comes before its call was taken whole is good; its connection is not used again.
 #[test]
 fn a_connection_whose_call_was_not_taken_whole_is_not_used_again() {
--- a/crates/router/src/core/pool.rs
+++ b/crates/router/src/core/pool.rs
@@ -272,10 +272,14 @@
     }
 
     pub(super) fn connect_due(&mut self, conn: ConnId) {
-        if self.links.contains_key(&conn) {
-            self.out.push(Output::Abort(conn));
-            self.link_lost(conn);
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        // One that is answered ahead of its last byte has run: the time that it told is of no matter any more.
+        if matches!(&link.task, Task::Attempt(_, _, reply) if !matches!(reply, Reply::None)) {
+            link.timer = None;
+            return;
         }
+        self.out.push(Output::Abort(conn));
+        self.link_lost(conn);
     }
 
     pub(super) fn idle_due(&mut self, conn: ConnId) {
--- a/crates/router/src/shell/connections.rs
+++ b/crates/router/src/shell/connections.rs
@@ -127,6 +127,7 @@
         let _ = self.poll.registry().deregister(&mut sock.stream);
         self.dirty.remove(&key);
         self.by_id.remove(&sock.id);
+        self.ready.forget(token(sock.id));
         if sock.state == State::Closing {
             self.lingering -= 1;
         }
--- a/crates/router/src/shell/ready_queue.rs
+++ b/crates/router/src/shell/ready_queue.rs
@@ -1,6 +1,6 @@
 //! What the system has told of sockets and the loop has not handled yet, in the order in which it is to be handled.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 
 use mio::event::Event;
 use mio::Token;
@@ -27,6 +27,18 @@
     }
 }
 
+impl Readiness {
+    /// What both tell of one socket.
+    fn and(self, other: Self) -> Self {
+        Self {
+            token: self.token,
+            readable: self.readable || other.readable,
+            writable: self.writable || other.writable,
+            ended: self.ended || other.ended,
+        }
+    }
+}
+
 /// Whose socket it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Side {
@@ -36,44 +48,89 @@
     Engine,
 }
 
-/// Sockets that are ready. Holds at most an entry for each event that the system told since the last turn of the loop,
-/// which handles at least one of each kind.
+/// In which order a socket is handled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    Departure,
+    Engine,
+    Client,
+}
+
+/// Tokens of one kind by when they were first told.
+type Order = BTreeMap<u64, Token>;
+
+/// Sockets that are ready: one entry each, however often the system tells of one before it is handled, so that there are
+/// no more entries than open sockets.
 #[derive(Debug, Default)]
 pub(super) struct ReadyQueue {
-    departures: VecDeque<Readiness>,
-    engines: VecDeque<Readiness>,
-    clients: VecDeque<Readiness>,
+    waiting: BTreeMap<Token, (u64, Turn, Readiness)>,
+    departures: Order,
+    engines: Order,
+    clients: Order,
     /// The next one is a client's, if both have any.
     clients_turn: bool,
+    told: u64,
 }
 
 impl ReadyQueue {
+    fn order(&mut self, turn: Turn) -> &mut Order {
+        match turn {
+            Turn::Departure => &mut self.departures,
+            Turn::Engine => &mut self.engines,
+            Turn::Client => &mut self.clients,
+        }
+    }
+
+    /// Takes what the system tells. One that waits already keeps its place, unless its client has gone.
     pub(super) fn push(&mut self, readiness: Readiness, side: Side) {
-        let queue = match side {
-            Side::Client if readiness.ended => &mut self.departures,
-            Side::Client => &mut self.clients,
-            Side::Engine => &mut self.engines,
+        let before = self.forget(readiness.token);
+        let readiness = before.map_or(readiness, |(_, earlier)| readiness.and(earlier));
+        let turn = match side {
+            Side::Client if readiness.ended => Turn::Departure,
+            Side::Client => Turn::Client,
+            Side::Engine => Turn::Engine,
         };
-        queue.push_back(readiness);
+        self.told += 1;
+        let place = before.map_or(self.told, |(place, _)| place);
+        self.order(turn).insert(place, readiness.token);
+        self.waiting.insert(readiness.token, (place, turn, readiness));
+    }
+
+    /// Drops what waits of a socket that is gone: its place and what was told.
+    pub(super) fn forget(&mut self, token: Token) -> Option<(u64, Readiness)> {
+        let (place, turn, readiness) = self.waiting.remove(&token)?;
+        self.order(turn).remove(&place);
+        Some((place, readiness))
+    }
+
+    fn pop(&mut self, turn: Turn) -> Option<Readiness> {
+        let (_, token) = self.order(turn).pop_first()?;
+        self.waiting.remove(&token).map(|(_, _, readiness)| readiness)
     }
 
     /// The next client that has closed its side or is lost.
     pub(super) fn next_departure(&mut self) -> Option<Readiness> {
-        self.departures.pop_front()
+        self.pop(Turn::Departure)
     }
 
     /// The next of the others: engines and clients take turns, so that a flood of either leaves room for the other.
     pub(super) fn next(&mut self) -> Option<Readiness> {
         self.clients_turn = !self.clients_turn;
         let (first, second) = match self.clients_turn {
-            true => (&mut self.clients, &mut self.engines),
-            false => (&mut self.engines, &mut self.clients),
+            true => (Turn::Client, Turn::Engine),
+            false => (Turn::Engine, Turn::Client),
         };
-        first.pop_front().or_else(|| second.pop_front())
+        self.pop(first).or_else(|| self.pop(second))
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.departures.is_empty() && self.engines.is_empty() && self.clients.is_empty()
+        self.waiting.is_empty()
+    }
+
+    /// Sockets that wait.
+    #[cfg(test)]
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
     }
 }
 
