--- a/crates/router/src/shell/mod.rs
+++ b/crates/router/src/shell/mod.rs
@@ -7,6 +7,7 @@
 mod listen;
 mod ready_queue;
 mod sink;
+mod sock;
 mod turn;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -21,12 +22,13 @@
 use slab::Slab;
 
 pub use self::clock::{granularity, Clock};
-use self::connections::{AfterClose, Sock, State, READ_BYTES};
+use self::connections::READ_BYTES;
 use self::handle::Command;
 pub use self::handle::{Handle, Question};
 pub use self::listen::ListenAddress;
 use self::ready_queue::ReadyQueue;
 pub use self::sink::{Heritage, News, Sink};
+use self::sock::{AfterClose, Sock, State};
 use crate::{ConnId, Core, Input, Output};
 
 const LISTENER: Token = Token(0);
