--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory/mod.rs
@@ -4,11 +4,12 @@
 //! nothing; a closed side is heard one latency later, after what was written before; writing to a side that has closed
 //! loses the connection.
 
+mod net;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::io;
 use std::net::SocketAddr;
 
-use chalkyard_rehearsal::net::{Conn, Happened, Link, Listener, Net};
+use chalkyard_rehearsal::net::{Conn, Happened, Listener};
 use chalkyard_router::{ConnId, Output};
 
 /// The least latency, µs, and how much more a connection may have by its number: not all in step.
@@ -389,62 +390,3 @@
         None
     }
 }
-
-impl Net for Memory {
-    fn at(&mut self, now: u64) {
-        self.now = self.now.max(now);
-    }
-
-    fn listen(&mut self, port: u16, _link: Link) -> io::Result<(Listener, SocketAddr)> {
-        let address = loopback(if port == 0 { self.port() } else { port });
-        if self.listeners.contains_key(&address) {
-            return Err(io::ErrorKind::AddrInUse.into());
-        }
-        let number = self.number();
-        self.listeners.insert(address, number);
-        self.addresses.insert(number, address);
-        Ok((number, address))
-    }
-
-    fn stop_listening(&mut self, number: Listener) {
-        if let Some(address) = self.addresses.remove(&number) {
-            self.listeners.remove(&address);
-        }
-    }
-
-    fn connect(&mut self, address: SocketAddr, _router: usize) -> io::Result<Conn> {
-        let router = self.routers.get(&address).copied().ok_or(io::ErrorKind::ConnectionRefused)?;
-        let place = self.places.get_mut(router).ok_or(io::ErrorKind::ConnectionRefused)?;
-        let id = ConnId(place.next_client);
-        place.next_client += 2;
-        let conn = self.pipe(router, id);
-        let at = self.now + Self::latency(conn);
-        self.later(at, Coming::Reaches(conn, router));
-        if let Some(pipe) = self.pipes.get_mut(&conn) {
-            pipe.to_core = at;
-        }
-        Ok(conn)
-    }
-
-    fn send(&mut self, conn: Conn, bytes: &[u8]) {
-        if self.pipes.get(&conn).is_some_and(|p| p.world) {
-            self.send_core(conn, Heard::Bytes(bytes.to_vec()));
-        }
-    }
-
-    fn make_deaf(&mut self, conn: Conn) {
-        if let Some(pipe) = self.pipes.get_mut(&conn) {
-            pipe.deaf = true;
-        }
-    }
-
-    fn cut(&mut self, conn: Conn) {
-        let Some(pipe) = self.pipes.get_mut(&conn) else { return };
-        pipe.world = false;
-        if pipe.core {
-            self.send_core(conn, Heard::Eof);
-        } else {
-            self.forget(conn);
-        }
-    }
-}
--- /dev/null
+++ b/crates/rehearsal/src/day/mod.rs
@@ -0,0 +1,238 @@
+//! Days: a fleet, traffic and faults, by name or from a day file that the bench printed.
+
+mod bench;
+mod named;
+
+use serde::{Deserialize, Serialize};
+
+use self::bench::bench_day;
+pub use self::named::{afternoon, base, budgets, make, Restarts};
+use self::named::{bad_day, S};
+use crate::engine::Make;
+use crate::record::{Class, Figures};
+
+/// An engine of the fleet.
+#[derive(Debug, Clone)]
+pub struct EngineSpec {
+    pub id: String,
+    pub cell: u64,
+    pub make: Make,
+}
+
+/// What can go wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Crash,
+    MassRestart,
+    FastErrors,
+    Hang,
+    Pauses,
+    Slow,
+    Ageing,
+    AnswerLost,
+    Flush,
+    HotKey,
+    HeavyTail,
+    Burst,
+    GiveUp,
+    ReportLate,
+    OriginSlow,
+    Drain,
+    StaleList,
+    BalancerRoll,
+    SlowClients,
+    /// A tenant asks at all routers at once.
+    Volley,
+    /// Routers are replaced by successors that take over.
+    HandOver,
+    /// Routers are told to read their settings again.
+    Reload,
+    /// The settlement job is killed, and started again at the end.
+    SettlementKilled,
+    /// Links are cut: connections are reset, and new ones too.
+    LinkCut,
+    /// Links are silent towards routers; what is sent comes when they are back.
+    LinkMute,
+    /// Links are silent from routers.
+    LinkDeaf,
+    /// Links take so many µs longer each way.
+    LinkSlow,
+    /// All connections of links are reset, once.
+    LinkReset,
+}
+
+/// Which links a fault strikes; of engines' those of the engines in [`Fault::on`], all of them if none is named.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Links {
+    pub of: LinkOf,
+    /// Routers by place; none named: all.
+    pub routers: Vec<usize>,
+}
+
+/// What links lead to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LinkOf {
+    /// Clients.
+    Clients,
+    /// Engines.
+    Engines,
+    /// The register.
+    Register,
+    /// All of these.
+    All,
+}
+
+/// How the routers of a day keep budgets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sharing {
+    Leases,
+    Equal,
+    Unreserved,
+}
+
+/// A tenant with a budget.
+#[derive(Debug, Clone)]
+pub struct TenantSpec {
+    pub name: &'static str,
+    /// Its key; its hash is made by the program under rehearsal.
+    pub key: &'static str,
+    /// Of the traffic.
+    pub share: f64,
+    /// A day's budget in tokens; none: no limit.
+    pub tokens: Option<u64>,
+}
+
+/// What a day with budgets has besides.
+#[derive(Debug, Clone)]
+pub struct BudgetSpec {
+    pub sharing: Sharing,
+    pub tenants: Vec<TenantSpec>,
+    /// One router (another one for each tenant) gets so many times what each other one gets.
+    pub skew: f64,
+    /// Thousandths by which estimates are raised.
+    pub margin: u64,
+}
+
+/// The kinds by the names that the bench's day files use, and by those that it has none for.
+pub const KINDS: [(&str, Kind); 28] = [
+    ("crash", Kind::Crash),
+    ("mass_restart", Kind::MassRestart),
+    ("fast_errors", Kind::FastErrors),
+    ("hang", Kind::Hang),
+    ("pauses", Kind::Pauses),
+    ("slow", Kind::Slow),
+    ("ageing", Kind::Ageing),
+    ("answer_lost", Kind::AnswerLost),
+    ("flush", Kind::Flush),
+    ("hot_key", Kind::HotKey),
+    ("heavy_tail", Kind::HeavyTail),
+    ("burst", Kind::Burst),
+    ("give_up", Kind::GiveUp),
+    ("report_late", Kind::ReportLate),
+    ("origin_slow", Kind::OriginSlow),
+    ("drain", Kind::Drain),
+    ("stale_list", Kind::StaleList),
+    ("balancer_roll", Kind::BalancerRoll),
+    ("slow_clients", Kind::SlowClients),
+    ("hand_over", Kind::HandOver),
+    ("reload", Kind::Reload),
+    ("volley", Kind::Volley),
+    ("settlement_killed", Kind::SettlementKilled),
+    ("link_cut", Kind::LinkCut),
+    ("link_mute", Kind::LinkMute),
+    ("link_deaf", Kind::LinkDeaf),
+    ("link_slow", Kind::LinkSlow),
+    ("link_reset", Kind::LinkReset),
+];
+
+impl Kind {
+    pub fn name(self) -> &'static str {
+        KINDS.iter().find(|(_, k)| *k == self).map_or("", |(name, _)| name)
+    }
+
+    /// Whether it strikes engines.
+    pub fn on_engines(self) -> bool {
+        use Kind::*;
+        matches!(
+            self,
+            Crash
+                | MassRestart
+                | FastErrors
+                | Hang
+                | Pauses
+                | Slow
+                | Ageing
+                | AnswerLost
+                | Flush
+                | ReportLate
+                | Drain
+        )
+    }
+}
+
+/// A fault. Times in µs from the day's beginning.
+#[derive(Debug, Clone)]
+pub struct Fault {
+    pub kind: Kind,
+    pub at: u64,
+    pub len: u64,
+    /// Engines or routers that it strikes, by place in the day's lists.
+    pub on: Vec<usize>,
+    /// How hard: a factor, or a share, by kind.
+    pub size: f64,
+    /// Of faults of links: which.
+    pub links: Option<Links>,
+}
+
+/// A day.
+#[derive(Debug, Clone)]
+pub struct Day {
+    pub name: String,
+    pub seed: u64,
+    pub length: u64,
+    pub routers: usize,
+    pub engines: Vec<EngineSpec>,
+    pub classes: Vec<Class>,
+    /// Of the first tries, one a class.
+    pub shares: Vec<f64>,
+    /// First tries a second.
+    pub rate: f64,
+    /// The register tells of changes after this.
+    pub notice: u64,
+    pub figures: Figures,
+    pub faults: Vec<Fault>,
+    /// Thousandths by which engines count more prompt tokens than a token for four bytes, at most.
+    pub counts_more: u64,
+    pub budgets: Option<BudgetSpec>,
+    /// Share of clients that come again at once when they are refused.
+    pub naive: f64,
+    /// Tries of one request, the first one counted.
+    pub tries: u32,
+    /// A router that gets so many times what each other one gets.
+    pub favourite: Option<(usize, f64)>,
+    /// Each router reaches engines and register at addresses of its own, so that links can be told apart.
+    pub apart: bool,
+    /// How many routers the settings say there are, where that is not so.
+    pub told_routers: Option<u32>,
+    /// How far routers' clocks are apart at most, µs; where the clock is fed.
+    pub clocks: u64,
+}
+
+/// A day by name, or a bench's day file by its path.
+pub fn load(day: &str, seed: u64, seconds: Option<u64>) -> Result<Day, String> {
+    match day {
+        "bad-day" => Ok(bad_day(seed, seconds.unwrap_or(60))),
+        "calm-day" => Ok(base("calm-day", seed, seconds.unwrap_or(20) * S)),
+        path => {
+            let text = std::fs::read_to_string(path).map_err(|e| {
+                format!("{path}: no day of this name (bad-day, calm-day) and no day file: {e}")
+            })?;
+            bench_day(&text, seed, seconds).map_err(|e| format!("{path}: {e}"))
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "../day_test.rs"]
+mod tests;
--- /dev/null
+++ b/crates/rehearsal/src/fleet/register.rs
@@ -0,0 +1,83 @@
+//! The stand-in register: snapshots and changes told to routers that watch.
+
+use std::net::SocketAddr;
+
+use chalkyard_proto::{encode, sse, Head, Start};
+
+use super::{router_of, Change, Fleet, Tape};
+use crate::net::{Conn, Net};
+use crate::record::Seen;
+
+impl Fleet {
+    /// As this router is told it: its address of an engine may be its own.
+    fn entry(&self, i: usize, state: &str, started: u64, router: &str) -> serde_json::Value {
+        let Some(host) = self.hosts.get(i) else { return serde_json::Value::Null };
+        let place = router.trim_start_matches('r').parse::<usize>().unwrap_or(1).saturating_sub(1);
+        let address = host.addresses.get(place).or(host.addresses.first());
+        let address = address.map_or_else(String::new, SocketAddr::to_string);
+        let started = if started > 0 { (self.unix + started) / 1_000 } else { 0 };
+        serde_json::json!({
+            "worker": host.id, "address": address, "zone": "yard", "cell": host.cell,
+            "kind": host.engine.make.role.name(), "state": state, "started_unix_ms": started,
+        })
+    }
+
+    fn told(&self, router: &str, i: usize, state: &str, started: u64) -> Seen {
+        Seen::Told { router: router.into(), engine: self.id(i), state: state.into(), started }
+    }
+
+    pub(super) fn watch(&mut self, conn: Conn, head: &Head, net: &mut dyn Net, tape: &mut Tape) {
+        let router = router_of(head);
+        tape.add(Seen::Listed { router: router.clone() });
+        let workers: Vec<serde_json::Value> = self
+            .entries
+            .iter()
+            .map(|(i, (state, started))| self.entry(*i, state, *started, &router))
+            .collect();
+        let list = serde_json::json!({ "version": self.version, "workers": workers }).to_string();
+        let streams = matches!(&head.start, Start::Request { target, .. } if target.contains("watch=1"));
+        for (i, (state, started)) in &self.entries {
+            tape.add(self.told(&router, *i, state, *started));
+        }
+        // What is not in the list is gone.
+        for i in (0..self.hosts.len()).filter(|i| !self.entries.contains_key(i)) {
+            tape.add(self.told(&router, i, "out", 0));
+        }
+        if !streams {
+            return net.send(
+                conn,
+                &encode::response(200, &[("content-type", "application/json")], list.as_bytes(), true),
+            );
+        }
+        let mut bytes = encode::chunked_head(200, &[("content-type", "text/event-stream")], true);
+        let mut event = Vec::new();
+        sse::write(&mut event, "snapshot", Some(self.version), &list);
+        encode::chunk(&mut bytes, &event);
+        net.send(conn, &bytes);
+        if let Some(watcher) = self.watchers.get_mut(&conn) {
+            watcher.1 = Some(router);
+        }
+    }
+
+    pub(super) fn publish(&mut self, change: Change, net: &mut dyn Net, tape: &mut Tape) {
+        let Change { engine: i, state, started, .. } = change;
+        if state == "out" {
+            self.entries.remove(&i);
+        } else {
+            self.entries.insert(i, (state, started));
+        }
+        self.version += 1;
+        for (conn, (_, router)) in &self.watchers {
+            if let Some(router) = router {
+                let entry = self.entry(i, state, started, router);
+                let change = serde_json::json!({ "version": self.version, "workers": [entry] });
+                let mut event = Vec::new();
+                sse::write(&mut event, "change", Some(self.version), &change.to_string());
+                let mut bytes = Vec::new();
+                encode::chunk(&mut bytes, &event);
+                net.send(*conn, &bytes);
+                tape.add(self.told(router, i, state, started));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/fleet/steps.rs
@@ -0,0 +1,195 @@
+//! Steps of the stand-in engines: what they bring, and how replies are written and broken off.
+
+use chalkyard_proto::{encode, sse};
+use rand::Rng;
+
+use super::{Fleet, Tape, REPORT_EVERY};
+use crate::engine::Progress;
+use crate::net::{Conn, Net};
+use crate::record::{Effect, End, Freed, Seen};
+
+impl Fleet {
+    pub(super) fn step(&mut self, i: usize, net: &mut dyn Net, tape: &mut Tape) {
+        let now = tape.now;
+        let (from, cold_us) = (self.figures.cold_from, self.figures.cold_us);
+        let progress = {
+            let Some(host) = self.hosts.get_mut(i).filter(|h| h.up) else { return };
+            if host.troubles.pauses > 0.0 && now >= host.engine.paused_until + 700_000 {
+                host.engine.paused_until = now + (host.troubles.pauses * 1e6) as u64;
+            }
+            if host.troubles.ageing > 0.0 {
+                host.engine.slow = (host.engine.slow * 1.004).min(host.troubles.ageing);
+            }
+            let warmth = host.engine.warmth(now, from, cold_us);
+            let progress = host.engine.step(now, warmth);
+            if now >= host.reported + REPORT_EVERY && !host.troubles.report_late {
+                host.reported = now;
+                let (slots, memory, in_flight, queued, waiting) = host.engine.load();
+                host.report = format!(
+                    "JSON {{\"cpu_utilization\":{slots:.3},\"mem_utilization\":{memory:.3},\"named_metrics\":{{\"in_flight\":{in_flight},\"queue_depth\":{queued},\"latency_ms\":{:.1},\"waiting_tokens\":{waiting}}}}}",
+                    host.engine.latency / 1e3
+                );
+            }
+            progress
+        };
+        for p in progress {
+            match p {
+                Progress::Read { no, kept } => self.read_done(i, no, kept, net, tape),
+                Progress::Began { no, kept } => self.began(i, no, kept, net, tape),
+                Progress::Token { no, last } => self.token(i, no, last, net, tape),
+            }
+        }
+    }
+
+    fn read_done(&mut self, i: usize, no: u64, kept: u64, net: &mut dyn Net, tape: &mut Tape) {
+        let lost = self.is_lost(i);
+        let Some(host) = self.hosts.get_mut(i) else { return };
+        let Some(mut attempt) = host.attempts.remove(&no) else { return };
+        (attempt.read, attempt.kept, attempt.written) = (true, kept, 1);
+        attempt.work(no, &host.id, tape);
+        host.engine.hold(&attempt.request, attempt.prompt, tape.now);
+        tape.add(Seen::Hold { engine: host.id.clone(), request: attempt.request.clone() });
+        if lost {
+            tape.add(Seen::End { attempt: no, how: End::Down });
+            return self.break_off(i, attempt.conn, net);
+        }
+        tape.add(Seen::End { attempt: no, how: End::Answered });
+        let body = serde_json::json!({
+            "id": attempt.request, "object": "text_completion",
+            "choices": [{"index": 0, "text": "", "finish_reason": "length"}],
+            "usage": {"prompt_tokens": attempt.prompt, "completion_tokens": 1,
+                      "prompt_tokens_details": {"cached_tokens": kept}},
+            "kv_transfer_params": {"do_remote_prefill": true, "do_remote_decode": false,
+                "remote_engine_id": host.id, "remote_request_id": attempt.request},
+        });
+        self.reply(i, attempt.conn, 200, body.to_string().as_bytes(), net);
+    }
+
+    pub(super) fn is_lost(&mut self, i: usize) -> bool {
+        let share = self.hosts.get(i).map_or(0.0, |h| h.troubles.lost);
+        share > 0.0 && self.rng.random_bool(share.clamp(0.0, 1.0))
+    }
+
+    fn began(&mut self, i: usize, no: u64, kept: u64, net: &mut dyn Net, tape: &mut Tape) {
+        let lost = self.is_lost(i);
+        let Some(host) = self.hosts.get_mut(i) else { return };
+        let cell = host.cell;
+        let Some(attempt) = host.attempts.get_mut(&no) else { return };
+        let (request, from, conn) = (attempt.request.clone(), attempt.from, attempt.conn);
+        if let Some(from) = from {
+            // The state must still be there when it has been fetched.
+            let holder = self.hosts.get_mut(from).filter(|h| h.up && h.engine.holds(&request).is_some());
+            let Some(holder) = holder else {
+                if let Some(host) = self.hosts.get_mut(i) {
+                    host.attempts.remove(&no);
+                    host.engine.drop_work(no);
+                }
+                return self.turn_away(i, conn, no, End::NoState, net, tape);
+            };
+            holder.engine.free(&request, tape.now);
+            tape.add(Seen::Free { engine: holder.id.clone(), request, how: Freed::Pulled });
+        }
+        let Some(attempt) = self.hosts.get_mut(i).and_then(|h| h.attempts.get_mut(&no)) else { return };
+        attempt.kept = kept;
+        attempt.lost = lost;
+        let class = self.classes.get(attempt.class);
+        if class.is_some_and(|c| c.effect == Effect::Guarded) {
+            // The group discards a repeat within the window: it is answered and has no effect.
+            let window = class.map_or(0, |c| c.window_us);
+            let key = (cell, attempt.identity.clone());
+            if self.ran.get(&key).is_some_and(|at| at + window > tape.now) {
+                return;
+            }
+            self.ran.insert(key, tape.now);
+        }
+        tape.add(Seen::Run { attempt: no });
+    }
+
+    fn token(&mut self, i: usize, no: u64, last: bool, net: &mut dyn Net, tape: &mut Tape) {
+        let Some(host) = self.hosts.get_mut(i) else { return };
+        let report = host.report.clone();
+        let Some(attempt) = host.attempts.get_mut(&no) else { return };
+        attempt.written += 1;
+        attempt.read = true;
+        if last {
+            attempt.work(no, &host.id, tape);
+        }
+        let conn = attempt.conn;
+        if attempt.lost {
+            if last {
+                host.attempts.remove(&no);
+                tape.add(Seen::End { attempt: no, how: End::Down });
+                self.break_off(i, conn, net);
+            }
+            return;
+        }
+        let mut bytes = Vec::new();
+        if !std::mem::replace(&mut attempt.head_sent, true) {
+            let fields = [("content-type", "text/event-stream"), ("endpoint-load-metrics", report.as_str())];
+            bytes = encode::chunked_head(200, &fields, true);
+        }
+        let mut event = Vec::new();
+        let finish = if last { "\"stop\"" } else { "null" };
+        let text = format!(
+            "{{\"choices\":[{{\"index\":0,\"text\":\" w{}\",\"finish_reason\":{finish}}}]}}",
+            attempt.written
+        );
+        sse::write(&mut event, "", None, &text);
+        if last {
+            let usage = format!(
+                "{{\"choices\":[],\"usage\":{{\"prompt_tokens\":{},\"completion_tokens\":{},\"prompt_tokens_details\":{{\"cached_tokens\":{}}}}}}}",
+                attempt.prompt, attempt.written, attempt.kept
+            );
+            sse::write(&mut event, "", None, &usage);
+            sse::write(&mut event, "", None, "[DONE]");
+        }
+        encode::chunk(&mut bytes, &event);
+        if last {
+            bytes.extend_from_slice(encode::LAST_CHUNK);
+            host.attempts.remove(&no);
+            if let Some(peer) = host.conns.get_mut(&conn) {
+                peer.attempt = None;
+            }
+            tape.add(Seen::End { attempt: no, how: End::Answered });
+        }
+        net.send(conn, &bytes);
+    }
+
+    pub(super) fn break_off(&mut self, i: usize, conn: Conn, net: &mut dyn Net) {
+        net.cut(conn);
+        self.conns.remove(&conn);
+        if let Some(host) = self.hosts.get_mut(i) {
+            host.conns.remove(&conn);
+        }
+    }
+
+    pub(super) fn reply(&mut self, i: usize, conn: Conn, status: u16, body: &[u8], net: &mut dyn Net) {
+        let Some(host) = self.hosts.get_mut(i) else { return };
+        let fields = [("content-type", "application/json"), ("endpoint-load-metrics", host.report.as_str())];
+        net.send(conn, &encode::response(status, &fields, body, true));
+        if let Some(peer) = host.conns.get_mut(&conn) {
+            peer.attempt = None;
+        }
+    }
+
+    pub(super) fn turn_away(
+        &mut self,
+        i: usize,
+        conn: Conn,
+        no: u64,
+        how: End,
+        net: &mut dyn Net,
+        tape: &mut Tape,
+    ) {
+        tape.add(Seen::End { attempt: no, how });
+        let (status, kind) = match how {
+            End::Refused => (429, "full"),
+            End::NoState => (409, "no_state"),
+            _ => (500, "internal"),
+        };
+        let body = format!("{{\"error\":{{\"type\":\"{kind}\",\"message\":\"{kind}\"}}}}");
+        self.reply(i, conn, status, body.as_bytes(), net);
+    }
+
+    // ---- Sockets.
+}
