--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -143,6 +143,32 @@
         self.feed(Event::Verdict { id, attempt, outcome, elapsed, over: false, kept: 0, report: None })
     }
 
+    /// Plays a free request through its attempts, four at most, 20 ms each: reads end well, answers stream to their end,
+    /// and the first attempt is turned away where that is told. `sent_to` hears of each as it is sent.
+    pub fn play(
+        &mut self,
+        id: &str,
+        tokens: u64,
+        first_is_turned_away: bool,
+        mut sent_to: impl FnMut(Micros, &str),
+    ) {
+        let mut next = sent(&self.ask(id, id, FREE, tokens));
+        let mut attempt = 0;
+        while let Some((to, _)) = next.take().filter(|_| attempt < 4) {
+            sent_to(self.now, &to);
+            self.wait(0.02);
+            if first_is_turned_away && attempt == 0 {
+                next = sent(&self.end(id, attempt, Outcome::Refused { no_state: false }, 0));
+            } else if to.starts_with('r') {
+                next = sent(&self.end(id, attempt, Outcome::Parsed, 0));
+            } else {
+                self.stream(id, attempt);
+                self.end(id, attempt, Outcome::Served, 0);
+            }
+            attempt += 1;
+        }
+    }
+
     /// Fires timers, those set on the way too, until the actions are as wanted, `most` times at most.
     pub fn fire_until(&mut self, mut actions: Vec<Action>, most: u32, wanted: impl Fn(&[Action]) -> bool) {
         for _ in 0..most {
--- a/crates/policy/tests/many_routers.rs
+++ b/crates/policy/tests/many_routers.rs
@@ -113,27 +113,13 @@
                 rig.now = at;
             }
             let (id, asked) = (format!("{n}-{i}"), rig.now);
-            let mut next = sent(&rig.ask(&id, &id, FREE, LONG));
-            let mut attempt = 0;
-            while let Some((to, _)) = next.take().filter(|_| attempt < 4) {
-                let age = if rig.now >= back { (rig.now - back).as_secs_f64() } else { -1.0 };
+            rig.play(&id, LONG, i % 4 == 3, |now, to| {
+                let age = if now >= back { (now - back).as_secs_f64() } else { -1.0 };
                 if age >= 0.0 && to == "r0" {
                     sends.push(age);
                 }
-                before +=
-                    f64::from(u8::from(age < 0.0 && to.starts_with('r') && rig.now >= begun + secs(10.0)));
-                let turned = i % 4 == 3 && attempt == 0;
-                rig.wait(0.02);
-                if turned {
-                    next = sent(&rig.end(&id, attempt, Outcome::Refused { no_state: false }, 0));
-                } else if to.starts_with('r') {
-                    next = sent(&rig.end(&id, attempt, Outcome::Parsed, 0));
-                } else {
-                    rig.stream(&id, attempt);
-                    rig.end(&id, attempt, Outcome::Served, 0);
-                }
-                attempt += 1;
-            }
+                before += f64::from(u8::from(age < 0.0 && to.starts_with('r') && now >= begun + secs(10.0)));
+            });
             i += 1;
             rig.now = rig.now.max(asked + secs(1.0 / per_s));
         }
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -139,27 +139,15 @@
     let tokens = if number % LONG_EVERY == 0 { TOKENS * LONG_TIMES } else { TOKENS };
     let work = tokens as f64 / mean_tokens();
     let id = format!("{router}-{number}");
-    let mut next = sent(&rig.ask(&id, &id, FREE, tokens));
-    let mut attempt = 0;
-    while let Some((to, _)) = next.take().filter(|_| attempt < 4) {
-        if rig.now >= back {
-            let age = (rig.now - back).as_secs_f64();
+    let turned = number % TURNED_EVERY == TURNED_EVERY - 1;
+    rig.play(&id, tokens, turned, |now, to| {
+        if now >= back {
+            let age = (now - back).as_secs_f64();
             sends.to_cold.extend((to == fleet.cold_id()).then_some((age, work)));
-        } else if rig.now + secs(RATE_S) >= back && fleet.of_role(&to) {
+        } else if now + secs(RATE_S) >= back && fleet.of_role(to) {
             sends.before += work;
         }
-        rig.wait(0.02);
-        let turned = number % TURNED_EVERY == TURNED_EVERY - 1 && attempt == 0;
-        if turned {
-            next = sent(&rig.end(&id, attempt, Outcome::Refused { no_state: false }, 0));
-        } else if to.starts_with('r') {
-            next = sent(&rig.end(&id, attempt, Outcome::Parsed, 0));
-        } else {
-            rig.stream(&id, attempt);
-            rig.end(&id, attempt, Outcome::Served, 0);
-        }
-        attempt += 1;
-    }
+    });
     rig.feed(Event::ClientGone(id.as_str().into()));
 }
 
--- a/crates/router/src/core/attempts.rs
+++ b/crates/router/src/core/attempts.rs
@@ -6,7 +6,7 @@
 use chalkyard_proto::encode;
 
 use super::job::{outcome_name, At, Attempt, Call, Job, Reply};
-use super::pool::Task;
+use super::pool::{Payload, Task};
 use super::record::Ended;
 use super::tally;
 use super::{Core, Due};
@@ -74,10 +74,9 @@
     pub(super) fn dial(&mut self, id: &RequestId, no: AttemptNo) {
         let attempt = self.attempt_mut(id, no).filter(|a| a.ended.is_none());
         let Some((worker, connect)) = attempt.map(|a| (a.worker.clone(), a.connect)) else { return };
-        let bytes =
-            self.attempt_bytes(id, no).filter(|_| self.engines.get(&worker).is_some_and(|e| e.listed));
+        let listed = self.engines.get(&worker).is_some_and(|e| e.listed);
         let task = Task::Attempt(id.clone(), no, Reply::None);
-        let conn = bytes.and_then(|bytes| self.call(&worker, task, bytes, 0));
+        let conn = listed.then(|| self.call(&worker, task, Payload::AttemptCall, 0)).flatten();
         // Our own bound: it says nothing of the engine.
         let Some(conn) = conn else { return self.end_attempt(id, no, Outcome::NotSent, 0) };
         if let Some(span) = connect {
--- a/crates/router/src/core/pool.rs
+++ b/crates/router/src/core/pool.rs
@@ -78,6 +78,15 @@
     Poll(Vec<u8>),
 }
 
+/// What is written on a connection.
+#[derive(Debug)]
+pub(super) enum Payload {
+    /// These bytes.
+    Bytes(Vec<u8>),
+    /// The call of the attempt that the connection carries, made as it is written: what it tells of time is true then.
+    AttemptCall,
+}
+
 /// A connection of ours.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -85,7 +94,7 @@
     pub decoder: Decoder,
     pub task: Task,
     /// What is to be written once it stands.
-    pub waiting: Option<Vec<u8>>,
+    pub waiting: Option<Payload>,
     /// Bytes of the present call that the system has taken; none means that it was not sent.
     pub wrote: u64,
     /// Bytes of the present call in all.
@@ -106,12 +115,12 @@
 }
 
 impl Core {
-    /// A connection that carries `task`, on which `bytes` are written; none at the bound.
+    /// A connection that carries `task`, on which its call is written; none at the bound.
     pub(super) fn call(
         &mut self,
         worker: &p::WorkerId,
         task: Task,
-        bytes: Vec<u8>,
+        payload: Payload,
         spare: usize,
     ) -> Option<ConnId> {
         let most = self.config.bounds.engine_connections + spare;
@@ -130,14 +139,8 @@
             if let Some(key) = link.timer.take() {
                 self.timers.cancel(key);
             }
-            let is_attempt = matches!(task, Task::Attempt(..));
             link.task = task;
-            link.wrote = 0;
-            link.size = bytes.len() as u64;
-            self.out.push(Output::Write(conn, bytes));
-            if is_attempt {
-                self.write_within(conn);
-            }
+            self.write_call(conn, payload);
             return Some(conn);
         }
         let engine = self.engines.get(worker)?;
@@ -149,7 +152,7 @@
             return None;
         }
         self.engines.get_mut(worker)?.open += 1;
-        Some(self.connect(Some(worker.clone()), address, task, bytes))
+        Some(self.connect(Some(worker.clone()), address, task, payload))
     }
 
     /// Learns from a call that was lost with nothing heard of it.
@@ -173,21 +176,20 @@
         worker: Option<p::WorkerId>,
         address: SocketAddr,
         task: Task,
-        bytes: Vec<u8>,
+        payload: Payload,
     ) -> ConnId {
         let conn = ConnId(self.next_link);
         self.next_link += 2;
         self.count(|t| t.connects += u64::from(worker.is_some()));
         let timer = self.timers.set(self.now + self.config.waits.connect, Due::Connect(conn));
         let decoder = Decoder::new(Side::Response, self.config.bounds.engine);
-        let size = bytes.len() as u64;
         let link = Link {
             worker,
             decoder,
             task,
-            waiting: Some(bytes),
+            waiting: Some(payload),
             wrote: 0,
-            size,
+            size: 0,
             last: false,
             parked: Micros(0),
             rested: None,
@@ -204,26 +206,36 @@
             self.timers.cancel(key);
         }
         let waiting = link.waiting.take();
-        let bytes = match &link.task {
-            // What it tells of the time that is left has to be true now, not when the connection was asked for.
-            Task::Attempt(id, no, _) => {
-                let (id, no) = (id.clone(), *no);
-                self.attempt_bytes(&id, no)
-            }
-            _ => waiting,
-        };
-        let Some(link) = self.links.get_mut(&conn) else { return };
-        link.size = bytes.as_ref().map_or(0, |b| b.len() as u64);
         match link.task {
             Task::Idle => self.park(conn),
             Task::Watch(_) | Task::Poll(_) => self.alive(conn),
             // A call that is no attempt has no time-out of the module's.
             Task::Release(..) => self.limit(conn),
-            Task::Attempt(..) => self.write_within(conn),
-            Task::Rest => {}
+            Task::Attempt(..) | Task::Rest => {}
+        }
+        if let Some(payload) = waiting {
+            self.write_call(conn, payload);
+        }
+    }
+
+    /// Writes a call on a connection that stands.
+    fn write_call(&mut self, conn: ConnId, payload: Payload) {
+        let task = self.links.get(&conn).map(|l| &l.task);
+        let (bytes, is_attempt) = match (payload, task) {
+            (Payload::Bytes(bytes), _) => (bytes, false),
+            (Payload::AttemptCall, Some(Task::Attempt(id, no, _))) => {
+                let (id, no) = (id.clone(), *no);
+                // The attempt is open, or its connection would be gone.
+                (self.attempt_bytes(&id, no).unwrap_or_default(), true)
+            }
+            (Payload::AttemptCall, _) => return,
+        };
+        if let Some(link) = self.links.get_mut(&conn) {
+            (link.wrote, link.size) = (0, bytes.len() as u64);
         }
-        if let Some(bytes) = bytes {
-            self.out.push(Output::Write(conn, bytes));
+        self.out.push(Output::Write(conn, bytes));
+        if is_attempt {
+            self.write_within(conn);
         }
     }
 
--- a/crates/router/src/core/releases.rs
+++ b/crates/router/src/core/releases.rs
@@ -4,7 +4,7 @@
 use chalkyard_policy::{Event, Micros, RequestId, WorkerId};
 use chalkyard_proto::{encode, Part, Start};
 
-use super::pool::Task;
+use super::pool::{Payload, Task};
 use super::{ConnId, Core, Due};
 
 /// A call to let go is made again after at least this pause, and half the time since the first, while the told release
@@ -74,7 +74,7 @@
             encode::request("POST", engine::RELEASE, &self.host(&worker), &fields, &body)
         };
         // Beyond the bound by a few, so that a release is not held up by what fills the engine.
-        let conn = self.call(&worker, Task::Release(no), bytes, 8);
+        let conn = self.call(&worker, Task::Release(no), Payload::Bytes(bytes), 8);
         if let Some(conn) = conn.filter(|c| self.links.get(c).is_some_and(|l| l.waiting.is_none())) {
             self.limit(conn);
         }
--- a/crates/router/src/core/sources.rs
+++ b/crates/router/src/core/sources.rs
@@ -5,7 +5,7 @@
 use chalkyard_policy::Event;
 use chalkyard_proto::{encode, sse, Part, Start};
 
-use super::pool::{Engine, Link, Task};
+use super::pool::{Engine, Link, Payload, Task};
 use super::{ConnId, Core, Due, Output};
 use crate::dialect::List;
 use crate::register::{Named, Wrong};
@@ -91,7 +91,7 @@
         let address = self.config.register?;
         self.count(|t| t.list_calls += 1);
         let bytes = encode::request("GET", target, &address.to_string(), &[("via", &self.via)], &[]);
-        Some(self.connect(None, address, task, bytes))
+        Some(self.connect(None, address, task, Payload::Bytes(bytes)))
     }
 
     pub(super) fn watch_register(&mut self) {
@@ -100,7 +100,7 @@
             (self.asked, self.waits) = (self.now, !self.list_doubted);
             let bytes = dialect.watch(self.version, self.waits, &address.to_string());
             self.count(|t| t.list_calls += 1);
-            self.register = Some(self.connect(None, address, Task::Poll(Vec::new()), bytes));
+            self.register = Some(self.connect(None, address, Task::Poll(Vec::new()), Payload::Bytes(bytes)));
             return;
         }
         if let Some(old) = self.register.take() {
