A machine that is not on the list has no vote; a wrapper goes

Cause, found on reading the change again: Machine::take counted answers of any sender, so that two of four machines and a stranger made a quorum of three. Change: only machines of the list are heard; Message::document, which only called Document::new, is gone.

--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -197,8 +197,11 @@
         self.publication.is_some()
     }
 
-    /// Takes a message of a machine, or of itself.
+    /// Takes a message of a machine, or of itself. One that is not on the list has no vote and is told nothing.
     pub fn take(&mut self, from: MachineId, message: Message, out: &mut Vec<Output>) {
+        if !self.machines.contains(&from) {
+            return;
+        }
         match message {
             Message::Prepare { number, ballot } => self.prepare(from, number, ballot, out),
             Message::Accept(vote) => self.accept(from, vote, out),
--- a/crates/control/src/messages.rs
+++ b/crates/control/src/messages.rs
@@ -4,7 +4,7 @@
 
 use crate::acceptor::{Ballot, Vote};
 use crate::digest::Digest;
-use crate::document::{Document, Entry, NotApplied, DOCUMENT_BYTES};
+use crate::document::{Document, Entry, DOCUMENT_BYTES};
 use crate::revision::{Number, Revision};
 use crate::seal::{SiteKey, SEAL_BYTES};
 
@@ -120,12 +120,4 @@
             _ => Err(Malformed::Unreadable),
         }
     }
-
-    /// The document of a whole.
-    ///
-    /// # Errors
-    /// Past a bound.
-    pub fn document(entries: Vec<Entry>) -> Result<Document, NotApplied> {
-        Document::new(entries)
-    }
 }
--- a/crates/control/src/subscriber.rs
+++ b/crates/control/src/subscriber.rs
@@ -203,7 +203,7 @@
                 self.taken(now, taken, number, |number| apply.apply(number, &delta), actions);
             }
             Message::Whole { number, entries } => {
-                let taken = match Message::document(entries) {
+                let taken = match Document::new(entries) {
                     Ok(document) => self.follower.take_whole(number, document),
                     Err(why) => Taken::NotApplied(why.to_string()),
                 };
--- a/crates/control/tests/votes.rs
+++ b/crates/control/tests/votes.rs
@@ -214,6 +214,26 @@
     assert_eq!(fleet.machines[2].number(), Number(1), "it keeps what it had");
 }
 
+/// Were its answers counted, two machines and a stranger would be a quorum.
+#[test]
+fn a_machine_that_is_not_on_the_list_has_no_vote() {
+    let mut machine = Machine::fresh(MachineId(0), MACHINES);
+    let mut out = Vec::new();
+    machine.publish(Delta(vec![Change::Set(entry("a", "b"))]), "operator", &NothingBad, &mut out);
+    let prepared = out.iter().find_map(|o| match o {
+        Output::Send(_, Message::Prepare { number, ballot }) => Some((*number, *ballot)),
+        _ => None,
+    });
+    let (number, ballot) = prepared.expect("the others are asked");
+    let promise = Message::Promise { number, ballot, vote: None };
+    out.clear();
+    machine.take(MachineId(1), promise.clone(), &mut out);
+    machine.take(MachineId(9), promise.clone(), &mut out);
+    assert_eq!(out, [], "two of four and a stranger");
+    machine.take(MachineId(2), promise, &mut out);
+    assert!(out.iter().any(|o| matches!(o, Output::Send(_, Message::Accept(_)))), "three of four");
+}
+
 #[test]
 fn a_quorum_shares_two_machines_with_any_other() {
     for machines in 1..=9_usize {
