--- a/review/src/case2.rs
+++ b/review/src/case2.rs
@@ -225,7 +225,7 @@
     second.extend((REPORTS / 2..REPORTS).map(|n| again(n, "after the first has ended")));
     let second: Vec<_> = second.into_iter().map(|t| t.join().unwrap()).collect();
     for mut child in new.into_iter().chain(old.try_wait().unwrap().is_none().then_some(old)) {
-        let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        send_signal(&child, "-TERM");
         let until = Instant::now() + Duration::from_secs(3);
         while child.try_wait().unwrap().is_none() && Instant::now() < until {
             thread::sleep(ms(20));
--- a/review/src/common.rs
+++ b/review/src/common.rs
@@ -278,6 +278,11 @@
     child
 }
 
+/// By the shell's own `kill`.
+pub fn send_signal(to: &Child, signal: &str) {
+    let _ = Command::new("/bin/sh").args(["-c", &format!("kill {signal} {}", to.id())]).status();
+}
+
 /// Ends with the verdict, after all processes were waited for.
 pub fn end(place: &Place, code: i32) -> ! {
     let _ = std::fs::remove_file(place.temp.join("pids"));
@@ -367,7 +372,7 @@
     }
 
     pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
+        send_signal(&self.child, signal);
     }
 
     /// Replaces the file with one that names another address of discovery, and sends SIGHUP.
