Requests completed late in a shutdown are rejected, not served and cut off by SIGKILL

Cause: request_intake.rs `check_parsed` looked at `stopping` and never at `draining`, though a draining router is said to reject new requests; clients.rs `close_idle_clients` leaves a connection alone on which a part of a request was read. What was completed there, up to 2.5 s later, was taken, sent on and served as if there were no restart. The streams last 2 to 7.5 s and can't go on elsewhere at this site, so SIGKILL found them.

Evidence: all 17 lost requests are of slow clients; their last bytes came 726 to 1,465 ms after SIGTERM, so that their first came between -0.27 and 0.47 s, before the drain at 0.5 s. Ruled out: connections accepted after the lame-duck time and resting ones that were not closed (no lost request begins after 0.5 s), and fast clients (none among the lost ones).

Change: a draining router serves what is completed within the grace of 0.1 s and rejects (503, Connection: close) what is completed later, also behind a stream that was open at SIGTERM; `late_bytes` tells which of the pipelined requests these are. What is unfinished 0.4 s before the earliest SIGKILL, as the drain's time is up, or at a second signal is rejected as it is; until now it was told 408 or cut without an answer. Nothing of these has run, so every class may be sent again. New: core/drain.rs.

Same cause on related paths: the lame-duck and migration times were fixed for a SIGKILL after 3.7 s, but it follows the longest deadline of the settings (at most 3 s) by 0.7 s. With a deadline of 1 s streams were to migrate between 1.8 and 3.3 s and were cut at 1.7 s. The times now follow from the settings (platform/src/shutdown.rs). Without migration the lame-duck time is 0.45 s (was 0.5 s): with the grace and a stall of 0.15 s it ends at 0.7 s. At a second SIGTERM in the lame-duck phase the listening socket and resting connections stayed open; they are closed. Hand-over and SIGTERM with a settings file rejected what is completed while draining already; now held by a test.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -25,12 +25,6 @@
 const CONFIG_VARIABLE: &str = "GW_CONFIG";
 /// A router without an endpoint list starts to listen after this time, in microseconds.
 const ENDPOINT_WAIT_US: u64 = 3_000_000;
-/// Time for which a stopping router accepts connections and requests, in microseconds. New connections arrive for 0.4 s.
-/// A request that arrives after 0.7 s must be answered before the process is killed, which streams cannot achieve unless
-/// they may migrate.
-const LAME_DUCK_US: u64 = 500_000;
-/// Value of [`LAME_DUCK_US`] when streams may migrate, in microseconds.
-const LAME_DUCK_MIGRATION_US: u64 = 1_500_000;
 /// Time limit for open requests of a stopping router, in microseconds; the platform kills the process earlier.
 const DRAIN_US: u64 = 60_000_000;
 /// Time limit for flushing the last responses, in microseconds.
@@ -154,8 +148,6 @@
     let clock = Clock::new();
     let mut config = started.config;
     config.policy.tick = config.policy.tick.max(timer_granularity());
-    let lame_duck_us =
-        if config.timeouts.migration.is_some() { LAME_DUCK_MIGRATION_US } else { LAME_DUCK_US };
     let address = with_retries(STARTUP_ATTEMPTS, || ListenAddress::bind(started.listen, false));
     let address = address.map_err(|e| could_not(&format!("listening at {}", started.listen), e))?;
     let mut core = Core::new(config, started.seed.unwrap_or(clock.now().0), clock.now());
@@ -167,7 +159,7 @@
     let sink = LogSink { log, lines: LineBudget::new(Instant::now()), all, file, rereads: None };
     let timeouts = LifecycleTimeouts {
         endpoint_wait: ENDPOINT_WAIT_US,
-        lame_duck: lame_duck_us,
+        lame_duck: started.lame_duck.0,
         drain: DRAIN_US,
         flush: FLUSH_US,
     };
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -7,11 +7,12 @@
 use chalkyard_adapter::{translate, wire};
 use chalkyard_api::keys::KeyRing;
 use chalkyard_policy::Micros;
-use chalkyard_router::{Bounds, ClassConfig, Config, MigrationWindow, TenantConfig, Timeouts};
+use chalkyard_router::{Bounds, ClassConfig, Config, TenantConfig, Timeouts};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
 use crate::dialect::{Platform, LONG_POLL_MS};
+use crate::shutdown::ShutdownSchedule;
 
 #[derive(Deserialize)]
 struct ConfigFile<'a> {
@@ -57,6 +58,8 @@
     pub last_endpoint_list: Option<String>,
     /// Maximum number of closing connections that linger so that the client can read the end of its answer.
     pub max_lingering: usize,
+    /// Time after SIGTERM in which connections and requests are accepted.
+    pub lame_duck: Micros,
     /// The configuration of the router's core.
     pub config: Config,
 }
@@ -162,14 +165,16 @@
         let ms = |n: u64| Micros(n * 1_000);
         let seconds_or = |s: Option<f64>, default: Micros| s.map_or(default, Micros::from_secs_f64);
         let worker_idle = seconds_or(params.limits.conn_idle_s, ms(20_000));
+        let longest_deadline = policy.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+        let shutdown = ShutdownSchedule::new(longest_deadline, policy.resume);
         let timeouts = Timeouts {
             request: ms(2_500),
             idle: ms(15_000),
             first_request: ms(2_500),
             release: ms(150),
-            // The platform kills the process no sooner than 3.7 s after it has asked it to terminate.
-            migration: policy.resume.then_some(MigrationWindow { from: ms(1_800), until: ms(3_300) }),
-            drain_grace: ms(100),
+            migration: shutdown.migration,
+            drain_grace: shutdown.drain_grace,
+            drain_receive: shutdown.drain_receive,
             // At most half of the configured idle timeout of workers: a call that is sent while the worker closes the
             // connection is lost.
             worker_idle: worker_idle.mul_f64(0.5).min(ms(10_000)),
@@ -211,6 +216,7 @@
             seed: u64::from_str_radix(&file.seed, 16).ok(),
             last_endpoint_list: file.known.map(|list| list.get().to_owned()),
             max_lingering,
+            lame_duck: shutdown.lame_duck,
             config,
         })
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod head;
 mod response_observer;
+mod shutdown;
 
 pub use config::{ConfigError, Limits, StartupConfig};
 pub use dialect::Platform;
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -108,8 +108,12 @@
     /// When streams are migrated during a graceful shutdown; `None` disables migration. Requests accepted during the
     /// shutdown are answered by the end of the window.
     pub migration: Option<MigrationWindow>,
-    /// Once the router drains, time for a newly connected client to begin its first request.
+    /// Once the router drains, time for a newly connected client to send its first request. With a dialect, requests of
+    /// which the last byte arrives within this time are served, and later ones are rejected.
     pub drain_grace: p::Micros,
+    /// Once the router drains, time for clients to complete the requests that they are sending. Requests that are not
+    /// complete by then are rejected.
+    pub drain_receive: p::Micros,
     /// Idle time of a connection to a worker. It must be shorter than the workers' own idle timeout.
     pub worker_idle: p::Micros,
     /// Time to connect to a worker or to service discovery.
@@ -148,6 +152,7 @@
             release: ms(250),
             migration: None,
             drain_grace: ms(500),
+            drain_receive: ms(10_000),
             worker_idle: ms(10_000),
             connect: ms(250),
             stream: ms(20_000),
--- a/crates/router/src/core/answers.rs
+++ b/crates/router/src/core/answers.rs
@@ -172,6 +172,7 @@
     }
 
     /// Answers each open request with a failure that says whether the request may have run, because the process ends.
+    /// Requests of which only a part has arrived are rejected.
     pub fn fail_open_requests(&mut self, now: Micros, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         self.stopping = true;
@@ -183,6 +184,8 @@
             self.remove_if_completed(&id);
         }
         self.process_events();
+        self.end_waiting_clients();
+        self.process_events();
         out.append(&mut self.outputs);
     }
 
--- a/crates/router/src/core/client_answers.rs
+++ b/crates/router/src/core/client_answers.rs
@@ -19,7 +19,7 @@
     /// request was already read, because a request that was read is answered.
     pub(super) fn is_kept_alive(&self, conn: ConnId) -> bool {
         let Some(client) = self.clients.get(&conn) else { return false };
-        !client.close_after_answer && (!self.draining || !client.decoder.is_idle())
+        !client.close_after_answer && (!self.is_draining() || !client.decoder.is_idle())
     }
 
     pub(super) fn answer_error(&mut self, conn: ConnId, status: u16, body: &ErrorBody) {
@@ -51,8 +51,8 @@
             // The client was told that the connection stays open.
             return self.close_if_quiet(conn);
         }
-        let timeouts = &self.config.timeouts;
-        let timeout = if client.decoder.is_idle() { timeouts.idle } else { timeouts.request };
+        let timeout =
+            if client.decoder.is_idle() { self.config.timeouts.idle } else { self.request_timeout() };
         self.set_client_timer(conn, timeout);
         self.pending_clients.push_back(conn);
     }
--- a/crates/router/src/core/client_connection.rs
+++ b/crates/router/src/core/client_connection.rs
@@ -46,6 +46,9 @@
     pub(super) phase_since: Micros,
     /// Arrival of the first byte behind the open request. The client's time for the next request runs from then.
     pub(super) next_request_since: Micros,
+    /// Number of bytes, the last ones pushed to the decoder, that arrived too late for the requests that they complete to
+    /// be served by a draining router.
+    pub(super) late_bytes: usize,
     /// Time since which nothing was read. The bytes read next may have arrived as early.
     pub(super) unread_since: Option<Micros>,
 }
@@ -67,6 +70,7 @@
             has_been_answered: false,
             phase_since: now,
             next_request_since: now,
+            late_bytes: 0,
             unread_since: None,
         }
     }
@@ -76,6 +80,16 @@
         matches!(self.phase, ClientPhase::ReadingHead) && self.decoder.is_idle()
     }
 
+    /// Whether only a part of a request has arrived, and the rest is being read.
+    pub(super) fn is_receiving(&self) -> bool {
+        !matches!(self.phase, ClientPhase::Serving(_)) && !self.decoder.is_idle() && !self.output_full
+    }
+
+    /// Whether the last byte of the request that was just decoded arrived too late for it to be served.
+    pub(super) fn has_late_request(&self) -> bool {
+        self.decoder.buffered() < self.late_bytes
+    }
+
     /// Prepares for the next request after an answer. If part of that request has arrived, its time runs from that
     /// arrival.
     pub(super) fn start_next_request(&mut self, now: Micros) {
--- a/crates/router/src/core/client_reading.rs
+++ b/crates/router/src/core/client_reading.rs
@@ -10,6 +10,7 @@
 impl Core {
     pub(super) fn client_bytes(&mut self, conn: ConnId, bytes: &[u8]) {
         self.cancel_close_if_quiet(conn);
+        let (is_late, timeout) = (self.is_past_drain_grace(), self.request_timeout());
         let Some(client) = self.clients.get_mut(&conn) else { return };
         let came_at = client.unread_since.take().unwrap_or(self.now);
         if client.decoder.is_idle() {
@@ -17,15 +18,19 @@
         }
         let begins_request = client.is_idle();
         client.decoder.push(bytes);
+        if is_late {
+            client.late_bytes += bytes.len();
+        }
         if let ClientPhase::Serving(_) = client.phase {
             client.pipeline_full = client.decoder.is_over_pipeline_limit();
             return self.update_reading(conn);
         }
         if begins_request {
             client.phase_since = came_at;
-            // A client's first request must arrive in the time left to its connection.
-            let left = client.timer.filter(|_| !client.has_been_answered).map(|key| key.due - self.now);
-            let timeout = self.config.timeouts.request;
+            // A client's first request must arrive in the time left to its connection, which a drain shortens for those
+            // that have not begun a request.
+            let is_limited = !client.has_been_answered && self.draining_since.is_none();
+            let left = client.timer.filter(|_| is_limited).map(|key| key.due - self.now);
             self.set_client_timer(conn, left.map_or(timeout, |left| left.min(timeout)));
         }
         self.read_requests(conn);
--- a/crates/router/src/core/clients.rs
+++ b/crates/router/src/core/clients.rs
@@ -15,8 +15,8 @@
 impl Core {
     pub(super) fn client_connected(&mut self, conn: ConnId) {
         let is_full = self.clients.len() >= self.config.bounds.clients && !self.evict_client();
-        if is_full || (self.draining && self.config.dialect.is_none()) {
-            let reason = if self.draining { "draining" } else { "too many connections" };
+        if is_full || (self.is_draining() && self.config.dialect.is_none()) {
+            let reason = if self.is_draining() { "draining" } else { "too many connections" };
             let body = error(ErrorKind::Refused, reason).json();
             self.update_tally(|t| t.dropped_clients += 1);
             self.outputs.push(Output::Write(conn, encode::response(503, &[JSON], &body, false)));
@@ -66,24 +66,6 @@
         }
     }
 
-    /// Closes idle clients. A client that has just connected is about to send a request and gets a short time to do
-    /// so.
-    pub(super) fn close_idle_clients(&mut self) {
-        let idle: Vec<(ConnId, bool)> = self
-            .clients
-            .iter()
-            .filter(|(_, client)| client.is_idle())
-            .map(|(conn, client)| (*conn, client.has_been_answered))
-            .collect();
-        for (conn, has_been_answered) in idle {
-            if has_been_answered {
-                self.close_if_quiet(conn);
-            } else {
-                self.set_client_timer(conn, self.config.timeouts.drain_grace);
-            }
-        }
-    }
-
     /// Whether the connection stays open after the answer that is about to begin. If not, the answer says so, and
     /// bytes that the client sends from now on stay unread.
     pub(super) fn announce_keep_alive(&mut self, conn: ConnId) -> bool {
@@ -169,7 +151,7 @@
         }
         if std::mem::take(&mut client.output_full) {
             self.update_reading(conn);
-            self.set_client_timer(conn, self.config.timeouts.request);
+            self.set_client_timer(conn, self.request_timeout());
             return self.pending_clients.push_back(conn);
         }
         if let ClientPhase::Serving(id) = &client.phase {
@@ -181,6 +163,7 @@
     /// Handles the timer of a client connection.
     pub(super) fn client_timed_out(&mut self, conn: ConnId) {
         let (slow_client, is_full) = (self.config.timeouts.slow_client, self.is_send_buffer_full(conn));
+        let is_draining = self.is_draining();
         let Some(client) = self.clients.get_mut(&conn) else { return };
         client.timer = None;
         let is_blocked = client.blocked_since + slow_client <= self.now;
@@ -203,6 +186,10 @@
                 }
             }
             ClientPhase::ReadingHead if client.decoder.is_idle() => self.close_if_quiet(conn),
+            // The drain may have shortened the time, so the client is told that it may try again.
+            ClientPhase::ReadingHead | ClientPhase::ReadingBody(..) if is_draining => {
+                self.reject_unfinished(conn);
+            }
             ClientPhase::ReadingHead | ClientPhase::ReadingBody(..) => {
                 let body = error(ErrorKind::Invalid, "the request took too long to come").json();
                 self.write_client(conn, encode::response(408, &[JSON], &body, false));
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -17,6 +17,7 @@
 mod connection_pool;
 pub(crate) mod counters;
 mod discovery;
+mod drain;
 mod load_report;
 mod messages;
 mod migration;
@@ -115,8 +116,8 @@
     next_connection: u64,
     next_request: u64,
     next_release: ReleaseId,
-    /// Whether new requests are rejected.
-    draining: bool,
+    /// Start time of the drain, during which new requests are rejected.
+    draining_since: Option<Micros>,
     /// Whether all open requests were answered because the process is ending; no request is started after that.
     stopping: bool,
     /// Start time of the graceful shutdown.
@@ -156,7 +157,7 @@
             next_connection: 1,
             next_request: 0,
             next_release: ReleaseId::default(),
-            draining: false,
+            draining_since: None,
             stopping: false,
             shutdown_since: None,
             observer: None,
@@ -255,26 +256,6 @@
         self.timers.next_due()
     }
 
-    /// Begins the graceful shutdown. Health checks fail from now on, but requests are still accepted until clients
-    /// have noticed.
-    pub fn begin_shutdown(&mut self, now: Micros) {
-        self.now = self.now.max(now);
-        self.shutdown_since = Some(self.now);
-        if let Some(migration) = self.config.timeouts.migration {
-            self.timers.set(self.now + migration.from, TimerEvent::Migration);
-        }
-    }
-
-    /// Rejects new requests; open requests continue. Closes idle clients, and gives clients that have just connected
-    /// a short time before they are closed.
-    pub fn drain(&mut self, now: Micros, out: &mut Vec<Output>) {
-        self.now = self.now.max(now);
-        self.draining = true;
-        self.close_idle_clients();
-        self.process_events();
-        out.append(&mut self.outputs);
-    }
-
     fn reconfigure(&mut self, settings: RuntimeSettings) {
         let RuntimeSettings { keys, classes, bounds, timeouts } = settings;
         for (tenant, allowed) in self.config.tenants.iter_mut().zip(classes) {
@@ -285,11 +266,6 @@
         self.config.timeouts = timeouts;
     }
 
-    /// Resumes accepting requests.
-    pub fn undrain(&mut self) {
-        self.draining = false;
-    }
-
     /// Number of requests without a final answer, or with an open attempt or a reservation.
     pub fn open_requests(&self) -> usize {
         self.requests.len()
--- a/crates/router/src/core/request_intake.rs
+++ b/crates/router/src/core/request_intake.rs
@@ -8,7 +8,8 @@
 
 use super::active_request::{ActiveRequest, ClientCall};
 use super::client_answers::error;
-use super::client_connection::ClientPhase;
+use super::client_connection::{ClientConnection, ClientPhase};
+use super::drain::stopping_error;
 use super::record::RequestRecord;
 use super::{ConnId, Core, FinishedOutput, Output, TimerEvent};
 use crate::dialect::ParsedRequest;
@@ -27,7 +28,7 @@
     }
 
     fn stopping() -> Self {
-        Self::new(503, ErrorKind::Refused, "this router is stopping")
+        Self { status: 503, body: stopping_error() }
     }
 
     fn too_many_open() -> Self {
@@ -139,7 +140,7 @@
         parsed: ParsedRequest,
     ) -> Result<Option<ActiveRequest>, Rejection> {
         let (mut spec, forwarded) = match parsed {
-            ParsedRequest::HealthCheck if self.draining || self.shutdown_since.is_some() => {
+            ParsedRequest::HealthCheck if self.is_draining() || self.shutdown_since.is_some() => {
                 return Err(Rejection::stopping())
             }
             ParsedRequest::HealthCheck => return Ok(None),
@@ -148,7 +149,8 @@
             }
             ParsedRequest::Inference(spec, forwarded) => (*spec, forwarded),
         };
-        if self.stopping {
+        let is_late = self.clients.get(&conn).is_some_and(ClientConnection::has_late_request);
+        if self.stopping || is_late {
             return Err(Rejection::stopping());
         }
         // A request accepted during the graceful shutdown is answered before the process ends.
@@ -181,7 +183,7 @@
         let call = MessagesRequest::parse(body, &self.config.bounds.call)?;
         let class = self.class(&call, tenant)?;
         let key = idempotency_key(head)?;
-        if self.draining || self.stopping {
+        if self.is_draining() || self.stopping {
             return Err(Rejection::new(503, ErrorKind::Refused, "this router is draining"));
         }
         if self.requests.len() >= self.config.bounds.open_requests {
--- a/crates/router/src/core/view.rs
+++ b/crates/router/src/core/view.rs
@@ -95,7 +95,7 @@
             clients: self.clients.len(),
             engines: self.workers.values().filter(|e| e.listed).count(),
             connections: self.connections.len(),
-            draining: self.draining,
+            draining: self.is_draining(),
             has_list: self.discovery.has_list,
             register: self.discovery.connection.is_some(),
             identities: self.identities.len(),
--- a/crates/router/src/shell/lifecycle.rs
+++ b/crates/router/src/shell/lifecycle.rs
@@ -66,14 +66,7 @@
                 self.sink.counters(self.core.counters());
             }
             LifecycleAction::StopAccepting { .. } => {
-                // Pending connections are accepted first: closing the listening socket would reset them.
-                for _ in 0..=BACKLOG / MAX_CONSECUTIVE_ACCEPTS {
-                    if !self.accept() {
-                        break;
-                    }
-                }
-                self.listener = None;
-                self.accept_at = None;
+                self.stop_listening();
                 self.core.drain(self.clock.now(), &mut self.outputs);
             }
             LifecycleAction::ResumeAccepting => {
@@ -86,6 +79,7 @@
             }
             LifecycleAction::ReloadSettings => self.sink.reload(),
             LifecycleAction::AnswerOpenRequests => {
+                self.stop_listening();
                 self.core.fail_open_requests(self.clock.now(), &mut self.outputs)
             }
             LifecycleAction::Exit(stop) => self.stop = Some(stop),
@@ -96,6 +90,18 @@
         self.sink.lifecycle_action(action, Some(self.listen_address.address()));
     }
 
+    /// Stops listening, if this has not happened yet. Pending connections are accepted first: closing the listening socket
+    /// would reset them.
+    fn stop_listening(&mut self) {
+        for _ in 0..=BACKLOG / MAX_CONSECUTIVE_ACCEPTS {
+            if !self.accept() {
+                break;
+            }
+        }
+        self.listener = None;
+        self.accept_at = None;
+    }
+
     /// Starts to listen, with retries. At startup there are more attempts, since a router that cannot listen exits and no
     /// other work is delayed.
     pub(super) fn listen(&mut self) -> bool {
--- a/crates/router/tests/clients.rs
+++ b/crates/router/tests/clients.rs
@@ -154,6 +154,39 @@
     assert_eq!((harness.core.open_requests(), harness.core.open_clients()), (0, 0));
 }
 
+/// The drain shortens the time for a request that is being sent, and the client is not at fault.
+#[test]
+fn an_unfinished_request_is_rejected_while_draining_when_its_time_is_up() {
+    let mut harness = harness();
+    let (known, new_client) = (harness.client(), harness.client());
+    harness.bytes(known, b"GET /health HTTP/1.1\r\nHost: a\r\n\r\n");
+    harness.bytes(known, b"POST /v1/messages HTTP/1.1\r\nHo");
+    harness.drain();
+    // A new client has a short time to begin its request, and then the usual time to complete it.
+    harness.advance(ms(400));
+    harness.bytes(new_client, b"POST /v1/messages HTTP/1.1\r\nHo");
+    harness.advance(ms(9_000));
+    assert!(!harness.closed.contains(&known) && !harness.closed.contains(&new_client));
+    harness.advance(ms(1_000));
+    assert_eq!(harness.error(new_client), (503, "refused".into(), false));
+    assert!(String::from_utf8_lossy(harness.raw(known)).contains("HTTP/1.1 503 "));
+    assert!(harness.closed.contains(&known) && harness.closed.contains(&new_client));
+    assert_eq!(harness.core.open_clients(), 0);
+}
+
+/// Not before the drain: the client itself has taken too long then.
+#[test]
+fn an_unfinished_request_times_out_while_the_router_does_not_drain() {
+    let mut harness = harness();
+    let client = harness.client();
+    harness.drain();
+    harness.core.undrain();
+    harness.bytes(client, b"POST /v1/messages HTTP/1.1\r\nHo");
+    harness.advance(ms(11_000));
+    assert!(harness.raw(client).starts_with(b"HTTP/1.1 408 "));
+    assert!(harness.closed.contains(&client));
+}
+
 /// A client accepts some of its pending answers and then disconnects while the core has suspended reading. The core must
 /// not start the request that was read ahead.
 #[test]
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -189,6 +189,20 @@
         self.perform_outputs(out);
     }
 
+    /// Starts the drain and performs its outputs.
+    pub fn drain(&mut self) {
+        let mut out = Vec::new();
+        self.core.drain(self.now, &mut out);
+        self.perform_outputs(out);
+    }
+
+    /// Answers all that is open, as before the process ends.
+    pub fn fail_open_requests(&mut self) {
+        let mut out = Vec::new();
+        self.core.fail_open_requests(self.now, &mut out);
+        self.perform_outputs(out);
+    }
+
     fn perform_outputs(&mut self, out: Vec<Output>) {
         for output in out {
             match output {
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -58,6 +58,8 @@
     span("identity", &mut timeouts.identity);
     // A connection may stay idle as long before its first request as between requests.
     timeouts.first_request = timeouts.idle;
+    // A drain leaves clients the usual time; requests that are unfinished at its end are rejected.
+    timeouts.drain_receive = timeouts.request;
     // Release calls are small: engines answer them as quickly as they accept a connection.
     timeouts.release = timeouts.connect;
     element.finish(errors);
