Test: forty-eight clients write in pieces through planned restarts, with and without migration

Four restarts of real processes side by side: with and without migration, longest deadline 5.0 and 1.5 s (SIGKILL after 3.7 and 2.2 s), one client of four behind another request. A request completed over 0.7 s after SIGTERM has its whole answer, or its stream has migrated before SIGKILL; one that was rejected was sent to no worker.

--- a/crates/daemon/tests/common/platform_router.rs
+++ b/crates/daemon/tests/common/platform_router.rs
@@ -26,6 +26,8 @@
 pub struct Setting {
     pub sockets: u32,
     pub resume: bool,
+    /// The deadline of both classes.
+    pub deadline_s: f64,
     pub release_s: f64,
     pub connect_s: f64,
     pub max_attempts: u32,
@@ -42,13 +44,21 @@
 
 impl Default for Setting {
     fn default() -> Self {
-        Self { sockets: 256, resume: false, release_s: 1.0, connect_s: 0.25, max_attempts: 4, faults: None }
+        Self {
+            sockets: 256,
+            resume: false,
+            deadline_s: 5.0,
+            release_s: 1.0,
+            connect_s: 0.25,
+            max_attempts: 4,
+            faults: None,
+        }
     }
 }
 
 /// The configuration of a router at an address.
 pub fn config(at: SocketAddr, agent: &Agent, setting: &Setting) -> serde_json::Value {
-    let class = |name: &str, repeat: &str| json!({"name": name, "goal_time_s": 1.0, "deadline_s": 5.0, "repeat": repeat, "group": "all", "stream": true});
+    let class = |name: &str, repeat: &str| json!({"name": name, "goal_time_s": 1.0, "deadline_s": setting.deadline_s, "repeat": repeat, "group": "all", "stream": true});
     let whole = agent.told.lock().unwrap().whole.clone();
     let members: serde_json::Value = serde_json::from_str(&whole).unwrap();
     json!({
--- a/crates/daemon/tests/common/terms.rs
+++ b/crates/daemon/tests/common/terms.rs
@@ -1,18 +1,21 @@
 //! What the tests of the stricter terms share: the recorded traffic, a router in a thread, troublesome clients.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing, missing_docs)]
 
+#[path = "answers.rs"]
+mod answers;
 #[path = "shell_router.rs"]
 mod shell_router;
 #[path = "traffic.rs"]
 mod traffic;
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+pub use self::answers::*;
 pub use self::shell_router::*;
 pub use self::traffic::*;
 use super::peers::*;
@@ -37,42 +40,6 @@
     }
 }
 
-/// The answers that a client gets on one connection, one after the other.
-pub struct Answers {
-    s: TcpStream,
-    held: String,
-}
-
-impl Answers {
-    pub fn on(s: &TcpStream) -> Self {
-        Self { s: s.try_clone().unwrap(), held: String::new() }
-    }
-
-    /// The next answer: to the end of its last chunk, or of the length that it tells, or to the connection's end.
-    pub fn next_answer(&mut self) -> String {
-        let mut buffer = [0; 4_096];
-        loop {
-            if let Some(end) = answer_end(&self.held) {
-                return self.held.drain(..end).collect();
-            }
-            match self.s.read(&mut buffer) {
-                Ok(0) | Err(_) => return std::mem::take(&mut self.held),
-                Ok(n) => self.held.push_str(&String::from_utf8_lossy(&buffer[..n])),
-            }
-        }
-    }
-}
-
-/// Where the first answer of these bytes ends, if it is whole.
-fn answer_end(held: &str) -> Option<usize> {
-    const LAST_CHUNK: &str = "\r\n0\r\n\r\n";
-    let head = held.find("\r\n\r\n")? + 4;
-    match held[..head].lines().find_map(|line| line.strip_prefix("content-length: ")) {
-        Some(length) => Some(head + length.parse::<usize>().unwrap()).filter(|end| held.len() >= *end),
-        None => held.find(LAST_CHUNK).map(|at| at + LAST_CHUNK.len()),
-    }
-}
-
 /// Floods of good and of bad calls, clients that say nothing, and one that asks on and takes no answer, until it is over.
 pub fn troublesome_clients(at: SocketAddr, over: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
     let flood = |bytes: Vec<u8>| {
--- a/crates/daemon/tests/planned_restart.rs
+++ b/crates/daemon/tests/planned_restart.rs
@@ -2,6 +2,8 @@
 //! file by a signal and by a hand-over.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing)]
 
+#[path = "common/answers.rs"]
+mod answers;
 mod common;
 #[path = "common/peers.rs"]
 mod peers;
@@ -9,8 +11,10 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use answers::Answers;
 use common::{folder, read_until, settings, text, Engine, Running, EXE};
 use peers::*;
 
@@ -164,3 +168,133 @@
     drop(slow);
     assert_eq!(router.wait_end().code(), Some(5));
 }
+
+// ---- Many clients at once.
+
+/// Time after SIGTERM at which a client of the restarts below begins its request at the latest: before the router drains.
+const LAST_BEGIN: Duration = ms(300);
+/// Events of a stream, one in 100 ms: some streams end before SIGKILL, some do not.
+const STREAM_EVENTS: u64 = 35;
+
+/// A worker that streams slowly. Returns the ids of the requests that it was sent.
+fn stream_slowly(worker: Worker) -> Arc<Mutex<Vec<String>>> {
+    let ids = Arc::new(Mutex::new(Vec::new()));
+    let seen = ids.clone();
+    std::thread::spawn(move || loop {
+        let Some(mut peer) = worker.try_accept() else {
+            std::thread::sleep(ms(1));
+            continue;
+        };
+        let seen = seen.clone();
+        std::thread::spawn(move || {
+            while let Some(call) = peer.call() {
+                if call.method == "DELETE" {
+                    peer.write(NO_CONTENT).unwrap();
+                    continue;
+                }
+                seen.lock().unwrap().push(call.id);
+                let head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let mut written = peer.write(head);
+                for _ in 0..STREAM_EVENTS {
+                    written = written.and_then(|()| peer.write(&chunk(&event("more"))));
+                    std::thread::sleep(ms(100));
+                }
+                if written
+                    .and_then(|()| peer.write(&[chunk("data: [DONE]\n\n"), b"0\r\n\r\n".to_vec()].concat()))
+                    .is_err()
+                {
+                    return;
+                }
+            }
+        });
+    });
+    ids
+}
+
+/// What a client has seen of its request in pieces.
+#[derive(Debug)]
+struct Seen {
+    id: String,
+    /// Times after SIGTERM at which the last byte was written and at which the answer, or the connection, ended.
+    completed: Duration,
+    ended: Duration,
+    answer: String,
+    /// A stream ahead of it on the connection was cut off, so that no answer could follow.
+    is_behind_a_cut: bool,
+}
+
+fn is_whole(answer: &str) -> bool {
+    answer.ends_with("\r\n0\r\n\r\n") || answer.contains("content-length: ")
+}
+
+/// Writes a request in pieces, so that it is completed at this time after SIGTERM, and reads its answer. Every fourth client
+/// has another request open on its connection.
+fn write_in_pieces(mut client: TcpStream, number: u32, told: Instant, completed: Duration) -> Seen {
+    let mut answers = Answers::on(&client);
+    let is_behind = number.is_multiple_of(4);
+    if is_behind {
+        client.write_all(&ask(&format!("ahead-{number}"), "chat", 20)).unwrap();
+    }
+    let id = format!("pieces-{number}");
+    let call = ask(&id, if number.is_multiple_of(2) { "chat" } else { "once" }, 20);
+    let pieces = 2 + number % 4;
+    let begun = LAST_BEGIN * (number * 37 % 100) / 100;
+    let pause = completed.saturating_sub(begun) / (pieces - 1);
+    for (n, piece) in (0..).zip(call.chunks(call.len().div_ceil(pieces as usize))) {
+        sleep_until(told + begun + pause * n);
+        // The router may have answered and closed already.
+        let _ = client.write_all(piece);
+    }
+    let completed = told.elapsed();
+    let is_behind_a_cut = is_behind && !is_whole(&answers.next_answer());
+    let answer = answers.next_answer();
+    Seen { id, completed, ended: told.elapsed(), answer, is_behind_a_cut }
+}
+
+/// Restarts a router under clients that write in pieces, and judges what became of the requests that were completed late.
+fn restart_under_clients(resume: bool, deadline_s: f64) {
+    const CLIENTS: u32 = 48;
+    let name = format!("many-pieces-{resume}-{deadline_s}");
+    let kill_after = KILL_AFTER.min(Duration::from_secs_f64(deadline_s) + LATE);
+    let workers = [Worker::new(), Worker::new()];
+    let list = ["m1", "m2"].iter().zip(&workers);
+    let list: Vec<_> = list.map(|(id, worker)| member(id, "both", worker.at, "up")).collect();
+    let agent = Agent::new(&list);
+    let sent = workers.map(stream_slowly);
+    let setting = Setting { sockets: 512, resume, deadline_s, ..Setting::default() };
+    let mut router = Router::start(&name, &agent, &setting);
+    let connections: Vec<TcpStream> = (0..CLIENTS).map(|_| router.known_client()).collect();
+    let told = Instant::now() + ms(200);
+    let clients: Vec<_> = (0..CLIENTS)
+        .zip(connections)
+        .map(|(number, client)| {
+            let completed = ms(400) + (kill_after - ms(600)) * number / CLIENTS;
+            std::thread::spawn(move || write_in_pieces(client, number, told, completed))
+        })
+        .collect();
+    sleep_until(told);
+    router.terminate();
+    sleep_until(told + kill_after);
+    let _ = router.child.kill();
+    let seen: Vec<Seen> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    let sent: Vec<String> = sent.iter().flat_map(|ids| ids.lock().unwrap().clone()).collect();
+    let late: Vec<&Seen> = seen.iter().filter(|seen| seen.completed > LATE).collect();
+    for seen in &late {
+        let has_migrated = resume && seen.ended + ms(200) < kill_after && status(&seen.answer) == "200";
+        assert!(is_whole(&seen.answer) || has_migrated || seen.is_behind_a_cut, "{name}: {seen:?}");
+        assert!(status(&seen.answer) != "503" || !sent.contains(&seen.id), "{name}: {seen:?}");
+    }
+    let rejected = late.iter().filter(|seen| status(&seen.answer) == "503").count();
+    assert!(rejected >= 10, "{name}: {rejected} of {}", late.len());
+    assert!(seen.len() > late.len(), "{name}: none is completed early");
+}
+
+/// Guards against the same under many clients, with and without migration, and with deadlines that let SIGKILL come early.
+#[test]
+fn no_request_that_is_completed_late_in_a_planned_restart_is_cut_off() {
+    std::thread::scope(|scope| {
+        for (resume, deadline_s) in [(false, 5.0), (true, 5.0), (false, 1.5), (true, 1.5)] {
+            scope.spawn(move || restart_under_clients(resume, deadline_s));
+        }
+    });
+}
