--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -7,12 +7,13 @@
 use chalkyard_adapter::{translate, wire};
 use chalkyard_api::keys::KeyRing;
 use chalkyard_policy::Micros;
-use chalkyard_router::{Bounds, ClassConfig, Config, TenantConfig, Timeouts};
+use chalkyard_router::{Bounds, ClassConfig, Config, TenantConfig};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use crate::dialect::{Platform, LONG_POLL_MS};
+use crate::dialect::Platform;
 use crate::shutdown::ShutdownSchedule;
+use crate::timeouts::timeouts;
 
 #[derive(Deserialize)]
 struct ConfigFile<'a> {
@@ -162,35 +163,8 @@
         let params: wire::Params =
             serde_json::from_str(file.settings.get()).map_err(ConfigError::SettingsJson)?;
         let (policy, names) = translate::settings(&params).map_err(ConfigError::Settings)?;
-        let ms = |n: u64| Micros(n * 1_000);
-        let seconds_or = |s: Option<f64>, default: Micros| s.map_or(default, Micros::from_secs_f64);
-        let worker_idle = seconds_or(params.limits.conn_idle_s, ms(20_000));
         let longest_deadline = policy.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
         let shutdown = ShutdownSchedule::new(longest_deadline, policy.resume);
-        let timeouts = Timeouts {
-            request: ms(2_500),
-            idle: ms(15_000),
-            first_request: ms(2_500),
-            release: ms(150),
-            migration: shutdown.migration,
-            drain_grace: shutdown.drain_grace,
-            drain_receive: shutdown.drain_receive,
-            // At most half of the configured idle timeout of workers: a call that is sent while the worker closes the
-            // connection is lost.
-            worker_idle: worker_idle.mul_f64(0.5).min(ms(10_000)),
-            connect: seconds_or(params.limits.connect_timeout_s, ms(250)),
-            // Below the 5 s after which the platform counts a client as left without an answer.
-            stream: ms(4_000),
-            slow_client: ms(5_000),
-            // Allows 1 s more than the long poll. The platform counts changes of the list as delivered 2 s after the end
-            // of the long poll.
-            discovery: ms(LONG_POLL_MS + 1_000),
-            // The discovery agent runs on the same machine and answers a short poll at once, so the connect timeout is
-            // long enough.
-            discovery_probe: seconds_or(params.limits.connect_timeout_s, ms(250)),
-            reply_margin: Micros(0),
-            identity: Micros(0),
-        };
         let open_requests = params.limits.max_open.filter(|n| *n >= 1.0).map_or(20_000, |n| n as usize);
         let (_, max_lingering, _) = file.limits.connection_shares();
         let config = Config {
@@ -208,7 +182,7 @@
             kinds: BTreeMap::new(),
             discovery: Some(parse_address("discovery", &file.discovery)?),
             bounds: file.limits.bounds(open_requests),
-            timeouts,
+            timeouts: timeouts(&params.limits, &shutdown),
             dialect: Some(Arc::new(Platform::new(names))),
         };
         Ok(Self {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod head;
 mod response_observer;
 mod shutdown;
+mod timeouts;
 
 pub use config::{ConfigError, Limits, StartupConfig};
 pub use dialect::Platform;
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -150,3 +150,14 @@
     let text = std::str::from_utf8(h.raw(client)).unwrap();
     text.split(' ').nth(1).map(|s| s.parse().unwrap())
 }
+
+/// Starts streams and relays the first event of each. Returns the connections of the clients and of the workers.
+pub fn start_streams(h: &mut Harness, count: usize) -> Vec<(ConnId, ConnId)> {
+    let mut start_stream = |n| {
+        let (client, decode) = start_decode(h, &format!("id-{n}"), "chat");
+        h.begin_stream(decode.conn);
+        send_chunk(h, decode.conn, FIRST_EVENT);
+        (client, decode.conn)
+    };
+    (0..count).map(&mut start_stream).collect()
+}
--- a/crates/platform/tests/flow.rs
+++ b/crates/platform/tests/flow.rs
@@ -273,14 +273,7 @@
 #[test]
 fn lame_duck_router_serves_new_requests_and_closes_streams_evenly() {
     let mut h = harness_with(true);
-    let streams: Vec<(ConnId, ConnId)> = (0..30)
-        .map(|n| {
-            let (client, decode) = start_decode(&mut h, &format!("id-{n}"), "chat");
-            h.begin_stream(decode.conn);
-            send_chunk(&mut h, decode.conn, FIRST_EVENT);
-            (client, decode.conn)
-        })
-        .collect();
+    let streams = start_streams(&mut h, 30);
     let mut out = Vec::new();
     let now = h.now;
     h.core.begin_shutdown(now);
--- a/crates/platform/tests/shutdown.rs
+++ b/crates/platform/tests/shutdown.rs
@@ -194,14 +194,7 @@
 fn streams_migrate_before_the_process_may_be_killed_whatever_the_deadline() {
     for deadline_ms in [1_000, 2_000, 5_000] {
         let (mut h, startup, kill_after) = harness_with_deadline(true, deadline_ms);
-        let streams: Vec<(ConnId, ConnId)> = (0..10)
-            .map(|n| {
-                let (client, decode) = start_decode(&mut h, &format!("id-{n}"), "chat");
-                h.begin_stream(decode.conn);
-                send_chunk(&mut h, decode.conn, FIRST_EVENT);
-                (client, decode.conn)
-            })
-            .collect();
+        let streams = start_streams(&mut h, 10);
         let begun = h.now;
         shut_down(&mut h, startup.lame_duck);
         while h.now < begun + kill_after - ms(300) {
