review: case 8, one worker of an unknown zone makes a router deaf to drains

Cause: a list message of which one entry can't be resolved is rejected whole, and its version stays behind.

--- a/review/src-2/drain.rs
+++ b/review/src-2/drain.rs
@@ -1,21 +1,17 @@
-//! Drains are kept. Two cases: a worker of a zone that the settings don't name is listed before another one drains; all
-//! open watches fall silent before a worker drains.
+//! Drains are kept: a worker of a zone that the settings don't name is listed, then another worker drains.
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
-use crate::kit::{
-    ask, chunk, engine, free_address, pause, response, serve, Ask, Reader, Record, Stage, Verdict,
-};
+use crate::kit::{ask, chunk, engine, free_address, pause, serve, Ask, Reader, Record, Stage, Verdict};
 use crate::kit::{KEY, KEY_HASH, SALT};
 
 /// Grace of the rule, ms: the longest of the three sites', and the slack of the protocol page.
 const GRACE_MS: u64 = 1_000 + 50;
 /// Sessions before the list changes.
 const BEFORE: u64 = 30;
-/// Time after which what a silent watch misses counts as told, ms.
-const SILENCE_MS: u64 = 6_000;
 
 /// The register: the list, its watchers, and when each watcher was told that `m1` drains.
 #[derive(Default)]
@@ -23,8 +19,6 @@
     version: u64,
     entries: Vec<(String, String)>,
     watchers: Vec<TcpStream>,
-    /// Watches that stay open and on which nothing comes any more.
-    silent: Vec<TcpStream>,
     /// When the drain was first written to the router.
     told_ms: Option<u64>,
 }
@@ -51,7 +45,9 @@
     fn publish(&mut self, changed: (String, String), record: &Record) {
         self.version += 1;
         self.entries.retain(|(id, _)| *id != changed.0);
-        self.entries.push(changed.clone());
+        if !changed.1.contains("\"state\":\"out\"") {
+            self.entries.push(changed.clone());
+        }
         let event = self.event("change", std::slice::from_ref(&changed));
         record.line(format!("list   change {}: {}", self.version, changed.1));
         let drains = self.drains();
@@ -78,53 +74,37 @@
     }
 }
 
-/// The disruption of a case.
-#[derive(Clone, Copy, PartialEq)]
-enum Disruption {
-    /// A worker of an unknown zone is listed.
-    UnknownZone,
-    /// All open watches fall silent; new ones are answered.
-    SilentWatch,
-}
+/// Time after the drain was told at which `m1`, which has finished what it had, ends, ms.
+const ENDS_MS: u64 = 4_000;
+/// Requests after the drain, one each `EACH_MS`.
+const AFTER: u64 = 80;
+const EACH_MS: u64 = 100;
 
 pub fn play(stage: &Stage) -> Verdict {
-    play_disruption(stage, Disruption::UnknownZone)
-}
-
-pub fn play_silent(stage: &Stage) -> Verdict {
-    play_disruption(stage, Disruption::SilentWatch)
-}
-
-fn play_disruption(stage: &Stage, disruption: Disruption) -> Verdict {
     let record = &stage.record;
-    // Times at which m1 got a request.
+    // Times at which m1 got a request, and whether it has ended.
     let at_m1: Arc<Mutex<Vec<u64>>> = Arc::default();
-    let draining = Arc::new(Mutex::new(false));
+    let ended = Arc::new(AtomicBool::new(false));
     let mut engines = Vec::new();
     for name in ["m1", "m2", "m3", "m4"] {
-        let (arrivals, record, draining) = (at_m1.clone(), record.clone(), draining.clone());
-        let address = engine(name, &stage.record, move |call| {
-            if call.engine == "m1" {
-                arrivals.lock().map_err(|_| std::io::ErrorKind::Other)?.push(record.ms());
-                if *draining.lock().map_err(|_| std::io::ErrorKind::Other)? {
-                    // A draining worker turns new work away.
-                    return call.stream.write_all(&response(429, "", "{}"));
-                }
+        let (arrivals, log, ended) = (at_m1.clone(), record.clone(), ended.clone());
+        let address = engine(name, record, move |call| {
+            if call.engine != "m1" {
+                return call.stream_answer("a", 20, 20, 50);
             }
-            call.stream_answer("a", 4, 20, 5)
+            arrivals.lock().map_err(|_| std::io::ErrorKind::Other)?.push(log.ms());
+            call.stream_answer_until("a", 20, 20, 50, &ended)
         })?;
         engines.push((name, address));
     }
     let register = Arc::new(Mutex::new(Register { version: 1, ..Register::default() }));
-    {
-        let mut list = register.lock().map_err(|e| e.to_string())?;
-        list.entries = engines[..3].iter().map(|(id, at)| entry(id, *at, "hall", "in")).collect();
-    }
-    let (served, log) = (register.clone(), record.clone());
+    let lock = || register.lock().map_err(|e| e.to_string());
+    lock()?.entries = engines[..3].iter().map(|(id, at)| entry(id, *at, "hall", "in")).collect();
+    let (list, log) = (register.clone(), record.clone());
     let register_address = serve(move |stream| {
         let Ok(copy) = stream.try_clone() else { return };
         if Reader::new(copy).message().is_ok() {
-            if let Ok(mut list) = served.lock() {
+            if let Ok(mut list) = list.lock() {
                 list.watch(stream, &log);
             }
         }
@@ -133,73 +113,84 @@
     let settings = stage.write("r1.xml", &settings(listen, register_address))?;
     let mut router = stage.start_router("r1", &settings, false)?;
 
-    let mut served_before = 0;
-    for n in 0..BEFORE {
-        served_before += u64::from(send(listen, n, record));
-        pause(20);
-    }
-    let before = at_m1.lock().map_err(|e| e.to_string())?.len();
-    if served_before < BEFORE / 2 || before == 0 {
-        return Err(format!(
-            "{served_before} of {BEFORE} served, {before} at m1, before any change of the list"
-        ));
+    let before = send_all(listen, 0, BEFORE, record, |_| Ok(()))?;
+    let at_first = at_m1.lock().map_err(|e| e.to_string())?.len();
+    if before.served < BEFORE || at_first == 0 {
+        return Err(format!("{before:?} of {BEFORE}, {at_first} at m1, before any change of the list"));
     }
-    let lock = || register.lock().map_err(|e| e.to_string());
+    // Without the disruption the new worker stands in a zone that the settings name.
+    let zone = if stage.trouble { "annex" } else { "hall" };
     let change = |changed| lock().map(|mut list| list.publish(changed, record));
-    let mut silent_since = None;
-    match disruption {
-        Disruption::UnknownZone => {
-            // Without the disruption the new worker stands in a zone that the settings name.
-            let zone = if stage.trouble { "annex" } else { "hall" };
-            change(entry("m4", engines[3].1, zone, "in"))?;
-            pause(1_500);
-        }
-        Disruption::SilentWatch if stage.trouble => {
-            let mut list = lock()?;
-            let open = std::mem::take(&mut list.watchers);
-            list.silent.extend(open);
-            silent_since = Some(record.ms());
-            record.line("silent all open watches fall silent");
-            drop(list);
-            pause(1_000);
-        }
-        Disruption::SilentWatch => {}
-    }
+    change(entry("m4", engines[3].1, zone, "in"))?;
+    pause(1_500);
     change(entry("m1", engines[0].1, "hall", "draining"))?;
-    *draining.lock().map_err(|e| e.to_string())? = true;
-    let after = if disruption == Disruption::SilentWatch { 200 } else { 80 };
-    for n in 0..after {
-        send(listen, BEFORE + n, record);
-        pause(60);
-    }
+    let told = lock()?.told_ms.ok_or("the drain was not written to the router")?;
+    let after = send_all(listen, BEFORE, AFTER, record, |at_ms| {
+        if at_ms >= told + ENDS_MS && !ended.swap(true, Ordering::SeqCst) {
+            record.line("end    m1 has finished what it had as its drain began, and ends");
+            change(entry("m1", engines[0].1, "hall", "out"))?;
+        }
+        Ok(())
+    })?;
     if !router.is_running() {
         return Err("the router has ended".into());
     }
-    let written = lock()?.told_ms;
-    let counts = silent_since.map(|since| since + SILENCE_MS);
-    let told = written.into_iter().chain(counts).min().ok_or("the drain was never written to the router")?;
     let arrivals = at_m1.lock().map_err(|e| e.to_string())?;
     let late: Vec<&u64> = arrivals.iter().filter(|at| **at > told + GRACE_MS).collect();
     record.line(format!(
-        "check  counts as told at {told} ms; {} requests at m1 later than {GRACE_MS} ms after: {late:?}",
+        "check  told at {told} ms; {} requests at m1 later than {GRACE_MS} ms after: {late:?}",
         late.len()
     ));
+    record.line(format!("check  of the {AFTER} requests after the drain: {after:?}"));
     Ok(late.is_empty())
 }
 
-fn send(listen: SocketAddr, n: u64, record: &Record) -> bool {
-    let session = format!("s{n}");
-    let text = format!("question {n}");
-    let request = Ask {
-        bearer: KEY,
-        key: None,
-        class: "help",
-        text: &text,
-        max_tokens: 8,
-        deadline_ms: None,
-        session: &session,
-    };
-    ask(listen, &request, &session, record).is_served()
+/// How requests ended.
+#[derive(Debug, Default)]
+struct Endings {
+    served: u64,
+    /// Streams that broke off.
+    broken: u64,
+    other: u64,
+}
+
+/// Sends requests one after the other, without waiting for their answers, and calls `each` with the time before each.
+fn send_all(
+    listen: SocketAddr,
+    first: u64,
+    count: u64,
+    record: &Record,
+    each: impl Fn(u64) -> Result<(), String>,
+) -> Result<Endings, String> {
+    let mut clients = Vec::new();
+    for n in first..first + count {
+        each(record.ms())?;
+        let record = record.clone();
+        clients.push(std::thread::spawn(move || {
+            let (session, text) = (format!("s{n}"), format!("question {n}"));
+            let request = Ask {
+                bearer: KEY,
+                key: None,
+                class: "help",
+                text: &text,
+                max_tokens: 40,
+                deadline_ms: None,
+                session: &session,
+            };
+            ask(listen, &request, &session, &record)
+        }));
+        pause(EACH_MS);
+    }
+    let mut endings = Endings::default();
+    for client in clients {
+        let answer = client.join().map_err(|_| "a client panicked")?;
+        match answer.end.as_str() {
+            "closed" => endings.served += 1,
+            "broken" => endings.broken += 1,
+            _ => endings.other += 1,
+        }
+    }
+    Ok(endings)
 }
 
 fn settings(listen: SocketAddr, register: SocketAddr) -> String {
