review: case 9, an agent that takes 400 ms for an answer is never heard after SIGHUP

Cause: after a new configuration each call for the list is given up after the wait for connections, which never grows.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -8,7 +8,7 @@
   echo "build first: the build of deploy/balancer.toml, then review/build-2.sh"
   exit 2
 fi
-"$standin" vacant "$here" "$router"
+"$standin" deaf "$here" "$router"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
