--- a/review/src-2/bill.rs
+++ b/review/src-2/bill.rs
@@ -12,7 +12,7 @@
     KEY, KEY_HASH, PROMPT_TOKENS, SALT,
 };
 
-/// Tokens that the tenant may use in a day.
+/// Tokens that the tenant may use in a month.
 const BUDGET: u64 = 1_000;
 /// Tokens of each answer: one fits into the budget, two don't.
 const ANSWER: u64 = 600;
@@ -133,7 +133,7 @@
   <classes default="help"><class name="help" aim="1s" deadline="10s" effect="free"/></classes>
   <tenants salt="{SALT}"><tenant name="nord"><key hash="{KEY_HASH}"/></tenant></tenants>
   <budgets ledger="state/r1" margin="0.1" sync="20ms">
-    <budget tenant="nord" period="day" tokens="{BUDGET}"/>
+    <budget tenant="nord" period="month" tokens="{BUDGET}"/>
     <price from="2026-01-01" currency="Rp" prompt="300" kept="30" output="1500"/>
   </budgets>
   <engines><engine id="m1" kind="mixed" zone="hall" cell="1" address="{engine}"/></engines>
