--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -1,4 +1,5 @@
-//! Stand-ins and drivers of the cases of the second review. `standin CASE FOLDER PROGRAM` plays one case.
+//! Stand-ins and drivers of the cases of the second review. `standin CASE RECORD PROGRAM` plays one case and
+//! writes its record to the file RECORD.
 
 mod bill;
 mod deaf;
@@ -17,8 +18,8 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder, program] = arguments.as_slice() else {
-        eprintln!("usage: standin CASE FOLDER PROGRAM");
+    let [_, case, record, program] = arguments.as_slice() else {
+        eprintln!("usage: standin CASE RECORD PROGRAM");
         std::process::exit(2);
     };
     let play: fn(&Stage) -> Verdict = match case.as_str() {
@@ -32,15 +33,15 @@
             std::process::exit(2);
         }
     };
-    let code = run(&PathBuf::from(folder), &PathBuf::from(program), play);
+    let code = run(&PathBuf::from(record), &PathBuf::from(program), play);
     std::process::exit(code);
 }
 
-fn run(case_folder: &std::path::Path, program: &std::path::Path, play: fn(&Stage) -> Verdict) -> i32 {
-    let record = match Record::new(&case_folder.join("record.txt")) {
+fn run(record_file: &std::path::Path, program: &std::path::Path, play: fn(&Stage) -> Verdict) -> i32 {
+    let record = match Record::new(record_file) {
         Ok(record) => record,
         Err(error) => {
-            eprintln!("record.txt: {error}");
+            eprintln!("{}: {error}", record_file.display());
             return 2;
         }
     };
