A router that ends answers on its control socket first, its successor among them

The successor ended with code 1 ("EOF while parsing a value"), the router that it asked with code 0, and the address refused connections. Likewise `chalkyard stop` of a router with nothing open had no answer.

Cause: the event loop ends in the turn in which it is asked, and the process did not wait for the control thread. `Drop for Server` waited only if that thread had already set `handed_over`, which it does after it has received the socket. `stop` was two commands, the event and then the status: the loop could end between them, and nobody answered what was still in its queue.

An operator's command is one command of the loop, with the status after it; the loop answers what is queued when it ends and rejects what comes later ("the router has stopped").

The new tests `a_router_with_nothing_open_hands_over_each_time` and `a_stop_is_answered_by_a_router_with_nothing_open` failed before (without a ledger, and with one) and pass. Tests of life, control_answers, planned_restart and hand_over pass.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -126,10 +126,11 @@
         .map(|path| control::serve(&path, handle.clone(), reloader.clone(), take_over))
         .transpose()?;
     std::thread::spawn(move || forward_signals(&mut signals, &handle));
-    let (stop, left) = shell.run(last_list.as_deref()).map_err(|e| io_error("running", e))?;
-    // The last settlements are sent to a successor before the process exits.
+    let ended = shell.run(last_list.as_deref()).map_err(|e| io_error("running", e));
+    // In this order: the shell's end closes the channel of the settlements, which the control thread writes to the end.
     drop(shell);
     drop(control);
+    let (stop, left) = ended?;
     info!(target: "router", left, code = stop.exit_code(), reason = %stop.log_name(), "stopped");
     Ok(ExitCode::from(stop.exit_code()))
 }
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -24,10 +24,23 @@
     Trace(String),
 }
 
+/// Why a command has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum HandleError {
+    /// The event loop did not answer in time, or its queue is full.
+    #[error("the router's event loop did not reply in time")]
+    Late,
+    /// The event loop has ended.
+    #[error("the router has stopped")]
+    Stopped,
+}
+
 /// A command, with the channel for its answer if it has one.
 #[derive(Debug)]
 pub(super) enum Command {
     Lifecycle(LifecycleEvent),
+    /// The event, and then the status. One command, because the event loop may end in the turn in which it takes the event.
+    LifecycleThenStatus(LifecycleEvent, SyncSender<String>),
     Query(AdminQuery, SyncSender<String>),
     /// Hand the listening socket and the ledger over. The flag decides a race: it is set first either by the event loop,
     /// which then hands over, or by the caller, which then stops waiting.
@@ -37,33 +50,68 @@
 /// Capacity of the command queue.
 const COMMAND_QUEUE_CAPACITY: usize = 64;
 
+/// Commands that wait for the event loop.
+#[derive(Debug, Default)]
+pub(super) struct CommandQueue {
+    waiting: VecDeque<Command>,
+    /// The event loop has ended and takes no more commands.
+    closed: bool,
+}
+
 /// Sends commands to a running shell from other threads.
 #[derive(Debug, Clone)]
 pub struct Handle {
     pub(super) waker: Arc<Waker>,
-    pub(super) commands: Arc<Mutex<VecDeque<Command>>>,
+    pub(super) commands: Arc<Mutex<CommandQueue>>,
 }
 
 impl Handle {
-    /// Queues a command and wakes the event loop; false if the queue is full or the loop cannot be woken.
-    fn enqueue(&self, command: Command) -> bool {
-        let Ok(mut commands) = self.commands.lock() else { return false };
-        if commands.len() >= COMMAND_QUEUE_CAPACITY {
-            return false;
+    /// Queues a command and wakes the event loop.
+    fn enqueue(&self, command: Command) -> Result<(), HandleError> {
+        let mut commands = self.commands.lock().map_err(|_| HandleError::Stopped)?;
+        if commands.closed {
+            return Err(HandleError::Stopped);
         }
-        commands.push_back(command);
-        self.waker.wake().is_ok()
+        if commands.waiting.len() >= COMMAND_QUEUE_CAPACITY {
+            return Err(HandleError::Late);
+        }
+        commands.waiting.push_back(command);
+        self.waker.wake().map_err(|_| HandleError::Late)
+    }
+
+    /// Queues a command that answers on a channel, and waits for the answer.
+    fn ask<T>(
+        &self,
+        timeout: Duration,
+        command: impl FnOnce(SyncSender<T>) -> Command,
+    ) -> Result<T, HandleError> {
+        let (answer, received) = sync_channel(1);
+        self.enqueue(command(answer))?;
+        received.recv_timeout(timeout).map_err(|error| match error {
+            RecvTimeoutError::Timeout => HandleError::Late,
+            RecvTimeoutError::Disconnected => HandleError::Stopped,
+        })
     }
 
-    /// Passes a signal or an operator's command to the lifecycle. False if the queue is full or the loop cannot be woken.
+    /// Passes a signal to the lifecycle. False if the queue is full or closed, or the loop cannot be woken.
     pub fn notify(&self, event: LifecycleEvent) -> bool {
-        self.enqueue(Command::Lifecycle(event))
+        self.enqueue(Command::Lifecycle(event)).is_ok()
     }
 
-    /// Sends a query and returns its answer, or `None` if there is none in time.
-    pub fn query(&self, query: AdminQuery, timeout: Duration) -> Option<String> {
-        let (answer, received) = sync_channel(1);
-        self.enqueue(Command::Query(query, answer)).then(|| received.recv_timeout(timeout).ok()).flatten()
+    /// Passes an operator's command to the lifecycle, and returns the status after it.
+    ///
+    /// # Errors
+    /// The event loop has ended, or does not answer in time.
+    pub fn notify_and_report(&self, event: LifecycleEvent, timeout: Duration) -> Result<String, HandleError> {
+        self.ask(timeout, |answer| Command::LifecycleThenStatus(event, answer))
+    }
+
+    /// Sends a query and returns its answer.
+    ///
+    /// # Errors
+    /// The event loop has ended, or does not answer in time.
+    pub fn query(&self, query: AdminQuery, timeout: Duration) -> Result<String, HandleError> {
+        self.ask(timeout, |answer| Command::Query(query, answer))
     }
 
     /// Asks the router to hand its listening socket and its ledger over to the next process. Returns `None` if the router is
@@ -71,9 +119,7 @@
     pub fn hand_over(&self, timeout: Duration) -> Option<Handover> {
         let (answer, received) = sync_channel(1);
         let decided = Arc::new(AtomicBool::new(false));
-        if !self.enqueue(Command::HandOver(answer, decided.clone())) {
-            return None;
-        }
+        self.enqueue(Command::HandOver(answer, decided.clone())).ok()?;
         match received.recv_timeout(timeout) {
             // The event loop has set the flag first: it is about to answer, or has ended and dropped the channel.
             Err(RecvTimeoutError::Timeout) if decided.swap(true, Ordering::SeqCst) => received.recv().ok(),
@@ -82,7 +128,14 @@
     }
 
     /// Removes and returns all queued commands.
-    pub(super) fn take_commands(&self) -> Vec<Command> {
-        self.commands.lock().map(|mut commands| commands.drain(..).collect()).unwrap_or_default()
+    pub(super) fn take_commands(&self) -> VecDeque<Command> {
+        self.commands.lock().map(|mut commands| std::mem::take(&mut commands.waiting)).unwrap_or_default()
+    }
+
+    /// Rejects all further commands and returns those that are still queued.
+    pub(super) fn close(&self) -> VecDeque<Command> {
+        let Ok(mut commands) = self.commands.lock() else { return VecDeque::new() };
+        commands.closed = true;
+        std::mem::take(&mut commands.waiting)
     }
 }
--- a/crates/router/src/shell/mod.rs
+++ b/crates/router/src/shell/mod.rs
@@ -30,7 +30,7 @@
 use self::connection::{AfterClose, Connection, ConnectionState, LingerDeadline};
 use self::connections::READ_BUFFER_BYTES;
 use self::handle::Command;
-pub use self::handle::{AdminQuery, Handle};
+pub use self::handle::{AdminQuery, Handle, HandleError};
 pub use self::listen::ListenAddress;
 use self::ready_queue::ReadyQueue;
 use self::retry::{with_retries, STARTUP_ATTEMPTS};
@@ -156,7 +156,19 @@
     }
 
     /// Runs the event loop until the router stops. Returns the reason and the number of requests that were still open.
+    /// Commands that are still queued then are answered; later ones get [`HandleError::Stopped`].
+    ///
+    /// # Errors
+    /// The sockets can't be polled.
     pub fn run(&mut self, stored_list: Option<&str>) -> io::Result<(StopReason, usize)> {
+        let ended = self.run_loop(stored_list);
+        for command in self.handle.close() {
+            self.run_command(command);
+        }
+        ended
+    }
+
+    fn run_loop(&mut self, stored_list: Option<&str>) -> io::Result<(StopReason, usize)> {
         self.core.start(self.clock.now(), stored_list, &mut self.outputs);
         self.flush();
         let mut woke_at = Instant::now();
@@ -196,14 +208,22 @@
     /// Executes the commands that other threads have queued.
     fn run_commands(&mut self) {
         for command in self.handle.take_commands() {
-            match command {
-                Command::Lifecycle(event) => self.lifecycle_event(event),
-                // The caller may have stopped waiting; the send error is ignored.
-                Command::Query(query, answer) => drop(answer.try_send(self.answer(&query))),
-                Command::HandOver(answer, decided) => {
-                    if !decided.swap(true, Ordering::SeqCst) {
-                        self.hand_over(&answer);
-                    }
+            self.run_command(command);
+        }
+    }
+
+    /// Executes a command. Its caller may have stopped waiting for the answer; the send error is ignored.
+    fn run_command(&mut self, command: Command) {
+        match command {
+            Command::Lifecycle(event) => self.lifecycle_event(event),
+            Command::LifecycleThenStatus(event, answer) => {
+                self.lifecycle_event(event);
+                let _ = answer.try_send(self.answer(&AdminQuery::Status));
+            }
+            Command::Query(query, answer) => drop(answer.try_send(self.answer(&query))),
+            Command::HandOver(answer, decided) => {
+                if !decided.swap(true, Ordering::SeqCst) {
+                    self.hand_over(&answer);
                 }
             }
         }
