--- a/crates/daemon/src/budget_runtime.rs
+++ b/crates/daemon/src/budget_runtime.rs
@@ -1,12 +1,14 @@
 //! Budgets of a running router: recovery and writing of the ledger, and the threads that send grants and the settlements
 //! of the previous process to the event loop.
 
+use std::io::{BufRead, Read};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::sync::mpsc::SyncSender;
 use std::time::{Duration, Instant};
 
-use chalkyard_budget::{BudgetEnforcer, Record, State, Time};
-use chalkyard_ledger::{DirectoryVolume, LedgerError, Limits, Writer};
+use chalkyard_budget::{BudgetEnforcer, Record, SigningKey, State, Time};
+use chalkyard_ledger::{DirectoryVolume, LedgerError, Limits, Report, Writer};
 use chalkyard_router::shell::SinkEvent;
 use chalkyard_settings::Budgets;
 use tracing::{info, warn};
@@ -19,9 +21,6 @@
 /// Longest line that is read from the previous process, in bytes.
 const MAX_SETTLED_LINE_BYTES: u64 = 64 * 1024;
 
-/// The settlements of the previous process, one JSON object per line.
-pub type Predecessor = Box<dyn std::io::BufRead + Send>;
-
 /// Why the budgets cannot be recovered at the start.
 #[derive(Debug, thiserror::Error)]
 pub enum RecoveryError {
@@ -76,69 +75,119 @@
     retry_at: Instant,
 }
 
-/// The result of recovery.
-pub struct Recovered {
-    /// The enforcer, with the state that was recovered from the ledger.
-    pub enforcer: BudgetEnforcer,
-    /// The ledger, open for appending.
-    pub ledger: Ledger,
+/// A ledger that was read and not yet opened for writing.
+pub struct RecoveredLedger {
+    volume: DirectoryVolume,
+    report: Report,
+    state: State,
+    /// Verifies grants.
+    grants_key: Option<(PathBuf, SigningKey)>,
+}
+
+/// What was before this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// No process that goes on.
+    Restart,
+    /// A process that still settles its open requests; see [`inherit_settlements`].
+    Predecessor,
 }
 
 /// Opens the ledger and recovers the state of the budgets from it, before the first request is admitted.
-/// `predecessor` is the process that has handed the ledger over, if any.
+///
+/// # Errors
+/// The ledger or the key of the grants can't be used.
 pub fn recover(
     budgets: &Budgets,
     router: &str,
     now: Time,
-    predecessor: Option<Predecessor>,
     events: &SyncSender<SinkEvent>,
-) -> Result<Recovered, RecoveryError> {
-    let (state, writer) = open_ledger(budgets)?;
-    if let (Some(file), Some(key)) = (&budgets.grants_file, &budgets.key_file) {
-        let (file, key, events) = (file.clone(), grant_files::read_key(key)?, events.clone());
-        spawn("grants", move || grant_files::watch(&file, &key, &events))?;
-    }
-    let enforcer = match predecessor {
-        None => BudgetEnforcer::new(router, budgets.plan.clone(), state, now),
-        Some(predecessor) => {
-            let events = events.clone();
-            spawn("inherit", move || forward_settlements(predecessor, &events))?;
-            BudgetEnforcer::take_over(router, budgets.plan.clone(), state, now)
-        }
-    };
-    let ledger = Ledger {
-        writer,
-        sync_interval: budgets.sync_interval,
-        reported_writable: true,
-        is_failing: false,
-        retry_at: Instant::now(),
-    };
-    Ok(Recovered { enforcer, ledger })
+) -> Result<(BudgetEnforcer, Ledger), RecoveryError> {
+    let recovered = read_ledger(budgets, open_volume(budgets)?)?;
+    recovered.open(budgets, router, now, Origin::Restart, events)
 }
 
-fn open_ledger(budgets: &Budgets) -> Result<(State, Writer<DirectoryVolume>), RecoveryError> {
+/// Opens the ledger's folder and locks it.
+///
+/// # Errors
+/// The folder can't be used, or another process has locked it.
+pub fn open_volume(budgets: &Budgets) -> Result<DirectoryVolume, RecoveryError> {
     let folder = budgets.ledger.clone();
-    let volume = match DirectoryVolume::writer(&folder) {
-        Ok(volume) => volume,
-        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
-            return Err(RecoveryError::LedgerLocked { folder });
-        }
-        Err(source) => return Err(RecoveryError::Folder { folder, source }),
+    match DirectoryVolume::writer(&folder) {
+        Ok(volume) => Ok(volume),
+        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => Err(RecoveryError::LedgerLocked { folder }),
+        Err(source) => Err(RecoveryError::Folder { folder, source }),
+    }
+}
+
+/// Reads the ledger and the key of the grants, and changes nothing.
+///
+/// # Errors
+/// The ledger or the key can't be read.
+pub fn read_ledger(budgets: &Budgets, volume: DirectoryVolume) -> Result<RecoveredLedger, RecoveryError> {
+    let grants_key = match (&budgets.grants_file, &budgets.key_file) {
+        (Some(file), Some(key)) => Some((file.clone(), grant_files::read_key(key)?)),
+        _ => None,
     };
-    let limits = Limits { segment_bytes: budgets.segment_bytes, ..Limits::default() };
     let (mut state, start) = (State::default(), Instant::now());
-    let opened = Writer::open(volume, limits, Record::is_checkpoint, |number, record| {
+    let report = Writer::read(&volume, Record::is_checkpoint, |number, record| {
         state.apply(number, &record);
-    });
-    let opened = opened.map_err(|source| RecoveryError::Ledger { folder, source })?;
-    if let Some(damage) = opened.report.describe_damage() {
+    })
+    .map_err(|source| RecoveryError::Ledger { folder: budgets.ledger.clone(), source })?;
+    if let Some(damage) = report.describe_damage() {
         warn!(target: "ledger", "{damage}");
     }
     // Sequence numbers of damaged records are not reused.
-    state.sequence = opened.report.next - 1;
-    let records = opened.report.records;
+    state.sequence = report.next - 1;
+    let records = report.records;
     info!(target: "ledger", records, open = state.open.len(), took_us = start.elapsed().as_micros() as u64, "recovered");
-    Ok((state, opened.writer))
+    Ok(RecoveredLedger { volume, report, state, grants_key })
+}
+
+impl RecoveredLedger {
+    /// Opens the ledger for writing and watches the grants.
+    ///
+    /// # Errors
+    /// The ledger can't be prepared, or a thread can't be started.
+    pub fn open(
+        self,
+        budgets: &Budgets,
+        router: &str,
+        now: Time,
+        origin: Origin,
+        events: &SyncSender<SinkEvent>,
+    ) -> Result<(BudgetEnforcer, Ledger), RecoveryError> {
+        let limits = Limits { segment_bytes: budgets.segment_bytes, ..Limits::default() };
+        let writer = Writer::resume(self.volume, limits, &self.report)
+            .map_err(|source| RecoveryError::Ledger { folder: budgets.ledger.clone(), source })?;
+        if let Some((file, key)) = self.grants_key {
+            let events = events.clone();
+            spawn("grants", move || grant_files::watch(&file, &key, &events))?;
+        }
+        let plan = budgets.plan.clone();
+        let enforcer = match origin {
+            Origin::Restart => BudgetEnforcer::new(router, plan, self.state, now),
+            Origin::Predecessor => BudgetEnforcer::take_over(router, plan, self.state, now),
+        };
+        let ledger = Ledger {
+            writer,
+            sync_interval: budgets.sync_interval,
+            reported_writable: true,
+            is_failing: false,
+            retry_at: Instant::now(),
+        };
+        Ok((enforcer, ledger))
+    }
+}
+
+/// Forwards the settlements of the predecessor to the event loop, on a thread of their own. Without a thread its open
+/// requests are settled as orphaned.
+pub fn inherit_settlements(predecessor: impl BufRead + Send + 'static, events: &SyncSender<SinkEvent>) {
+    let forwarded = events.clone();
+    if let Err(e) = spawn("inherit", move || forward_settlements(predecessor, &forwarded)) {
+        warn!(target: "ledger", "the predecessor's settlements are lost: {e}");
+        let _ = events.try_send(SinkEvent::PredecessorEnded);
+    }
 }
 
 fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<(), RecoveryError> {
@@ -147,14 +196,11 @@
 }
 
 /// Forwards the settlements of the previous process to the event loop until that process has ended.
-fn forward_settlements(mut predecessor: Predecessor, events: &SyncSender<SinkEvent>) {
+fn forward_settlements(mut predecessor: impl BufRead, events: &SyncSender<SinkEvent>) {
     let mut line = String::new();
     loop {
         line.clear();
-        match std::io::BufRead::read_line(
-            &mut std::io::Read::take(&mut predecessor, MAX_SETTLED_LINE_BYTES),
-            &mut line,
-        ) {
+        match (&mut predecessor).take(MAX_SETTLED_LINE_BYTES).read_line(&mut line) {
             Ok(n) if n > 0 => match serde_json::from_str(&line) {
                 Ok(settled) => {
                     if events.send(SinkEvent::PredecessorSettled(Box::new(settled))).is_err() {
@@ -173,6 +219,14 @@
 }
 
 impl Ledger {
+    /// Returns the lock of the ledger for a successor.
+    ///
+    /// # Errors
+    /// No descriptor is left.
+    pub fn share_lock(&self) -> std::io::Result<Option<OwnedFd>> {
+        self.writer.volume().share_lock()
+    }
+
     /// Syncs the ledger, retries failed operations, and returns changes of its state for the event loop.
     pub fn housekeep(&mut self) -> Vec<SinkEvent> {
         let mut out = Vec::new();
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -4,7 +4,6 @@
 
 mod client;
 mod connection;
-mod hand_over;
 mod server;
 mod socket_file;
 
@@ -13,8 +12,8 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::client::command;
-pub use self::hand_over::take_over;
-pub use self::server::serve;
+pub use self::server::{check_unused, serve};
+pub use self::socket_file::SocketFile;
 
 /// Time limit for the event loop's reply, and for a peer to send its request.
 const IO_TIMEOUT: Duration = Duration::from_secs(2);
@@ -26,11 +25,19 @@
     Status {},
     Engines {},
     Requests {},
-    Trace { id: String },
+    Trace {
+        id: String,
+    },
     Drain {},
     Undrain {},
     Reload {},
     Stop {},
-    TakeOver {},
-    LogLevel { level: String },
+    TakeOver {
+        /// Version of the hand-over protocol. Builds before the protocol had versions don't send it.
+        #[serde(default)]
+        version: u32,
+    },
+    LogLevel {
+        level: String,
+    },
 }
--- a/crates/daemon/src/control/server.rs
+++ b/crates/daemon/src/control/server.rs
@@ -1,23 +1,24 @@
 //! The server side of the control socket: one thread that accepts connections and answers them in sequence.
 
-use std::io::{ErrorKind, Write};
+use std::io::{self, ErrorKind, Write};
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError};
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use chalkyard_router::shell::{AdminQuery, Handle, HandleError};
+use chalkyard_state::handover::HANDOVER_VERSION;
 use chalkyard_state::LifecycleEvent;
 use rustix::event::{poll, PollFd, PollFlags};
 use serde_json::json;
 use tracing::{info, warn};
 
 use super::connection::read_request;
-use super::hand_over::send_handover;
-use super::socket_file::bind_private;
-use super::{Call, IO_TIMEOUT};
+use super::{Call, SocketFile, IO_TIMEOUT};
+use crate::handover::PredecessorSession;
 use crate::reload::Reloader;
 use crate::{logs, CommandError};
 
@@ -27,10 +28,10 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The running control socket. Dropping it answers all connections that are pending, removes the socket file unless a
-/// successor has taken the path over, and waits for the thread to end, at most [`CLOSE_TIMEOUT`].
+/// successor has its path, and waits for the threads to end, at most [`CLOSE_TIMEOUT`].
 ///
 /// The event loop must have ended by then, and the channel of the settlements must be closed.
-pub struct Server {
+pub struct ControlServer {
     closing: Arc<AtomicBool>,
     /// The thread's poll returns when this end is closed.
     wake: Option<UnixStream>,
@@ -38,7 +39,7 @@
     ended: Receiver<()>,
 }
 
-impl Drop for Server {
+impl Drop for ControlServer {
     fn drop(&mut self) {
         self.closing.store(true, Ordering::SeqCst);
         self.wake = None;
@@ -48,58 +49,55 @@
     }
 }
 
-/// Listens on the control socket. The socket of a dead router is replaced; the socket of a running router is replaced
-/// only by its successor.
+/// Checks that no router listens at a path. The socket of a dead router may be replaced.
 ///
 /// # Errors
-/// The socket cannot be bound, or another router listens there.
-pub fn serve(
-    path: &Path,
-    handle: Handle,
-    reloader: Arc<Reloader>,
-    successor: bool,
-) -> Result<Server, CommandError> {
-    let failed =
-        |e: std::io::Error| CommandError::CouldNotRun(format!("control socket {}: {e}", path.display()));
-    if !successor && UnixStream::connect(path).is_ok() {
-        return Err(CommandError::CouldNotRun(format!(
+/// A router listens there.
+pub fn check_unused(path: &Path) -> Result<(), CommandError> {
+    match UnixStream::connect(path) {
+        Ok(_) => Err(CommandError::CouldNotRun(format!(
             "control socket {}: another router answers there",
             path.display()
-        )));
+        ))),
+        Err(_) => Ok(()),
     }
-    let (wake, woken) = UnixStream::pair().map_err(failed)?;
-    let listener = bind_private(path).map_err(failed)?;
-    listener.set_nonblocking(true).map_err(failed)?;
+}
+
+/// Serves the control socket on a thread.
+///
+/// # Errors
+/// The thread can't be started.
+pub fn serve(
+    socket_file: Arc<SocketFile>,
+    listener: UnixListener,
+    handle: Handle,
+    reloader: Arc<Reloader>,
+) -> io::Result<ControlServer> {
+    let (wake, woken) = UnixStream::pair()?;
+    listener.set_nonblocking(true)?;
     let closing = Arc::new(AtomicBool::new(false));
     let (running, ended) = sync_channel::<()>(0);
-    let acceptor = Acceptor {
-        path: path.into(),
-        listener,
-        woken,
-        closing: closing.clone(),
-        handle,
-        reloader,
-        handed_over: false,
-    };
+    let acceptor =
+        Acceptor { socket_file, listener, woken, closing: closing.clone(), handle, reloader, session: None };
     let accept = move || {
         let _running = running;
         acceptor.run();
     };
-    std::thread::Builder::new().name("control".into()).spawn(accept).map_err(failed)?;
-    Ok(Server { closing, wake: Some(wake), ended })
+    std::thread::Builder::new().name("control".into()).spawn(accept)?;
+    Ok(ControlServer { closing, wake: Some(wake), ended })
 }
 
 /// What the thread of the control socket owns.
 struct Acceptor {
-    path: PathBuf,
+    socket_file: Arc<SocketFile>,
     listener: UnixListener,
     /// Closed by the other side when the server closes.
     woken: UnixStream,
     closing: Arc<AtomicBool>,
     handle: Handle,
     reloader: Arc<Reloader>,
-    /// A successor has the router's place and binds the path.
-    handed_over: bool,
+    /// The thread that talks to a successor; at most one at a time.
+    session: Option<JoinHandle<()>>,
 }
 
 impl Acceptor {
@@ -109,10 +107,11 @@
             self.wait();
             self.accept_pending();
         }
-        // Nobody can connect any more; what is still pending gets its answer.
-        if !self.handed_over {
-            let _ = std::fs::remove_file(&self.path);
+        if let Some(session) = self.session.take() {
+            let _ = session.join();
         }
+        // Nobody can connect any more; what is still pending gets its answer.
+        self.socket_file.remove();
         self.accept_pending();
     }
 
@@ -141,36 +140,66 @@
         }
     }
 
-    fn pause(&self, error: &std::io::Error) {
+    fn pause(&self, error: &io::Error) {
         warn!(target: "control", "{error}");
         std::thread::sleep(ACCEPT_RETRY_DELAY);
     }
 
-    fn serve_connection(&mut self, stream: &UnixStream) -> std::io::Result<()> {
+    fn serve_connection(&mut self, stream: &UnixStream) -> io::Result<()> {
         stream.set_write_timeout(Some(IO_TIMEOUT))?;
         let line = read_request(stream, IO_TIMEOUT, &self.closing)?;
         let answer = match serde_json::from_str(&line) {
-            Ok(Call::TakeOver {}) => match self.handle.hand_over(IO_TIMEOUT) {
-                Some(handover) => {
-                    self.handed_over = true;
-                    info!(target: "control", "handing over to a successor");
-                    return send_handover(stream, handover);
-                }
-                None => json!({"error": "this router cannot be taken over: it is not ready"}).to_string(),
+            Ok(Call::TakeOver { version }) => match self.start_session(stream, version) {
+                Ok(()) => return Ok(()),
+                Err(error) => error_answer(&error),
             },
             Ok(call) => answer(call, &self.handle, &self.reloader),
-            Err(e) => json!({"error": format!("not understood: {e}")}).to_string(),
+            Err(e) => error_answer(&format!("not understood: {e}")),
         };
         let mut stream = stream;
         stream.write_all(answer.as_bytes())?;
         stream.write_all(b"\n")
     }
+
+    /// Offers the router's place to a successor, on a thread of its own.
+    fn start_session(&mut self, stream: &UnixStream, version: u32) -> Result<(), NotOffered> {
+        if version != HANDOVER_VERSION {
+            return Err(NotOffered::OtherVersion { version });
+        }
+        if self.session.as_ref().is_some_and(|session| !session.is_finished()) {
+            return Err(NotOffered::InProgress);
+        }
+        let offer = self.handle.offer_handover(IO_TIMEOUT).map_err(|_| NotOffered::NotReady)?;
+        let (handle, socket_file) = (self.handle.clone(), self.socket_file.clone());
+        let session = PredecessorSession::offer(stream, &offer, handle, socket_file, self.closing.clone())?;
+        let run = move || session.run();
+        self.session = Some(std::thread::Builder::new().name("hand-over".into()).spawn(run)?);
+        Ok(())
+    }
+}
+
+/// Why a router does not offer its place to a successor.
+#[derive(Debug, thiserror::Error)]
+enum NotOffered {
+    #[error("this router cannot be taken over: it is not ready")]
+    NotReady,
+    #[error("this router cannot be taken over: another successor is about to")]
+    InProgress,
+    #[error(
+        "this router cannot be taken over: it speaks version {HANDOVER_VERSION} of the hand-over, and the successor \
+         version {version}"
+    )]
+    OtherVersion { version: u32 },
+    #[error("this router cannot be taken over: {0}")]
+    Io(#[from] io::Error),
+}
+
+fn error_answer(error: &impl ToString) -> String {
+    json!({"error": error.to_string()}).to_string()
 }
 
 fn answer(call: Call, handle: &Handle, reloader: &Reloader) -> String {
-    let or_error = |answer: Result<String, HandleError>| {
-        answer.unwrap_or_else(|error| json!({"error": error.to_string()}).to_string())
-    };
+    let or_error = |answer: Result<String, HandleError>| answer.unwrap_or_else(|error| error_answer(&error));
     let ask = |question| or_error(handle.query(question, IO_TIMEOUT));
     let notify = |event, what: &str| {
         info!(target: "control", "received command {what}");
@@ -194,7 +223,7 @@
                 json!({"reloaded": !late, "items": changes, "more": 0}).to_string()
             }
         },
-        Call::TakeOver {} => json!({"error": "take-over is not available here"}).to_string(),
+        Call::TakeOver { .. } => json!({"error": "take-over is not available here"}).to_string(),
         Call::Stop {} => notify(LifecycleEvent::Terminate, "stop"),
         Call::LogLevel { level } => match logs::set_level(&level) {
             Ok(()) => json!({"level": level}).to_string(),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -16,6 +16,7 @@
 #[allow(clippy::unwrap_used, clippy::indexing_slicing)]
 mod fuzz_test;
 mod grant_files;
+mod handover;
 mod line_budget;
 mod logs;
 mod losses;
@@ -25,6 +26,7 @@
 mod rehearse;
 mod reload;
 mod replay;
+mod router_ledger;
 mod router_sink;
 mod run;
 mod settings_file;
--- a/crates/daemon/src/router_sink.rs
+++ b/crates/daemon/src/router_sink.rs
@@ -2,29 +2,31 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::os::fd::OwnedFd;
+use std::sync::mpsc::Receiver;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use chalkyard_budget::{Figures, Record, Settled};
-use chalkyard_router::shell::{Sink, SinkEvent};
+use chalkyard_budget::{BudgetEnforcer, Figures, Record, Settled, Time};
+use chalkyard_policy::Micros;
+use chalkyard_router::shell::{Sink, SinkEvent, TakeOverError};
 use chalkyard_router::{Counters, RequestRecord, Tally, Transition};
 use chalkyard_state::LifecycleAction;
 use tracing::{info, warn};
 
 use crate::budget_runtime::Ledger;
+use crate::handover::TakeOver;
 use crate::line_budget::LineBudget;
 use crate::logs::Log;
 use crate::notify;
 use crate::reload::Reloader;
+use crate::router_ledger::RouterLedger;
 
 /// Capacity of the channel from other threads to the event loop, and the most events taken per housekeeping run. Senders
 /// block while the channel is full.
 pub const MAX_PENDING_EVENTS: usize = 1_024;
 /// Housekeeping interval of a router without a ledger.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(200);
-/// Settlements that may wait to be sent to the successor: as many as requests can be open.
-const MAX_PENDING_SETTLEMENTS: usize = 100_000;
 /// Number of finished requests that are kept for queries.
 const MAX_RECENT_REQUESTS: usize = 1_000;
 
@@ -34,10 +36,10 @@
     pub log: Log,
     /// Limit on log lines about transitions of single requests.
     pub lines: LineBudget,
-    /// The ledger, if budgets are enforced.
-    pub ledger: Option<Ledger>,
-    /// Channel to the successor that has taken the ledger over.
-    pub successor: Option<SyncSender<Settled>>,
+    /// The ledger.
+    pub ledger: RouterLedger,
+    /// The place of a predecessor, until it is taken over.
+    pub take_over: Option<TakeOver>,
     /// Recently finished requests, newest last.
     pub recent: VecDeque<RequestRecord>,
     /// Router name, for the first ready line.
@@ -100,19 +102,34 @@
                 info!(target: "router", "notifying open requests that the router stops")
             }
             LifecycleAction::Listen
+            | LifecycleAction::SuspendAccepting
             | LifecycleAction::EnterLameDuck
             | LifecycleAction::ReloadSettings
             | LifecycleAction::Exit(_) => {}
         }
     }
 
-    fn hand_over_ledger(&mut self) -> Option<Receiver<Settled>> {
-        let mut ledger = self.ledger.take()?;
-        // The successor settles requests as orphaned whose records cannot be written now.
-        ledger.flush();
-        let (successor, settled) = sync_channel(MAX_PENDING_SETTLEMENTS);
-        self.successor = Some(successor);
-        Some(settled)
+    fn take_over(&mut self, now: Micros) -> Result<Option<BudgetEnforcer>, TakeOverError> {
+        let Some(take_over) = self.take_over.take() else { return Ok(None) };
+        let Some((enforcer, ledger)) = take_over.run(Time(now.0))? else { return Ok(None) };
+        self.ledger = RouterLedger::Active(ledger);
+        Ok(Some(enforcer))
+    }
+
+    fn share_ledger_lock(&self) -> std::io::Result<Option<OwnedFd>> {
+        self.ledger.share_lock()
+    }
+
+    fn suspend_ledger(&mut self) {
+        self.ledger.suspend();
+    }
+
+    fn resume_ledger(&mut self) -> bool {
+        self.ledger.resume()
+    }
+
+    fn release_ledger(&mut self) -> Option<Receiver<Settled>> {
+        self.ledger.release()
     }
 
     /// Runs on another thread, because it reads files.
@@ -133,24 +150,23 @@
     }
 
     fn record(&mut self, number: u64, record: &Record) {
-        if let Some(ledger) = &mut self.ledger {
-            ledger.record(number, record);
-        } else if let (Some(successor), Record::Settled(settled)) = (&self.successor, record) {
-            let _ = successor.try_send(settled.clone());
-        }
+        self.ledger.record(number, record);
     }
 
     fn flush(&mut self) -> bool {
-        self.ledger.as_mut().is_none_or(Ledger::flush)
+        self.ledger.flush()
     }
 
     fn housekeeping_interval(&self) -> Option<Duration> {
-        Some(self.ledger.as_ref().map_or(HOUSEKEEPING_INTERVAL, |ledger| ledger.sync_interval))
+        Some(match &self.ledger {
+            RouterLedger::Active(ledger) => ledger.sync_interval,
+            _ => HOUSEKEEPING_INTERVAL,
+        })
     }
 
     fn housekeep(&mut self) -> Vec<SinkEvent> {
         let mut out: Vec<SinkEvent> = self.events.try_iter().take(MAX_PENDING_EVENTS).collect();
-        out.extend(self.ledger.as_mut().map(Ledger::housekeep).unwrap_or_default());
+        out.extend(self.ledger.active().map(Ledger::housekeep).unwrap_or_default());
         out
     }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::net::SocketAddr;
+use std::os::unix::net::UnixListener;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::mpsc::sync_channel;
@@ -18,11 +19,14 @@
 use signal_hook::iterator::Signals;
 use tracing::{info, warn};
 
-use crate::budget_runtime::{self, Predecessor};
+use crate::budget_runtime;
+use crate::control::SocketFile;
+use crate::handover::HandedOver;
 use crate::line_budget::LineBudget;
 use crate::reload::Reloader;
+use crate::router_ledger::RouterLedger;
 use crate::router_sink::{RouterSink, MAX_PENDING_EVENTS};
-use crate::{control, logs, CommandError};
+use crate::{control, handover, logs, CommandError};
 
 /// First line of a decisions file: the initial state of the decision module.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -72,7 +76,7 @@
     let mut config = settings.config;
     config.policy.tick = timer_granularity();
     let listen_settings = ListenSettings { listen: settings.listen, shared_port: settings.shared_port };
-    let (address, predecessor) = if take_over {
+    let (address, handed_over) = if take_over {
         let none = || CommandError::BadInput(format!("{}: <router> names no `control`", file.display()));
         adopt_address(&listen_settings, settings.control.as_ref().ok_or_else(none)?)?
     } else {
@@ -84,14 +88,18 @@
     if std::env::var_os(logs::LEVEL_VARIABLE).is_some() {
         core.enable_tally();
     }
-    // The usage so far is recovered before the first request is admitted.
     let (event_sender, events) = sync_channel(MAX_PENDING_EVENTS);
-    let mut ledger = None;
-    if let Some(budgets) = &settings.budgets {
-        let recovered =
-            budget_runtime::recover(budgets, &name, Time(clock.now().0), predecessor, &event_sender)?;
-        core.enforce_budgets(recovered.enforcer);
-        ledger = Some(recovered.ledger);
+    let (mut ledger, mut take_over, mut control) = (RouterLedger::Absent, None, None);
+    if let Some((handed_over, path)) = handed_over.zip(settings.control.as_deref()) {
+        let (socket_file, listener) = SocketFile::bind(path).map_err(|e| control_error(path, &e))?;
+        let socket_file = Arc::new(socket_file);
+        take_over = Some(handed_over.prepare(&name, settings.budgets, &event_sender, socket_file.clone()));
+        control = Some((socket_file, listener));
+    } else if let Some(budgets) = &settings.budgets {
+        // The usage so far is recovered before the first request is admitted.
+        let (enforcer, opened) = budget_runtime::recover(budgets, &name, Time(clock.now().0), &event_sender)?;
+        core.enforce_budgets(enforcer);
+        ledger = RouterLedger::Active(opened);
     }
     if let Some(file) = decisions {
         record_decisions(&mut core, &file, &started)?;
@@ -107,7 +115,7 @@
         lines: LineBudget::new(began),
         log: logs::Log { endpoint_list_file: settings.endpoint_list_file },
         ledger,
-        successor: None,
+        take_over,
         recent: VecDeque::new(),
         name,
         seed,
@@ -121,10 +129,15 @@
         LifecycleTimeouts { endpoint_wait: ENDPOINT_WAIT_US, lame_duck: 0, drain, flush: FLUSH_US };
     let mut shell = Shell::new(core, sink, clock, address, timeouts).map_err(|e| io_error("starting", e))?;
     let handle = shell.handle();
-    let control = settings
-        .control
-        .map(|path| control::serve(&path, handle.clone(), reloader.clone(), take_over))
-        .transpose()?;
+    if let Some(path) = settings.control.as_deref().filter(|_| control.is_none()) {
+        control = Some(bind_control(path)?);
+    }
+    let control = control
+        .map(|(socket_file, listener)| {
+            control::serve(socket_file, listener, handle.clone(), reloader.clone())
+        })
+        .transpose()
+        .map_err(|e| io_error("control socket", e))?;
     std::thread::spawn(move || forward_signals(&mut signals, &handle));
     let ended = shell.run(last_list.as_deref()).map_err(|e| io_error("running", e));
     // In this order: the shell's end closes the channel of the settlements, which the control thread writes to the end.
@@ -152,16 +165,30 @@
     .map_err(|e| io_error(&format!("listening at {}", listen_settings.listen), e))
 }
 
-/// Takes over the listening socket from the router that listens on the control socket.
+/// Requests the place of the router that listens on the control socket, and uses its listening socket.
 fn adopt_address(
     listen_settings: &ListenSettings,
     control: &Path,
-) -> Result<(ListenAddress, Option<Predecessor>), CommandError> {
-    let taken = control::take_over(control)?;
-    let predecessor = taken.before.map(|lines| Box::new(lines) as Predecessor);
-    let address = ListenAddress::adopt(taken.listener, listen_settings.shared_port)
+) -> Result<(ListenAddress, Option<HandedOver>), CommandError> {
+    let handed_over = handover::request_offer(control)?;
+    let listener = handed_over.listener.try_clone();
+    let address = listener
+        .and_then(|listener| ListenAddress::adopt(listener, listen_settings.shared_port))
         .map_err(|e| io_error(&format!("listening at {}", listen_settings.listen), e))?;
-    Ok((address, predecessor))
+    Ok((address, Some(handed_over)))
+}
+
+fn control_error(path: &Path, error: &std::io::Error) -> CommandError {
+    CommandError::CouldNotRun(format!("control socket {}: {error}", path.display()))
+}
+
+/// Binds the control socket at its path.
+fn bind_control(path: &Path) -> Result<(Arc<SocketFile>, UnixListener), CommandError> {
+    control::check_unused(path)?;
+    let failed = |e| control_error(path, &e);
+    let (socket_file, listener) = SocketFile::bind(path).map_err(failed)?;
+    socket_file.publish().map_err(failed)?;
+    Ok((Arc::new(socket_file), listener))
 }
 
 /// Writes each event of the decision module and its actions to a file, as JSON lines.
--- a/crates/daemon/tests/hand_over.rs
+++ b/crates/daemon/tests/hand_over.rs
@@ -2,30 +2,14 @@
 #![allow(clippy::unwrap_used, clippy::panic, clippy::indexing_slicing)]
 
 mod common;
+#[path = "common/succession.rs"]
+mod succession;
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
-use std::path::PathBuf;
+use std::io::Write;
 use std::time::Duration;
 
 use common::*;
-
-/// Asks for the router's health on a connection of its own; what failed.
-fn health(at: std::net::SocketAddr) -> Result<(), String> {
-    let once = || -> std::io::Result<String> {
-        let mut s = TcpStream::connect(at)?;
-        s.set_read_timeout(Some(Duration::from_secs(5)))?;
-        s.write_all(b"GET /health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")?;
-        let mut told = String::new();
-        s.read_to_string(&mut told)?;
-        Ok(told)
-    };
-    match once() {
-        Ok(told) if told.starts_with("HTTP/1.1 200") => Ok(()),
-        Ok(told) => Err(told),
-        Err(e) => Err(e.to_string()),
-    }
-}
+use succession::*;
 
 /// Connects, asks for the router's health and expects an answer, over and over; how often, and what failed.
 fn hammer(
@@ -40,34 +24,6 @@
     (asked, failed)
 }
 
-fn with_ledger(name: &str) -> (Engine, PathBuf, PathBuf) {
-    let (engine, dir) = (Engine::new(), folder(name));
-    let extra = format!("control=\"{}\"", dir.join("r1.sock").display());
-    let xml = settings("127.0.0.1:0".parse().unwrap(), engine.at(), &extra)
-        .replace("drain=\"3s\"", "drain=\"20s\"");
-    let budgets = format!("<budgets ledger=\"{}/ledger\"/>\n  <engines>", dir.display());
-    let file = dir.join("r1.xml");
-    std::fs::write(&file, xml.replacen("<engines>", &budgets, 1)).unwrap();
-    (engine, dir, file)
-}
-
-fn endings(file: &std::path::Path) -> serde_json::Value {
-    let month = jiff::Timestamp::now().in_tz("UTC").unwrap().strftime("%Y-%m").to_string();
-    let out = chalkyard(&["bill", file.to_str().unwrap(), "--period", &month, "--format", "json"]);
-    assert_eq!(out.status.code(), Some(0), "{}", text(&out.stderr));
-    let bill: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap();
-    serde_json::json!([bill["bill"]["endings"], bill["bill"]["open"]])
-}
-
-/// The old life's last settlements reach the ledger a little later.
-fn wait_endings(file: &std::path::Path, expected: &serde_json::Value) {
-    let start = std::time::Instant::now();
-    while endings(file) != *expected {
-        assert!(start.elapsed() < Duration::from_secs(5), "{}", endings(file));
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 /// The socket goes from process to process under load: no connection is refused or reset, streams of the old one
 /// end there, and their settlements reach the ledger that the new one has.
 #[test]
@@ -143,17 +99,6 @@
     );
 }
 
-/// Settings of a router with a control socket; its engine is never called.
-fn unused_engine(name: &str, ledger: bool) -> (PathBuf, PathBuf) {
-    let (_, dir, file) = with_ledger(name);
-    let xml = std::fs::read_to_string(&file).unwrap();
-    if !ledger {
-        let budgets = format!("<budgets ledger=\"{}/ledger\"/>", dir.display());
-        std::fs::write(&file, xml.replacen(&budgets, "", 1)).unwrap();
-    }
-    (dir.join("r1.sock"), file)
-}
-
 /// Guards against a predecessor that ends before its successor has the listening socket: it has nothing open, so that its
 /// event loop ends in the turn in which it is asked.
 #[test]
@@ -187,3 +132,30 @@
         }
     }
 }
+
+/// Guards against a predecessor that gives its ledger up to a successor whose settings name another one: its last settlements
+/// would reach neither.
+#[test]
+fn a_successor_with_another_ledger_leaves_the_old_one_to_its_predecessor() {
+    let (engine, dir, file) = with_ledger("other-ledger");
+    let mut old = Running::start(&file, None, &[]);
+    let mut client = old.connect();
+    client.write_all(&ask(true)).unwrap();
+    let mut answer = engine.begin();
+    read_until(&mut client, "message.delta");
+    let other = dir.join("other.xml");
+    let xml = std::fs::read_to_string(&file).unwrap();
+    std::fs::write(&other, xml.replacen("/ledger\"", "/other-ledger\"", 1)).unwrap();
+    let new = Running::start(&other, None, &["--take-over"]);
+    Engine::end(&mut answer);
+    drop(answer);
+    assert!(read_until(&mut client, "message.closed").contains("message.closed"));
+    drop(client);
+    assert_eq!(old.wait_end().code(), Some(0));
+    assert_eq!(endings(&file), serde_json::json!([{"served": 1}, 0]));
+    let mut client = new.connect();
+    client.write_all(&ask(true)).unwrap();
+    Engine::end(&mut engine.begin());
+    assert!(read_until(&mut client, "message.closed").contains("message.closed"));
+    wait_endings(&other, &serde_json::json!([{"served": 1}, 0]));
+}
--- a/crates/ledger/src/volume.rs
+++ b/crates/ledger/src/volume.rs
@@ -2,6 +2,8 @@
 
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
+use std::os::fd::OwnedFd;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
@@ -10,6 +12,8 @@
 /// Maximum number of files queued for syncing. The current segment, the previous one and the folder can wait at
 /// once.
 const SYNC_QUEUE_LENGTH: usize = 4;
+/// Name of the file that is locked by the process that writes.
+const LOCK_FILE: &str = "lock";
 
 /// Returns the file name of a segment.
 pub fn segment_name(number: u64) -> String {
@@ -79,14 +83,15 @@
     file: Option<File>,
     syncer: SyncSender<File>,
     failed: Arc<AtomicBool>,
-    _lock: Option<File>,
+    /// An advisory lock on the open file, which processes that share it hold together.
+    lock: Option<File>,
 }
 
 impl DirectoryVolume {
     /// Opens a folder for reading only.
     pub fn reader(path: &Path) -> Self {
         let (syncer, _) = sync_channel(0);
-        Self { path: path.into(), file: None, syncer, failed: Arc::default(), _lock: None }
+        Self { path: path.into(), file: None, syncer, failed: Arc::default(), lock: None }
     }
 
     /// Opens a folder for writing: creates it if it doesn't exist, and locks it.
@@ -95,11 +100,41 @@
     /// If the folder can't be created, or another process holds its lock (`WouldBlock`).
     pub fn writer(path: &Path) -> io::Result<Self> {
         std::fs::create_dir_all(path)?;
-        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join("lock"))?;
+        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join(LOCK_FILE))?;
         lock.try_lock().map_err(|e| match e {
             std::fs::TryLockError::WouldBlock => io::Error::from(io::ErrorKind::WouldBlock),
             std::fs::TryLockError::Error(e) => e,
         })?;
+        Self::with_lock(path, lock)
+    }
+
+    /// Opens a folder for writing whose lock another process shares by [`DirectoryVolume::share_lock`]. The two processes
+    /// have to agree on which of them writes. Returns `None` if it is the lock of another folder.
+    ///
+    /// # Errors
+    /// If the lock can't be compared, or the thread that syncs can't be started.
+    pub fn with_shared_lock(path: &Path, lock: OwnedFd) -> io::Result<Option<Self>> {
+        let lock = File::from(lock);
+        let own = match std::fs::metadata(path.join(LOCK_FILE)) {
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+            other => other?,
+        };
+        let shared = lock.metadata()?;
+        if (own.dev(), own.ino()) != (shared.dev(), shared.ino()) {
+            return Ok(None);
+        }
+        Self::with_lock(path, lock).map(Some)
+    }
+
+    /// Returns the lock for another process. The folder stays locked until both have closed it.
+    ///
+    /// # Errors
+    /// If no descriptor is left.
+    pub fn share_lock(&self) -> io::Result<Option<OwnedFd>> {
+        self.lock.as_ref().map(|lock| lock.try_clone().map(OwnedFd::from)).transpose()
+    }
+
+    fn with_lock(path: &Path, lock: File) -> io::Result<Self> {
         // A queued sync that has not started also covers data written after it was queued. A request that finds
         // the queue full can therefore be dropped.
         let (syncer, queue) = sync_channel::<File>(SYNC_QUEUE_LENGTH);
@@ -112,7 +147,7 @@
                 }
             }
         })?;
-        Ok(Self { path: path.into(), file: None, syncer, failed, _lock: Some(lock) })
+        Ok(Self { path: path.into(), file: None, syncer, failed, lock: Some(lock) })
     }
 
     fn sync_later(&self, file: File) -> io::Result<()> {
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -68,13 +68,35 @@
     /// # Errors
     /// If the ledger can't be read or prepared for writing.
     pub fn open<T: DeserializeOwned>(
-        mut volume: V,
+        volume: V,
         limits: Limits,
         is_checkpoint: impl Fn(&T) -> bool,
         take: impl FnMut(u64, T),
     ) -> Result<Opened<V>, LedgerError> {
-        let names = segments_from_checkpoint(&volume, is_checkpoint)?;
-        let report = read(&volume, &names, take)?;
+        let report = Self::read(&volume, is_checkpoint, take)?;
+        let writer = Self::resume(volume, limits, &report)?;
+        Ok(Opened { writer, report })
+    }
+
+    /// Passes a ledger's records from the last checkpoint to `take`, and changes nothing.
+    ///
+    /// # Errors
+    /// If the ledger can't be read.
+    pub fn read<T: DeserializeOwned>(
+        volume: &V,
+        is_checkpoint: impl Fn(&T) -> bool,
+        take: impl FnMut(u64, T),
+    ) -> Result<Report, LedgerError> {
+        let names = segments_from_checkpoint(volume, is_checkpoint)?;
+        read(volume, &names, take)
+    }
+
+    /// Prepares a ledger for writing after its last valid record and truncates a torn tail. Nobody may have written to it
+    /// since `report` was made.
+    ///
+    /// # Errors
+    /// If the ledger can't be prepared for writing.
+    pub fn resume(mut volume: V, limits: Limits, report: &Report) -> Result<Self, LedgerError> {
         let newest = segments(&volume)?.last().cloned();
         let (segment, length) = match &newest {
             // The head is incomplete: the segment is created again.
@@ -95,9 +117,12 @@
         };
         let full = volume.reserve_space(RESERVE_FILE, limits.reserve_bytes).is_err();
         let next = report.next;
-        let writer =
-            Self { volume, limits, segment, length, next, waiting: Vec::new(), unsynced: false, full };
-        Ok(Opened { writer, report })
+        Ok(Self { volume, limits, segment, length, next, waiting: Vec::new(), unsynced: false, full })
+    }
+
+    /// The storage of the ledger's files.
+    pub fn volume(&self) -> &V {
+        &self.volume
     }
 
     /// Number of the next record.
--- a/crates/router/src/core/budgets.rs
+++ b/crates/router/src/core/budgets.rs
@@ -15,7 +15,7 @@
 use crate::identity::RequestIdentity;
 
 impl Core {
-    /// Enforces budgets from now on; must be called before the start. Requests that may have run in an earlier
+    /// Enforces budgets from now on; must be called before the first request. Requests that may have run in an earlier
     /// process and must not run twice are restored from its ledger.
     pub fn enforce_budgets(&mut self, budgets: BudgetEnforcer) {
         let (now, retention) = (self.now, self.config.timeouts.identity);
--- a/crates/router/src/shell/handle.rs
+++ b/crates/router/src/shell/handle.rs
@@ -1,15 +1,15 @@
 //! A bounded queue of commands from other threads to a running shell.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{sync_channel, RecvTimeoutError, SyncSender};
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use chalkyard_budget::Settled;
 use chalkyard_state::LifecycleEvent;
 use mio::Waker;
 
-use super::Handover;
+use super::handover::{HandoverCommand, HandoverOffer};
 
 /// A query of an operator to a running router.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,12 +42,10 @@
     /// The event, and then the status. One command, because the event loop may end in the turn in which it takes the event.
     LifecycleThenStatus(LifecycleEvent, SyncSender<String>),
     Query(AdminQuery, SyncSender<String>),
-    /// Hand the listening socket and the ledger over. The flag decides a race: it is set first either by the event loop,
-    /// which then hands over, or by the caller, which then stops waiting.
-    HandOver(SyncSender<Handover>, Arc<AtomicBool>),
+    Handover(HandoverCommand),
 }
 
-/// Capacity of the command queue.
+/// Capacity of the command queue, without the commands of a hand-over.
 const COMMAND_QUEUE_CAPACITY: usize = 64;
 
 /// Commands that wait for the event loop.
@@ -72,7 +70,9 @@
         if commands.closed {
             return Err(HandleError::Stopped);
         }
-        if commands.waiting.len() >= COMMAND_QUEUE_CAPACITY {
+        // A hand-over must be decided. There is one at a time, with at most three commands in the queue.
+        let is_bounded = matches!(command, Command::Handover(_));
+        if commands.waiting.len() >= COMMAND_QUEUE_CAPACITY && !is_bounded {
             return Err(HandleError::Late);
         }
         commands.waiting.push_back(command);
@@ -114,17 +114,44 @@
         self.ask(timeout, |answer| Command::Query(query, answer))
     }
 
-    /// Asks the router to hand its listening socket and its ledger over to the next process. Returns `None` if the router is
-    /// not listening or does not answer in time.
-    pub fn hand_over(&self, timeout: Duration) -> Option<Handover> {
-        let (answer, received) = sync_channel(1);
-        let decided = Arc::new(AtomicBool::new(false));
-        self.enqueue(Command::HandOver(answer, decided.clone())).ok()?;
-        match received.recv_timeout(timeout) {
-            // The event loop has set the flag first: it is about to answer, or has ended and dropped the channel.
-            Err(RecvTimeoutError::Timeout) if decided.swap(true, Ordering::SeqCst) => received.recv().ok(),
-            other => other.ok(),
-        }
+    /// Asks for the resources that a successor needs to prepare itself; the router serves on.
+    ///
+    /// # Errors
+    /// The router is not ready, has ended, or does not answer in time.
+    pub fn offer_handover(&self, timeout: Duration) -> Result<HandoverOffer, HandleError> {
+        self.ask(timeout, |answer| Command::Handover(HandoverCommand::Offer(answer)))
+    }
+
+    /// Suspends the router for a successor. Returns false if it is not ready; after an error it may be suspended.
+    ///
+    /// # Errors
+    /// The event loop has ended, or does not answer in time.
+    pub fn suspend_for_successor(&self, takes_ledger: bool, timeout: Duration) -> Result<bool, HandleError> {
+        self.ask(timeout, |answer| Command::Handover(HandoverCommand::Suspend { takes_ledger, answer }))
+    }
+
+    /// Lets only [`Handle::resume_after_handover`] resume the router. Returns false if it is not suspended any more.
+    ///
+    /// # Errors
+    /// The event loop has ended, or does not answer in time.
+    pub fn grant_place(&self, timeout: Duration) -> Result<bool, HandleError> {
+        self.ask(timeout, |answer| Command::Handover(HandoverCommand::Grant(answer)))
+    }
+
+    /// Resumes a router that was suspended for a successor.
+    ///
+    /// # Errors
+    /// The event loop has ended or cannot be woken.
+    pub fn resume_after_handover(&self) -> Result<(), HandleError> {
+        self.enqueue(Command::Handover(HandoverCommand::Resume))
+    }
+
+    /// Drains the router for a successor that serves. Returns the channel of the settlements if the successor has the ledger.
+    ///
+    /// # Errors
+    /// The event loop has ended, or does not answer in time.
+    pub fn release_place(&self, timeout: Duration) -> Result<Option<Receiver<Settled>>, HandleError> {
+        self.ask(timeout, |answer| Command::Handover(HandoverCommand::Release(answer)))
     }
 
     /// Removes and returns all queued commands.
--- a/crates/router/src/shell/lifecycle.rs
+++ b/crates/router/src/shell/lifecycle.rs
@@ -1,8 +1,7 @@
 //! Drives the lifecycle state machine: signals and commands become its events, and its actions are performed on the sockets
 //! and the core.
 
-use std::os::fd::AsFd;
-use std::sync::mpsc::SyncSender;
+use std::time::Instant;
 
 use chalkyard_state::{LifecycleAction, LifecycleEvent, Phase};
 use mio::Interest;
@@ -10,7 +9,7 @@
 use super::accept::MAX_CONSECUTIVE_ACCEPTS;
 use super::listen::BACKLOG;
 use super::retry::{with_retries, RUNTIME_ATTEMPTS, STARTUP_ATTEMPTS};
-use super::{AdminQuery, Handover, Shell, Sink, LISTENER};
+use super::{AdminQuery, HandoverProgress, Shell, Sink, LISTENER};
 
 impl<S: Sink> Shell<S> {
     /// Passes events that the event loop itself detects to the lifecycle.
@@ -18,8 +17,10 @@
         match self.lifecycle.phase() {
             Phase::Starting if self.core.has_list() => self.lifecycle_event(LifecycleEvent::EndpointsKnown),
             Phase::Draining | Phase::Flushing => {
+                // Until a successor has said that it serves, this router may have to keep the ledger.
+                let undecided = matches!(self.handover, Some(HandoverProgress::Granted { .. }));
                 let open = self.core.open_requests() + self.core.open_clients() + self.core.open_releases();
-                if open == 0 && self.lingering == 0 {
+                if open == 0 && self.lingering == 0 && !undecided {
                     self.lifecycle_event(LifecycleEvent::Idle);
                 }
             }
@@ -28,23 +29,6 @@
         self.lifecycle_event(LifecycleEvent::Tick);
     }
 
-    /// Hands the listening socket over. Connections that are pending in its backlog wait for the next process, so none is
-    /// refused or reset.
-    pub(super) fn hand_over(&mut self, answer: &SyncSender<Handover>) {
-        let ready = matches!(self.lifecycle.phase(), Phase::Ready);
-        let Some(listener) = self.listener.as_ref().filter(|_| ready) else { return };
-        match listener.as_fd().try_clone_to_owned() {
-            Ok(listener) => {
-                // The records of all requests accepted so far must be in the ledger before it is handed over.
-                self.lifecycle_event(LifecycleEvent::ListenerHandedOver);
-                self.flush();
-                let settled = self.sink.hand_over_ledger();
-                let _ = answer.try_send(Handover { listener, settled });
-            }
-            Err(e) => self.sink.note("succession", &format!("cannot hand over the listening socket: {e}")),
-        }
-    }
-
     /// Passes an event to the lifecycle and performs the resulting actions.
     pub(super) fn lifecycle_event(&mut self, event: LifecycleEvent) {
         let mut actions = Vec::new();
@@ -52,13 +36,17 @@
         for action in actions {
             self.perform_action(action);
         }
+        self.abandon_handover();
     }
 
     pub(super) fn perform_action(&mut self, action: LifecycleAction) {
         match action {
             LifecycleAction::Listen => {
-                let event =
-                    if self.listen() { LifecycleEvent::Listening } else { LifecycleEvent::ListenFailed };
+                let event = match self.listen() {
+                    true if self.take_over() => LifecycleEvent::Listening,
+                    true => LifecycleEvent::TakeOverFailed,
+                    false => LifecycleEvent::ListenFailed,
+                };
                 self.lifecycle_event(event);
             }
             LifecycleAction::EnterLameDuck => {
@@ -69,8 +57,11 @@
                 self.stop_listening();
                 self.core.drain(self.clock.now(), &mut self.outputs);
             }
+            LifecycleAction::SuspendAccepting => self.suspend_listening(),
             LifecycleAction::ResumeAccepting => {
-                if self.listen() {
+                if self.resume_listening() {
+                    self.sink.note("succession", "the successor has failed: this router goes on");
+                } else if self.listen() {
                     self.core.undrain();
                 } else {
                     // The router keeps draining. The failure is logged; the operator may try again.
@@ -92,7 +83,14 @@
 
     /// Stops listening, if this has not happened yet. Pending connections are accepted first: closing the listening socket
     /// would reset them.
+    ///
+    /// Those that wait for a successor which may serve are left to it.
     fn stop_listening(&mut self) {
+        if matches!(self.handover, Some(HandoverProgress::Granted { .. })) {
+            self.suspended_listener = None;
+        } else if let Some(listener) = self.suspended_listener.take() {
+            self.listener = Some(listener);
+        }
         for _ in 0..=BACKLOG / MAX_CONSECUTIVE_ACCEPTS {
             if !self.accept() {
                 break;
@@ -102,6 +100,51 @@
         self.accept_at = None;
     }
 
+    /// Leaves connections in the listening socket.
+    fn suspend_listening(&mut self) {
+        self.accept_at = None;
+        self.suspended_listener = self.listener.take();
+        if let Some(listener) = &mut self.suspended_listener {
+            // An error means that it is not registered.
+            let _ = self.poll.registry().deregister(listener);
+        }
+    }
+
+    /// Accepts again from a suspended listening socket. Returns whether there is one.
+    fn resume_listening(&mut self) -> bool {
+        let Some(mut listener) = self.suspended_listener.take() else { return false };
+        let registered = with_retries(RUNTIME_ATTEMPTS, || {
+            self.poll.registry().register(&mut listener, LISTENER, Interest::READABLE)
+        });
+        if let Err(e) = registered {
+            self.sink.note("listen", &format!("cannot listen again: {e}"));
+            return false;
+        }
+        self.listener = Some(listener);
+        self.accept_at = Some(Instant::now());
+        true
+    }
+
+    /// Takes the place of a predecessor, if there is one.
+    fn take_over(&mut self) -> bool {
+        match self.sink.take_over(self.clock.now()) {
+            Ok(budgets) => {
+                if let Some(budgets) = budgets {
+                    self.core.enforce_budgets(budgets);
+                }
+                // Connections may have come before this router polls its socket.
+                self.accept_at = Some(Instant::now());
+                true
+            }
+            Err(e) => {
+                self.sink
+                    .note("succession", &format!("the place of the running router is not taken over: {e}"));
+                self.listener = None;
+                false
+            }
+        }
+    }
+
     /// Starts to listen, with retries. At startup there are more attempts, since a router that cannot listen exits and no
     /// other work is delayed.
     pub(super) fn listen(&mut self) -> bool {
--- a/crates/router/src/shell/mod.rs
+++ b/crates/router/src/shell/mod.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod connections;
 mod handle;
+mod handover;
 mod lifecycle;
 mod linger;
 mod listen;
@@ -16,7 +17,6 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -31,10 +31,12 @@
 use self::connections::READ_BUFFER_BYTES;
 use self::handle::Command;
 pub use self::handle::{AdminQuery, Handle, HandleError};
+pub use self::handover::HandoverOffer;
+use self::handover::HandoverProgress;
 pub use self::listen::ListenAddress;
 use self::ready_queue::ReadyQueue;
 use self::retry::{with_retries, STARTUP_ATTEMPTS};
-pub use self::sink::{Handover, Sink, SinkEvent};
+pub use self::sink::{Sink, SinkEvent, TakeOverError};
 use crate::{ConnId, Core, Input, Output};
 
 const LISTENER: Token = Token(0);
@@ -66,6 +68,9 @@
     lifecycle: Lifecycle,
     listen_address: ListenAddress,
     listener: Option<TcpListener>,
+    /// The listening socket while connections wait in it for a successor.
+    suspended_listener: Option<TcpListener>,
+    handover: Option<HandoverProgress>,
     handle: Handle,
     connections: Slab<Connection>,
     by_id: BTreeMap<ConnId, usize>,
@@ -124,6 +129,8 @@
             lifecycle: Lifecycle::new(timeouts, clock.now().0),
             listen_address: address,
             listener: None,
+            suspended_listener: None,
+            handover: None,
             handle: Handle { waker, commands: Arc::default() },
             connections: Slab::new(),
             by_id: BTreeMap::new(),
@@ -221,11 +228,7 @@
                 let _ = answer.try_send(self.answer(&AdminQuery::Status));
             }
             Command::Query(query, answer) => drop(answer.try_send(self.answer(&query))),
-            Command::HandOver(answer, decided) => {
-                if !decided.swap(true, Ordering::SeqCst) {
-                    self.hand_over(&answer);
-                }
-            }
+            Command::Handover(command) => self.run_handover_command(command),
         }
     }
 
--- a/crates/router/src/shell/sink.rs
+++ b/crates/router/src/shell/sink.rs
@@ -1,12 +1,14 @@
 //! The interface between a shell and the program that embeds it.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
-use chalkyard_budget::{Figures, Record, Settled};
+use chalkyard_budget::{BudgetEnforcer, Figures, Record, Settled};
+use chalkyard_policy::Micros;
 use chalkyard_state::LifecycleAction;
 
 use crate::{Counters, Input, RequestRecord, Tally, Transition};
@@ -42,8 +44,29 @@
     }
     /// The lifecycle has performed an action, of which a service manager may be notified.
     fn lifecycle_action(&mut self, _action: LifecycleAction, _at: Option<SocketAddr>) {}
-    /// Hands the ledger over to the next process. Returns the channel of the settlements from then on.
-    fn hand_over_ledger(&mut self) -> Option<Receiver<Settled>> {
+    /// Takes the place of a predecessor, if there is one; called once, just before the first connection is accepted. May
+    /// block, and returns the budgets that were recovered from the predecessor's ledger.
+    ///
+    /// # Errors
+    /// The predecessor keeps its place.
+    fn take_over(&mut self, _now: Micros) -> Result<Option<BudgetEnforcer>, TakeOverError> {
+        Ok(None)
+    }
+    /// Returns the lock of the ledger for a successor, if there is a ledger.
+    ///
+    /// # Errors
+    /// No descriptor is left.
+    fn share_ledger_lock(&self) -> io::Result<Option<OwnedFd>> {
+        Ok(None)
+    }
+    /// Writes nothing to the ledger until [`Sink::resume_ledger`] or [`Sink::release_ledger`]; records wait.
+    fn suspend_ledger(&mut self) {}
+    /// Writes the records that waited to the ledger. Returns whether the ledger is writable.
+    fn resume_ledger(&mut self) -> bool {
+        true
+    }
+    /// Gives the ledger up to a successor. Returns the channel of the settlements since [`Sink::suspend_ledger`].
+    fn release_ledger(&mut self) -> Option<Receiver<Settled>> {
         None
     }
     /// Starts to reload the settings. The result arrives through [`Sink::housekeep`].
@@ -59,11 +82,5 @@
 /// An event from a [`Sink`] for the core.
 pub type SinkEvent = Input<'static>;
 
-/// The resources that the next process takes over from this one.
-#[derive(Debug)]
-pub struct Handover {
-    /// The listening socket.
-    pub listener: OwnedFd,
-    /// Settlements by this process from now on; `None` without a ledger.
-    pub settled: Option<Receiver<Settled>>,
-}
+/// Why a router does not take the place of its predecessor.
+pub type TakeOverError = Box<dyn std::error::Error + Send + Sync>;
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -21,7 +21,15 @@
     Undrain,
     /// A reload of the settings is requested.
     Reload,
-    /// Another process has taken over the listening socket.
+    /// The place of the predecessor can't be taken over.
+    TakeOverFailed,
+    /// A successor is prepared and needs the ledger at rest.
+    HandoverSuspended,
+    /// The successor may take the place of this router.
+    HandoverGranted,
+    /// The successor has failed.
+    HandoverWithdrawn,
+    /// The successor serves.
     ListenerHandedOver,
     /// No request is open, and all output has been written.
     Idle,
@@ -47,6 +55,8 @@
         /// Whether accepting never resumes, so that the listening socket may be closed.
         permanent: bool,
     },
+    /// Accept no connections, but keep the listening socket: pending ones wait there. Open connections continue.
+    SuspendAccepting,
     /// Accept connections and requests again.
     ResumeAccepting,
     /// Read the settings and apply them.
--- a/crates/state/src/lifecycle.rs
+++ b/crates/state/src/lifecycle.rs
@@ -33,6 +33,8 @@
     Binding,
     /// Accepting requests.
     Ready,
+    /// Accepting no connections while a successor takes over; [`LifecycleEvent::HandoverWithdrawn`] reverts it.
+    HandingOver,
     /// Accepting no requests after [`LifecycleEvent::Drain`]; [`LifecycleEvent::Undrain`] reverts it.
     #[serde(rename = "drained")]
     Paused,
@@ -58,6 +60,8 @@
     phase_deadline: Option<u64>,
     /// A reload was requested before the router was ready, and runs once it is.
     reload_when_ready: bool,
+    /// A successor may take this router's place, so that an operator's drain would come too late.
+    handover_granted: bool,
     /// The reason that the process reports when it exits from [`Phase::Flushing`].
     stop_reason: StopReason,
     timeouts: LifecycleTimeouts,
@@ -70,6 +74,7 @@
             phase: Phase::Starting,
             phase_deadline: Some(now.saturating_add(timeouts.endpoint_wait)),
             reload_when_ready: false,
+            handover_granted: false,
             stop_reason: StopReason::Drained,
             timeouts,
         }
@@ -95,6 +100,7 @@
             Phase::Starting => self.handle_starting(now, event, actions),
             Phase::Binding => self.handle_binding(event, actions),
             Phase::Ready => self.handle_ready(now, event, actions),
+            Phase::HandingOver => self.handle_handing_over(now, event, actions),
             Phase::Paused => self.handle_paused(now, event, actions),
             Phase::LameDuck => self.handle_lame_duck(now, event, actions),
             Phase::Draining => self.handle_draining(now, event, actions),
@@ -108,9 +114,7 @@
             LifecycleEvent::EndpointsKnown => self.bind(actions),
             LifecycleEvent::Tick if self.has_timed_out(now) => self.bind(actions),
             LifecycleEvent::Reload => self.reload_when_ready = true,
-            LifecycleEvent::Terminate | LifecycleEvent::ListenerHandedOver => {
-                self.exit(StopReason::Drained, actions);
-            }
+            LifecycleEvent::Terminate => self.exit(StopReason::Drained, actions),
             _ => {}
         }
     }
@@ -125,10 +129,9 @@
                 }
             }
             LifecycleEvent::ListenFailed => self.exit(StopReason::ListenFailed, actions),
+            LifecycleEvent::TakeOverFailed => self.exit(StopReason::TakeOverFailed, actions),
             LifecycleEvent::Reload => self.reload_when_ready = true,
-            LifecycleEvent::Terminate | LifecycleEvent::ListenerHandedOver => {
-                self.exit(StopReason::Drained, actions);
-            }
+            LifecycleEvent::Terminate => self.exit(StopReason::Drained, actions),
             _ => {}
         }
     }
@@ -145,9 +148,31 @@
                 actions.push(LifecycleAction::NotifyStopping);
                 actions.push(LifecycleAction::EnterLameDuck);
             }
+            LifecycleEvent::Terminate => self.stop_accepting(now, actions),
+            LifecycleEvent::HandoverSuspended => {
+                self.enter(Phase::HandingOver, None);
+                actions.push(LifecycleAction::SuspendAccepting);
+            }
+            _ => {}
+        }
+    }
+
+    /// The caller bounds the time of this phase by its timeouts for the successor.
+    fn handle_handing_over(&mut self, now: u64, event: LifecycleEvent, actions: &mut Vec<LifecycleAction>) {
+        match event {
+            LifecycleEvent::Reload => reload(actions),
+            LifecycleEvent::HandoverGranted => self.handover_granted = true,
+            LifecycleEvent::HandoverWithdrawn => {
+                self.handover_granted = false;
+                self.enter(Phase::Ready, None);
+                actions.push(LifecycleAction::ResumeAccepting);
+            }
+            LifecycleEvent::Drain if !self.handover_granted => {
+                self.enter(Phase::Paused, None);
+                actions.push(LifecycleAction::StopAccepting { permanent: false });
+            }
             LifecycleEvent::Terminate | LifecycleEvent::ListenerHandedOver => {
-                actions.push(LifecycleAction::NotifyStopping);
-                self.drain(now, actions);
+                self.stop_accepting(now, actions);
             }
             _ => {}
         }
@@ -160,10 +185,7 @@
                 self.enter(Phase::Ready, None);
                 actions.push(LifecycleAction::ResumeAccepting);
             }
-            LifecycleEvent::Terminate | LifecycleEvent::ListenerHandedOver => {
-                actions.push(LifecycleAction::NotifyStopping);
-                self.drain(now, actions);
-            }
+            LifecycleEvent::Terminate => self.stop_accepting(now, actions),
             _ => {}
         }
     }
@@ -221,6 +243,11 @@
         actions.push(LifecycleAction::Listen);
     }
 
+    fn stop_accepting(&mut self, now: u64, actions: &mut Vec<LifecycleAction>) {
+        actions.push(LifecycleAction::NotifyStopping);
+        self.drain(now, actions);
+    }
+
     fn drain(&mut self, now: u64, actions: &mut Vec<LifecycleAction>) {
         self.enter(Phase::Draining, Some(now.saturating_add(self.timeouts.drain)));
         actions.push(LifecycleAction::StopAccepting { permanent: true });
--- a/crates/state/src/stop.rs
+++ b/crates/state/src/stop.rs
@@ -17,6 +17,8 @@
     /// The listening socket could not be opened.
     #[serde(rename = "no_listening")]
     ListenFailed,
+    /// The place of the predecessor could not be taken over.
+    TakeOverFailed,
     /// The event loop failed.
     #[serde(rename = "broken")]
     EventLoopFailed,
@@ -30,6 +32,7 @@
             Self::DrainTimedOut => "DrainTimeUp",
             Self::TerminatedTwice => "Told",
             Self::ListenFailed => "NoListening",
+            Self::TakeOverFailed => "TakeOverFailed",
             Self::EventLoopFailed => "Broken",
         }
     }
@@ -38,7 +41,7 @@
     pub fn exit_code(self) -> u8 {
         match self {
             Self::Drained => 0,
-            Self::ListenFailed | Self::EventLoopFailed => 1,
+            Self::ListenFailed | Self::TakeOverFailed | Self::EventLoopFailed => 1,
             Self::DrainTimedOut => 4,
             Self::TerminatedTwice => 5,
         }
--- a/crates/state/tests/lifecycle.rs
+++ b/crates/state/tests/lifecycle.rs
@@ -5,7 +5,7 @@
 
 use chalkyard_state::{Lifecycle, LifecycleAction, LifecycleEvent, LifecycleTimeouts, Phase, StopReason};
 
-const EVENTS: [LifecycleEvent; 12] = [
+const EVENTS: [LifecycleEvent; 16] = [
     LifecycleEvent::Tick,
     LifecycleEvent::EndpointsKnown,
     LifecycleEvent::Listening,
@@ -14,6 +14,10 @@
     LifecycleEvent::Drain,
     LifecycleEvent::Undrain,
     LifecycleEvent::Reload,
+    LifecycleEvent::TakeOverFailed,
+    LifecycleEvent::HandoverSuspended,
+    LifecycleEvent::HandoverGranted,
+    LifecycleEvent::HandoverWithdrawn,
     LifecycleEvent::ListenerHandedOver,
     LifecycleEvent::Idle,
     LifecycleEvent::EventLoopFailed,
@@ -62,6 +66,10 @@
                 assert!(!self.stopped_permanently, "accepting stopped permanently twice: {path:?}");
                 (self.is_accepting, self.stopped_permanently) = (false, permanent);
             }
+            LifecycleAction::SuspendAccepting => {
+                assert!(self.is_accepting && !self.stopped_permanently, "{path:?}");
+                self.is_accepting = false;
+            }
             LifecycleAction::ResumeAccepting => {
                 assert!(!self.is_accepting && !self.stopped_permanently, "{path:?}");
                 self.is_accepting = true;
@@ -134,9 +142,14 @@
         (Starting, Stopped),
         (Binding, Ready),
         (Binding, Stopped),
+        (Ready, HandingOver),
         (Ready, Paused),
         (Ready, Draining),
         (Ready, Stopped),
+        (HandingOver, Ready),
+        (HandingOver, Paused),
+        (HandingOver, Draining),
+        (HandingOver, Stopped),
         (Paused, Ready),
         (Paused, Draining),
         (Paused, Stopped),
--- a/crates/state/tests/transitions.rs
+++ b/crates/state/tests/transitions.rs
@@ -8,7 +8,7 @@
 
 const TRANSITIONS: &str = include_str!("data/transitions.txt");
 
-const EVENTS: [(LifecycleEvent, &str); 11] = [
+const EVENTS: [(LifecycleEvent, &str); 15] = [
     (LifecycleEvent::Tick, "tick"),
     (LifecycleEvent::EndpointsKnown, "listed"),
     (LifecycleEvent::Listening, "listening"),
@@ -17,6 +17,10 @@
     (LifecycleEvent::Drain, "drain"),
     (LifecycleEvent::Undrain, "undrain"),
     (LifecycleEvent::Reload, "reload"),
+    (LifecycleEvent::TakeOverFailed, "take-over-failed"),
+    (LifecycleEvent::HandoverSuspended, "suspended"),
+    (LifecycleEvent::HandoverGranted, "granted"),
+    (LifecycleEvent::HandoverWithdrawn, "withdrawn"),
     (LifecycleEvent::ListenerHandedOver, "succeeded"),
     (LifecycleEvent::Idle, "idle"),
     (LifecycleEvent::EventLoopFailed, "broken"),
@@ -30,6 +34,7 @@
         LifecycleAction::NotifyStopping => "say-stopping".into(),
         LifecycleAction::EnterLameDuck => "leave".into(),
         LifecycleAction::StopAccepting { permanent } => format!("stop-taking-{permanent}"),
+        LifecycleAction::SuspendAccepting => "suspend-taking".into(),
         LifecycleAction::ResumeAccepting => "take-again".into(),
         LifecycleAction::ReloadSettings => "reload".into(),
         LifecycleAction::AnswerOpenRequests => "answer-all".into(),
@@ -97,6 +102,7 @@
         (Phase::Starting, "starting"),
         (Phase::Binding, "opening"),
         (Phase::Ready, "ready"),
+        (Phase::HandingOver, "handing_over"),
         (Phase::Paused, "drained"),
         (Phase::LameDuck, "leaving"),
         (Phase::Draining, "ending"),
@@ -111,6 +117,7 @@
         (StopReason::DrainTimedOut, "drain_time_up", 4),
         (StopReason::TerminatedTwice, "told", 5),
         (StopReason::ListenFailed, "no_listening", 1),
+        (StopReason::TakeOverFailed, "take_over_failed", 1),
         (StopReason::EventLoopFailed, "broken", 1),
     ];
     for (stop, name, code) in stops {
